--- /dev/null
+++ b/cmd/quaybench/cmds/run.go
@@ -0,0 +1,128 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/experiment"
+	"github.com/quaylead/quaylead/cmd/quaybench/load"
+	"github.com/quaylead/quaylead/cmd/quaybench/measure"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// runOptions are the flags of commands that run experiments.
+type runOptions struct {
+	seed uint64
+	out  string
+}
+
+func (o *runOptions) add(command *cobra.Command) {
+	command.Flags().Uint64Var(&o.seed, "seed", 1, "the seed of the trace")
+	command.Flags().StringVar(&o.out, "out", "", "the folder for results; a temporary one if empty")
+}
+
+// folder returns the folder for results. A temporary one is removed by clean.
+func (o *runOptions) folder() (dir string, clean func(), err error) {
+	if o.out != "" {
+		dir, err := filepath.Abs(o.out)
+		return dir, func() {}, err
+	}
+	dir, err = os.MkdirTemp("", "quaybench-")
+	return dir, func() { os.RemoveAll(dir) }, err
+}
+
+func runCommand() *cobra.Command {
+	opts := &runOptions{}
+	command := &cobra.Command{
+		Use:   "run EXPERIMENT.toml",
+		Short: "Run an experiment and write result.json",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			e, err := experiment.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return runOne(command, opts, e)
+		},
+	}
+	opts.add(command)
+	return command
+}
+
+// runOne runs an experiment and prints its measures.
+func runOne(command *cobra.Command, opts *runOptions, e experiment.Experiment) (err error) {
+	bin, err := binDir()
+	if err != nil {
+		return err
+	}
+	dir, clean, err := opts.folder()
+	if err != nil {
+		return err
+	}
+	defer clean()
+	run := &experiment.Run{
+		Experiment: e,
+		Seed:       opts.seed,
+		Bin:        bin,
+		Dir:        dir,
+		Progress:   command.ErrOrStderr(),
+	}
+	result, err := run.Do(command.Context())
+	if err != nil {
+		return err
+	}
+	if err := measure.Print(command.OutOrStdout(), &result); err != nil {
+		return err
+	}
+	if !result.Zero() {
+		return errNotZero
+	}
+	return nil
+}
+
+func demoCommand() *cobra.Command {
+	opts := &runOptions{}
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Start a small fleet, load it, and print the measures",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, args []string) error {
+			err := runOne(command, opts, demo())
+			if err == nil {
+				fmt.Fprintln(command.OutOrStdout(), "Every count that must be zero is zero.")
+			}
+			if errors.Is(err, errNotZero) {
+				fmt.Fprintln(command.OutOrStdout(), "A count that must be zero is not.")
+			}
+			return err
+		},
+	}
+	opts.add(command)
+	return command
+}
+
+// demo is a fleet of today's size under uneven load: three customers backlogged,
+// one of them large, quick replies beside them, and bookings.
+func demo() experiment.Experiment {
+	e := experiment.Default()
+	e.Title = "demo"
+	e.Length = settings.Duration{Duration: 15 * time.Second}
+	e.Fleet.Classes = map[string]settings.Class{"quick": {Quick: true, MaxOutputTokens: 32}}
+	e.Sources = []load.Source{
+		{Customer: "camp-drive", Share: 2, Rate: 60, Routers: []int{0, 1, 2},
+			InputTokens: [2]int{50, 400}, OutputTokens: [2]int{50, 150}},
+		{Customer: "ward-3", Share: 1, Rate: 40, Routers: []int{3},
+			InputTokens: [2]int{50, 400}, OutputTokens: [2]int{50, 150}},
+		{Customer: "donor-desk", Share: 1, Rate: 30,
+			InputTokens: [2]int{50, 200}, OutputTokens: [2]int{40, 100}},
+		{Customer: "families", Share: 1, Rate: 10, Class: "quick",
+			InputTokens: [2]int{20, 60}, OutputTokens: [2]int{5, 20}},
+		{Customer: "bookings", Share: 1, Rate: 20, Plain: true, Keyed: true, RepeatKeys: 0.2},
+	}
+	return e
+}
--- /dev/null
+++ b/cmd/quaybench/experiment/experiment.go
@@ -0,0 +1,236 @@
+// Package experiment runs a fleet under load and faults on a timetable, and
+// computes the measures.
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/fleet"
+	"github.com/quaylead/quaylead/cmd/quaybench/load"
+	"github.com/quaylead/quaylead/cmd/quaybench/measure"
+	"github.com/quaylead/quaylead/cmd/quaystand/truth"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// Experiment is a file of _fixtures/experiments.
+type Experiment struct {
+	// Title says in a line what is tried.
+	Title string
+	// Length is the time of arrivals; what is in flight then is awaited.
+	Length settings.Duration
+	// Timeout bounds each request at its caller.
+	Timeout settings.Duration
+	Fleet   fleet.Plan
+	Sources []load.Source
+	Faults  []Step
+	// JudgeFrom and JudgeUntil bound the time that the measures look at;
+	// JudgeUntil 0 means to the end.
+	JudgeFrom  settings.Duration
+	JudgeUntil settings.Duration
+}
+
+// Run is one run of an experiment.
+type Run struct {
+	Experiment Experiment
+	Seed       uint64
+	// Bin holds the programs, Dir takes settings, logs and results.
+	Bin string
+	Dir string
+	// Progress takes a line while the experiment runs.
+	Progress io.Writer
+}
+
+// Default returns what an experiment's file overrides.
+func Default() Experiment {
+	return Experiment{
+		Length:  settings.Duration{Duration: 20 * time.Second},
+		Timeout: settings.Duration{Duration: 60 * time.Second},
+		Fleet: fleet.Plan{
+			Routers:        9,
+			Engines:        9,
+			Services:       3,
+			Slots:          8,
+			DecodeInterval: settings.Duration{Duration: 10 * time.Millisecond},
+			PrefillRate:    20000,
+			ServiceLatency: settings.Duration{Duration: 5 * time.Millisecond},
+			ListLag:        settings.Duration{Duration: 5 * time.Second},
+		},
+	}
+}
+
+// Load reads an experiment's file.
+func Load(path string) (e Experiment, err error) {
+	defer func() { err = trace.Wrap(err, "loading experiment %s", path) }()
+	e = Default()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return e, err
+	}
+	decoder := toml.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	return e, decoder.Decode(&e)
+}
+
+// Shares are the weights of the experiment's customers.
+func (e *Experiment) Shares() map[string]float64 {
+	shares := map[string]float64{}
+	for _, source := range e.Sources {
+		share := source.Share
+		if share == 0 {
+			share = 1
+		}
+		shares[source.Customer] = share
+	}
+	return shares
+}
+
+// customers gives the customers that the sources name, unless the plan has
+// settings of its own for them.
+func (e *Experiment) customers() map[string]settings.Customer {
+	customers := map[string]settings.Customer{}
+	for name, share := range e.Shares() {
+		customer := e.Fleet.Customers[name]
+		customer.Share = share
+		customers[name] = customer
+	}
+	return customers
+}
+
+// Do starts the fleet, sends the load, applies the faults and measures.
+func (r *Run) Do(ctx context.Context) (result measure.Result, err error) {
+	defer func() { err = trace.Wrap(err, "running experiment %q", r.Experiment.Title) }()
+	plan := r.Experiment.Fleet
+	plan.Customers = r.Experiment.customers()
+	plan.Proxied = plan.Proxied || len(r.Experiment.Faults) > 0
+	f := &fleet.Fleet{Plan: plan, Bin: r.Bin, Dir: filepath.Join(r.Dir, "fleet")}
+	if err := f.Start(ctx); err != nil {
+		return result, err
+	}
+	defer f.Stop()
+	control := controlMeter{fleet: f}
+	if err := control.begin(); err != nil {
+		return result, err
+	}
+	began := time.Now()
+	records, err := r.drive(ctx, f)
+	if err != nil {
+		return result, err
+	}
+	perSecond, err := control.end()
+	if err != nil {
+		return result, err
+	}
+	events, err := f.Truth()
+	if err != nil {
+		return result, err
+	}
+	result = measure.Compute(r.input(began, records, events))
+	result.ControlBytesPerSecond = perSecond
+	return result, r.write(result)
+}
+
+// drive sends the trace while the faults follow their timetable.
+func (r *Run) drive(ctx context.Context, f *fleet.Fleet) (records []load.Record, err error) {
+	runner := &load.Runner{
+		Key:      fleet.Key,
+		Model:    fleet.Model,
+		Path:     fleet.BookingPath,
+		Timeout:  r.Experiment.Timeout.Duration,
+		Progress: r.progress,
+	}
+	for _, router := range f.Routers {
+		runner.URLs = append(runner.URLs, router.CallerURL())
+	}
+	arrivals := load.Trace(r.Experiment.Sources, len(f.Routers), r.Experiment.Length.Duration, r.Seed)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return follow(ctx, f, r.Experiment.Faults) })
+	group.Go(func() (err error) {
+		records, err = runner.Run(ctx, arrivals)
+		return err
+	})
+	return records, group.Wait()
+}
+
+func (r *Run) progress(at time.Duration, sent, ended int) {
+	if r.Progress != nil {
+		fmt.Fprintf(r.Progress, "%s: %5.1fs, %d sent, %d in flight\n",
+			r.Experiment.Title, at.Seconds(), sent, sent-ended)
+	}
+}
+
+func (r *Run) input(began time.Time, records []load.Record, events []truth.Event) measure.Input {
+	e := &r.Experiment
+	until := began.Add(e.JudgeUntil.Duration)
+	if e.JudgeUntil.Duration == 0 {
+		for _, record := range records {
+			if record.End.After(until) {
+				until = record.End
+			}
+		}
+	}
+	defaults := settings.DefaultDefaults().Pool
+	return measure.Input{
+		Records:      records,
+		Truth:        events,
+		Shares:       e.Shares(),
+		InputWeight:  defaults.InputWeight,
+		OutputWeight: defaults.OutputWeight,
+		Slots:        e.Fleet.Engines * e.Fleet.Slots,
+		From:         began.Add(e.JudgeFrom.Duration),
+		Until:        until,
+	}
+}
+
+func (r *Run) write(result measure.Result) error {
+	text, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(r.Dir, "result.json"), append(text, '\n'), 0o644)
+}
+
+// controlMeter measures the bytes that boxes exchange for control.
+type controlMeter struct {
+	fleet *fleet.Fleet
+	began time.Time
+	bytes int64
+}
+
+func (m *controlMeter) begin() (err error) {
+	m.began = time.Now()
+	m.bytes, err = m.read()
+	return err
+}
+
+func (m *controlMeter) end() (perSecond float64, err error) {
+	now, err := m.read()
+	if err != nil {
+		return 0, err
+	}
+	boxes := float64(len(m.fleet.Routers))
+	return float64(now-m.bytes) / boxes / time.Since(m.began).Seconds(), nil
+}
+
+// read sums what the boxes exchanged with each other, and with the platform.
+func (m *controlMeter) read() (total int64, err error) {
+	for _, router := range m.fleet.Routers {
+		status, err := router.Status()
+		if err != nil {
+			continue
+		}
+		total += status.ControlSent + status.ControlReceived
+	}
+	counts, err := m.fleet.PlatformCounts()
+	return total + counts.Bytes, err
+}
--- /dev/null
+++ b/cmd/quaybench/experiment/step.go
@@ -0,0 +1,121 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/fleet"
+	"github.com/quaylead/quaylead/cmd/quaystand/engine"
+	"github.com/quaylead/quaylead/cmd/quaystand/platform"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// Action is what a step of the timetable does.
+type Action string
+
+// The actions.
+const (
+	// Partition cuts the named routers off from all others.
+	Partition Action = "partition"
+	// Rejoin heals all links between routers.
+	Rejoin Action = "rejoin"
+	// Kill ends routers at once, Start starts them again, empty.
+	Kill  Action = "kill"
+	Start Action = "start"
+	// Terminate asks routers for a planned stop.
+	Terminate Action = "terminate"
+	// Pause stops routers in their tracks, Continue lets them go on.
+	Pause    Action = "pause"
+	Continue Action = "continue"
+	// Leave makes engines take no new work.
+	Leave Action = "leave"
+	// Slow makes engines slower by Factor.
+	Slow Action = "slow"
+	// StoreOutage and StoreBack switch the platform off and on; StoreLoses
+	// makes it lose the part Factor of its answers to writes.
+	StoreOutage Action = "store-outage"
+	StoreBack   Action = "store-back"
+	StoreLoses  Action = "store-loses"
+)
+
+// Step is one entry of the timetable.
+type Step struct {
+	At     settings.Duration
+	Action Action
+	// Routers and Engines are counted from 0.
+	Routers []int
+	Engines []int
+	Factor  float64
+}
+
+// follow carries out the timetable.
+func follow(ctx context.Context, f *fleet.Fleet, steps []Step) error {
+	began := time.Now()
+	for _, step := range steps {
+		timer := time.NewTimer(time.Until(began.Add(step.At.Duration)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+		if err := step.do(f); err != nil {
+			return trace.Wrap(err, "step %s at %s", step.Action, step.At)
+		}
+	}
+	return nil
+}
+
+func (s *Step) do(f *fleet.Fleet) error {
+	switch s.Action {
+	case Partition:
+		return f.Partition(s.Routers)
+	case Rejoin:
+		return f.Rejoin()
+	case Leave:
+		leaving := true
+		return s.eachEngine(f, engine.Control{Leaving: &leaving})
+	case Slow:
+		return s.eachEngine(f, engine.Control{Slowness: s.Factor})
+	case StoreOutage:
+		return f.Platform.Control(platform.Faults{Outage: true})
+	case StoreBack:
+		return f.Platform.Control(platform.Faults{})
+	case StoreLoses:
+		return f.Platform.Control(platform.Faults{LoseAnswers: s.Factor})
+	}
+	for _, number := range s.Routers {
+		if err := s.doRouter(f.Routers[number]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Step) doRouter(router *fleet.Router) error {
+	switch s.Action {
+	case Kill:
+		router.Kill()
+		return nil
+	case Start:
+		return router.Start()
+	case Terminate:
+		return router.Terminate()
+	case Pause:
+		return router.Pause()
+	case Continue:
+		return router.Continue()
+	}
+	return trace.BadParameter("there is no action %q", s.Action)
+}
+
+func (s *Step) eachEngine(f *fleet.Fleet, control engine.Control) error {
+	for _, number := range s.Engines {
+		if err := f.Engines[number].Control(control); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/quaybench/fleet/fleet.go
@@ -0,0 +1,470 @@
+// Package fleet starts a small fleet of real processes on one machine: routers,
+// engines, plain services and the platform, behind proxies that inject faults.
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/fault"
+	"github.com/quaylead/quaylead/pkg/platform"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// Plan says what a fleet consists of.
+type Plan struct {
+	Routers  int
+	Engines  int
+	Services int
+	// Slots is the batch limit of each engine.
+	Slots int
+	// DecodeInterval is the time between two tokens of one request.
+	DecodeInterval settings.Duration
+	// PrefillRate is the number of prompt tokens an engine reads in a second.
+	PrefillRate float64
+	// ServiceLatency is how long a call to a plain service takes.
+	ServiceLatency settings.Duration
+	// ListLag is how old the box list is.
+	ListLag settings.Duration
+	// Customers are by name.
+	Customers map[string]settings.Customer
+	// Classes are by name.
+	Classes map[string]settings.Class
+	// Pool overrides the rules of the model pool; zero values mean the defaults.
+	Pool PoolPlan
+	// Box overrides settings of every router, as Key.Path=Value.
+	Box []string
+	// Proxied puts a fault-injecting proxy before every endpoint, before the
+	// platform as each router sees it, and between each pair of routers.
+	Proxied bool
+}
+
+// PoolPlan is what experiments vary in the model pool.
+type PoolPlan struct {
+	Order      settings.OrderPolicy
+	SlotPolicy settings.SlotPolicy
+	Slack      int
+	QuickSlots int
+	MergeBound float64
+}
+
+// Names of what a fleet serves.
+const (
+	ModelPool = "quay-llm"
+	PlainPool = "booking-api"
+	Model     = "quay-llm-8b"
+	// BookingPath leads to calls that must not be repeated.
+	BookingPath = "/bookings"
+)
+
+// zones are the availability zones that boxes are spread over.
+var zones = []string{"lhr-a", "lhr-b", "isb-c"}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Plan Plan
+	// Bin holds the programs, Dir the settings, logs and ground truth.
+	Bin string
+	Dir string
+	// Grid holds the proxies when the plan asks for them.
+	Grid *fault.Grid
+
+	Routers  []*Router
+	Engines  []*Process
+	Services []*Process
+	Platform *Process
+}
+
+// Router is a router's process with its addresses.
+type Router struct {
+	*Process
+	CallerAddress   string
+	OperatorAddress string
+	PeerAddress     string
+	settingsFile    string
+}
+
+// CallerURL is where callers reach the router.
+func (r *Router) CallerURL() string {
+	return "http://" + r.CallerAddress
+}
+
+// Key is the bearer key of a customer in test fleets.
+func Key(customer string) string {
+	return "key-of-" + customer
+}
+
+// KeyHash is the hash that settings hold of a customer's key.
+func KeyHash(customer string) string {
+	sum := sha256.Sum256([]byte(Key(customer)))
+	return hex.EncodeToString(sum[:])
+}
+
+// startTimeout bounds the wait for a process to answer.
+const startTimeout = 20 * time.Second
+
+// Start starts every process and waits until all routers are ready.
+func (f *Fleet) Start(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			f.Stop()
+		}
+		err = trace.Wrap(err, "starting the fleet")
+	}()
+	if err := os.MkdirAll(f.Dir, 0o755); err != nil {
+		return err
+	}
+	if f.Plan.Proxied {
+		f.Grid = fault.NewGrid()
+	}
+	if err := f.startStandIns(); err != nil {
+		return err
+	}
+	if err := f.startRouters(); err != nil {
+		return err
+	}
+	for _, router := range f.Routers {
+		if err := awaitReady(ctx, router); err != nil {
+			return err
+		}
+	}
+	return f.awaitMesh(ctx)
+}
+
+func (f *Fleet) startStandIns() error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	f.Platform, err = f.stand("platform", "platform", address, "--list-lag", f.Plan.ListLag.String())
+	if err != nil {
+		return err
+	}
+	for i := range f.Plan.Engines {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		engine, err := f.stand(fmt.Sprintf("engine-%d", i+1), "engine", address,
+			"--slots", fmt.Sprint(f.Plan.Slots),
+			"--decode-interval", f.Plan.DecodeInterval.String(),
+			"--prefill-rate", fmt.Sprint(f.Plan.PrefillRate))
+		if err != nil {
+			return err
+		}
+		f.Engines = append(f.Engines, engine)
+	}
+	for i := range f.Plan.Services {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		service, err := f.stand(fmt.Sprintf("service-%d", i+1), "plain", address,
+			"--latency", f.Plan.ServiceLatency.String())
+		if err != nil {
+			return err
+		}
+		f.Services = append(f.Services, service)
+	}
+	return nil
+}
+
+// stand starts a stand-in.
+func (f *Fleet) stand(name, kind, address string, flags ...string) (*Process, error) {
+	process := &Process{
+		Name:    name,
+		Address: address,
+		Path:    filepath.Join(f.Bin, "quaystand"),
+		Args: append([]string{kind, "--name", name, "--address", address,
+			"--log", f.TruthFile(name)}, flags...),
+		LogFile: filepath.Join(f.Dir, name+".log"),
+	}
+	if err := process.Start(); err != nil {
+		return nil, err
+	}
+	return process, awaitAccept(address)
+}
+
+// TruthFile is the log of ground truth of a stand-in.
+func (f *Fleet) TruthFile(name string) string {
+	return filepath.Join(f.Dir, name+".truth")
+}
+
+func (f *Fleet) startRouters() error {
+	tree, err := f.writeTree()
+	if err != nil {
+		return err
+	}
+	for i := range f.Plan.Routers {
+		router := &Router{}
+		for _, address := range []*string{&router.CallerAddress, &router.OperatorAddress, &router.PeerAddress} {
+			if *address, err = freeAddress(); err != nil {
+				return err
+			}
+		}
+		name := fmt.Sprintf("box-%d", i+1)
+		router.settingsFile = filepath.Join(f.Dir, name+".toml")
+		args := []string{"serve", "--settings", router.settingsFile}
+		for _, override := range f.Plan.Box {
+			args = append(args, "--set", override)
+		}
+		router.Process = &Process{
+			Name:    name,
+			Address: router.CallerAddress,
+			Path:    filepath.Join(f.Bin, "quaylead"),
+			Args:    args,
+			LogFile: filepath.Join(f.Dir, name+".log"),
+		}
+		f.Routers = append(f.Routers, router)
+	}
+	for i := range f.Routers {
+		if err := f.writeBox(i, tree); err != nil {
+			return err
+		}
+	}
+	if err := f.listBoxes(); err != nil {
+		return err
+	}
+	for _, router := range f.Routers {
+		if err := router.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeBox writes the settings of a router. They name every other router, by
+// its proxy where there is one.
+func (f *Fleet) writeBox(i int, tree string) (err error) {
+	defer func() { err = trace.Wrap(err, "writing box settings") }()
+	router := f.Routers[i]
+	box := settings.DefaultBox()
+	box.Name = router.Name
+	box.Zone = zones[i%len(zones)]
+	box.Region = "pk-north"
+	box.CallerAddress = router.CallerAddress
+	box.OperatorAddress = router.OperatorAddress
+	box.PeerAddress = router.PeerAddress
+	box.Tree = tree
+	box.Peers = map[string]settings.Peer{}
+	for j, peer := range f.Routers {
+		if j == i {
+			continue
+		}
+		address, err := f.through(PeerLink(router.Name, peer.Name), peer.PeerAddress)
+		if err != nil {
+			return err
+		}
+		box.Peers[peer.Name] = settings.Peer{Address: address, Zone: zones[j%len(zones)]}
+	}
+	box.Platform.Address, err = f.through(PlatformLink(router.Name), f.Platform.Address)
+	if err != nil {
+		return err
+	}
+	text, err := toml.Marshal(box)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(router.settingsFile, text, 0o644)
+}
+
+// PeerLink names the proxy of one router's session to another.
+func PeerLink(from, to string) string {
+	return "peer/" + from + "/" + to
+}
+
+// PlatformLink names the proxy between a router and the platform.
+func PlatformLink(router string) string {
+	return "platform/" + router
+}
+
+// EndpointLink names the proxy before an endpoint.
+func EndpointLink(endpoint string) string {
+	return "endpoint/" + endpoint
+}
+
+// through returns the address at which another one is reached: that of its
+// proxy, if there are proxies.
+func (f *Fleet) through(link, address string) (string, error) {
+	if f.Grid == nil {
+		return address, nil
+	}
+	return f.Grid.Add(link, address)
+}
+
+// tree is the settings tree of a test fleet.
+type tree struct {
+	Classes   map[string]settings.Class
+	Customers map[string]customerTree
+	Pools     map[string]poolTree
+}
+
+type customerTree struct {
+	Share       float64  `toml:",omitempty"`
+	KeyHashes   []string `toml:",omitempty"`
+	QueueLength int      `toml:",omitempty"`
+	Unsettled   float64  `toml:",omitempty"`
+}
+
+type poolTree struct {
+	Kind          settings.PoolKind
+	Models        []string             `toml:",omitempty"`
+	Paths         []string             `toml:",omitempty"`
+	Order         settings.OrderPolicy `toml:",omitempty"`
+	SlotPolicy    settings.SlotPolicy  `toml:",omitempty"`
+	Slack         int                  `toml:",omitempty"`
+	QuickSlots    int                  `toml:",omitempty"`
+	MergeBound    float64              `toml:",omitempty"`
+	NotRepeatable []string             `toml:",omitempty"`
+	Endpoints     map[string]endpointTree
+}
+
+type endpointTree struct {
+	Address string
+	Zone    string
+	Slots   int `toml:",omitempty"`
+}
+
+func (f *Fleet) writeTree() (path string, err error) {
+	defer func() { err = trace.Wrap(err, "writing the settings tree") }()
+	engines, err := f.endpoints(f.Engines, f.Plan.Slots)
+	if err != nil {
+		return "", err
+	}
+	services, err := f.endpoints(f.Services, serviceSlots)
+	if err != nil {
+		return "", err
+	}
+	rules := f.Plan.Pool
+	content := tree{
+		Classes:   f.Plan.Classes,
+		Customers: map[string]customerTree{},
+		Pools: map[string]poolTree{
+			ModelPool: {
+				Kind:       settings.ModelPool,
+				Models:     []string{Model},
+				Order:      rules.Order,
+				SlotPolicy: rules.SlotPolicy,
+				Slack:      rules.Slack,
+				QuickSlots: rules.QuickSlots,
+				MergeBound: rules.MergeBound,
+				Endpoints:  engines,
+			},
+			PlainPool: {
+				Kind:          settings.PlainPool,
+				Paths:         []string{"/"},
+				NotRepeatable: []string{"POST " + BookingPath},
+				Endpoints:     services,
+			},
+		},
+	}
+	for name, customer := range f.Plan.Customers {
+		content.Customers[name] = customerTree{
+			Share:       customer.Share,
+			KeyHashes:   []string{KeyHash(name)},
+			QueueLength: customer.QueueLength,
+			Unsettled:   customer.Unsettled,
+		}
+	}
+	text, err := toml.Marshal(content)
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(f.Dir, "fleet.toml")
+	return path, os.WriteFile(path, text, 0o644)
+}
+
+// serviceSlots is the number of calls a plain service takes at once.
+const serviceSlots = 64
+
+func (f *Fleet) endpoints(processes []*Process, slots int) (map[string]endpointTree, error) {
+	endpoints := map[string]endpointTree{}
+	for i, process := range processes {
+		address, err := f.through(EndpointLink(process.Name), process.Address)
+		if err != nil {
+			return nil, err
+		}
+		endpoints[process.Name] = endpointTree{
+			Address: address,
+			Zone:    zones[i%len(zones)],
+			Slots:   slots,
+		}
+	}
+	return endpoints, nil
+}
+
+// listBoxes tells the platform which boxes there are.
+func (f *Fleet) listBoxes() error {
+	var boxes []platform.ListedBox
+	for i, router := range f.Routers {
+		boxes = append(boxes, platform.ListedBox{
+			Name:    router.Name,
+			Address: router.PeerAddress,
+			Zone:    zones[i%len(zones)],
+			Role:    platform.RouterRole,
+			State:   "live",
+		})
+	}
+	return PostJSON("http://"+f.Platform.Address+"/boxes", boxes)
+}
+
+// awaitMesh waits until every router hears every other one.
+func (f *Fleet) awaitMesh(ctx context.Context) error {
+	for _, router := range f.Routers {
+		err := poll(ctx, func() (bool, error) {
+			status, err := router.Status()
+			return err == nil && len(status.Members) == len(f.Routers)-1, nil
+		})
+		if err != nil {
+			return trace.Wrap(err, "waiting for %s to hear its peers", router.Name)
+		}
+	}
+	return nil
+}
+
+// Stop ends every process that is still running and the proxies.
+func (f *Fleet) Stop() {
+	for _, router := range f.Routers {
+		if router.Process != nil {
+			router.Kill()
+		}
+	}
+	for _, process := range append(append([]*Process{}, f.Engines...), f.Services...) {
+		process.Kill()
+	}
+	if f.Platform != nil {
+		f.Platform.Kill()
+	}
+	if f.Grid != nil {
+		f.Grid.Close()
+	}
+}
+
+// freeAddress lets the kernel choose a free port.
+func freeAddress() (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.Wrap(err, "choosing a port")
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// awaitReady waits until a router takes callers.
+func awaitReady(ctx context.Context, router *Router) error {
+	err := poll(ctx, func() (bool, error) {
+		status, _, err := fasthttp.GetTimeout(nil, "http://"+router.OperatorAddress+"/readyz", time.Second)
+		return err == nil && status == fasthttp.StatusOK, nil
+	})
+	return trace.Wrap(err, "waiting for %s to be ready", router.Name)
+}
--- /dev/null
+++ b/cmd/quaybench/fleet/links.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/cmd/quaystand/platform"
+	"github.com/quaylead/quaylead/cmd/quaystand/truth"
+)
+
+// Partition cuts the routers with these numbers off from all others: nothing
+// passes either way, and nobody is told.
+func (f *Fleet) Partition(numbers []int) error {
+	return f.eachPeerLink(func(from, to int) error {
+		if slices.Contains(numbers, from) == slices.Contains(numbers, to) {
+			return nil
+		}
+		return f.Grid.Cut(PeerLink(f.Routers[from].Name, f.Routers[to].Name))
+	})
+}
+
+// Rejoin heals the links between all routers.
+func (f *Fleet) Rejoin() error {
+	return f.eachPeerLink(func(from, to int) error {
+		return f.Grid.Heal(PeerLink(f.Routers[from].Name, f.Routers[to].Name))
+	})
+}
+
+func (f *Fleet) eachPeerLink(visit func(from, to int) error) error {
+	for from := range f.Routers {
+		for to := range f.Routers {
+			if from == to {
+				continue
+			}
+			if err := visit(from, to); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Truth reads the ground truth of all endpoints, in order of time.
+func (f *Fleet) Truth() (events []truth.Event, err error) {
+	for _, process := range slices.Concat(f.Engines, f.Services) {
+		own, err := truth.Read(f.TruthFile(process.Name))
+		if err != nil {
+			return nil, err
+		}
+		events = append(events, own...)
+	}
+	slices.SortStableFunc(events, func(a, b truth.Event) int { return a.At.Compare(b.At) })
+	return events, nil
+}
+
+// PlatformCounts reads how often the platform was called.
+func (f *Fleet) PlatformCounts() (counts platform.Counts, err error) {
+	defer func() { err = trace.Wrap(err, "reading the platform's counts") }()
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+f.Platform.Address+"/counts", callTimeout)
+	if err != nil {
+		return counts, err
+	}
+	return counts, json.Unmarshal(body, &counts)
+}
--- /dev/null
+++ b/cmd/quaystand/engine/engine.go
@@ -0,0 +1,347 @@
+// Package engine is the stand-in of a model engine: continuous batching with a
+// limit of slots and of KV memory, a priority queue, a prompt-prefix cache,
+// load reports that lag, cancelling, and leaving.
+package engine
+
+import (
+	"container/heap"
+	"encoding/json"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/cmd/quaystand/truth"
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/pool"
+)
+
+// Engine is one engine. Its exported fields are set before Run.
+type Engine struct {
+	// Address is the IP and port it serves on.
+	Address string
+	// Slots is the number of requests in a batch.
+	Slots int
+	// KVTokens bounds the tokens of prompts and answers in memory at once.
+	KVTokens int
+	// PrefillRate is the number of prompt tokens read in a second.
+	PrefillRate float64
+	// DecodeInterval is the time between two tokens of one request in an empty
+	// batch; a full batch takes up to half as long again.
+	DecodeInterval time.Duration
+	// CacheTokens bounds the prompt-prefix cache.
+	CacheTokens int
+	// ReportLag is how old a load report is.
+	ReportLag time.Duration
+	// Truth is the log of what was run.
+	Truth *truth.Log
+
+	mu       sync.Mutex
+	running  int
+	kvUsed   int
+	queue    queue
+	arrivals int
+	leaving  bool
+	slowness float64
+	cache    prefixCache
+	reports  []timedReport
+}
+
+type timedReport struct {
+	at time.Time
+	pool.Report
+}
+
+// job is one request at the engine.
+type job struct {
+	id       string
+	customer string
+	priority int
+	arrival  int
+	input    int
+	output   int
+	admitted chan struct{}
+	index    int
+}
+
+// Control is what the harness may change while the engine runs.
+type Control struct {
+	// Leaving engines take no new work.
+	Leaving *bool `json:",omitempty"`
+	// Slowness multiplies every duration; 1 is the usual speed.
+	Slowness float64 `json:",omitempty"`
+}
+
+// Handle answers one HTTP call.
+func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/load":
+		e.serveLoad(ctx)
+	case "/control":
+		e.serveControl(ctx)
+	case "/v1/chat/completions", "/v1/completions":
+		e.serveModel(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Engine) serveControl(ctx *fasthttp.RequestCtx) {
+	var control Control
+	if err := json.Unmarshal(ctx.PostBody(), &control); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if control.Slowness > 0 {
+		e.slowness = control.Slowness
+	}
+	if control.Leaving != nil {
+		e.setLeaving(*control.Leaving)
+	}
+}
+
+// Leave makes the engine take no new work.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setLeaving(true)
+}
+
+func (e *Engine) setLeaving(leaving bool) {
+	if leaving == e.leaving {
+		return
+	}
+	e.leaving = leaving
+	kind := truth.Joined
+	if leaving {
+		kind = truth.Leaving
+	}
+	e.Truth.Add(truth.Event{Kind: kind})
+}
+
+// serveLoad gives the newest report that is at least ReportLag old.
+func (e *Engine) serveLoad(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	report := e.reportNow()
+	due := time.Now().Add(-e.ReportLag)
+	for _, old := range e.reports {
+		if old.at.After(due) {
+			break
+		}
+		report = old.Report
+	}
+	report.Leaving = e.leaving
+	e.mu.Unlock()
+	body, err := json.Marshal(report)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func (e *Engine) reportNow() pool.Report {
+	return pool.Report{Running: e.running, Waiting: e.queue.Len(), Slots: e.Slots}
+}
+
+// maxReports bounds the history of load reports.
+const maxReports = 256
+
+// note keeps the load as it is now, for later reports.
+func (e *Engine) note() {
+	e.reports = append(e.reports, timedReport{at: time.Now(), Report: e.reportNow()})
+	if len(e.reports) > maxReports {
+		e.reports = append(e.reports[:0], e.reports[len(e.reports)/2:]...)
+	}
+}
+
+// callBody is what the engine reads of a request.
+type callBody struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Priority int             `json:"priority"`
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+	MaxToken int             `json:"max_tokens"`
+	Options  struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	Metadata struct {
+		OutputTokens int `json:"output_tokens,string"`
+	} `json:"metadata"`
+}
+
+// defaultOutputTokens is the answer's length when the request sets none.
+const defaultOutputTokens = 64
+
+func (e *Engine) serveModel(ctx *fasthttp.RequestCtx) {
+	var call callBody
+	if err := json.Unmarshal(ctx.PostBody(), &call); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	prompt := call.Messages
+	if prompt == nil {
+		prompt = call.Prompt
+	}
+	output := call.Metadata.OutputTokens
+	if output == 0 {
+		output = defaultOutputTokens
+	}
+	if call.MaxToken > 0 {
+		output = min(output, call.MaxToken)
+	}
+	j := &job{
+		id:       string(ctx.Request.Header.Peek("X-Request-Id")),
+		customer: string(ctx.Request.Header.Peek("X-Customer")),
+		priority: call.Priority,
+		input:    max(1, len(prompt)/endpoint.BytesPerToken),
+		output:   output,
+		admitted: make(chan struct{}),
+	}
+	ctx.Response.Header.Set("X-Request-Id", j.id)
+	e.Truth.Add(j.event(truth.Received, 0))
+	if !e.enter(j) {
+		e.Truth.Add(j.event(truth.Refused, 0))
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set("X-Not-Run", "leaving")
+		ctx.Response.Header.Set("X-Leaving", "true")
+		return
+	}
+	if !e.awaitSlot(ctx, j) {
+		return
+	}
+	prefill := e.prefill(j, prompt)
+	stream := &answer{
+		engine: e,
+		job:    j,
+		usage:  call.Options.IncludeUsage,
+		model:  call.Model,
+		next:   time.Now().Add(prefill),
+		open:   func() bool { return endpoint.IsOpen(ctx.Conn()) },
+	}
+	if call.Stream {
+		ctx.SetContentType("text/event-stream")
+		ctx.Response.ImmediateHeaderFlush = true
+		ctx.SetBodyStream(stream, -1)
+		return
+	}
+	stream.serveWhole(ctx)
+}
+
+func (j *job) event(kind truth.Kind, output int) truth.Event {
+	return truth.Event{
+		Kind:     kind,
+		Request:  j.id,
+		Customer: j.customer,
+		Priority: j.priority,
+		Input:    j.input,
+		Output:   output,
+	}
+}
+
+// enter puts a request into the queue, unless the engine is leaving.
+func (e *Engine) enter(j *job) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return false
+	}
+	e.arrivals++
+	j.arrival = e.arrivals
+	heap.Push(&e.queue, j)
+	e.admit()
+	e.note()
+	return true
+}
+
+// admit moves requests from the queue into the batch, best priority first.
+func (e *Engine) admit() {
+	for e.queue.Len() > 0 && e.running < e.Slots {
+		first := e.queue[0]
+		need := first.input + first.output
+		if e.running > 0 && e.kvUsed+need > e.KVTokens {
+			return
+		}
+		heap.Pop(&e.queue)
+		e.running++
+		e.kvUsed += need
+		e.Truth.Add(first.event(truth.Started, 0))
+		close(first.admitted)
+	}
+}
+
+// leave takes a request out of the batch.
+func (e *Engine) leave(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	e.kvUsed -= j.input + j.output
+	e.admit()
+	e.note()
+}
+
+// goneCheck is the time between two looks whether a waiting caller is gone.
+const goneCheck = 100 * time.Millisecond
+
+// awaitSlot waits in the queue; it returns false when the caller went away.
+func (e *Engine) awaitSlot(ctx *fasthttp.RequestCtx, j *job) bool {
+	ticker := time.NewTicker(goneCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-j.admitted:
+			return true
+		case <-ticker.C:
+		}
+		if !endpoint.IsOpen(ctx.Conn()) && e.abandon(j) {
+			e.Truth.Add(j.event(truth.Cancelled, 0))
+			return false
+		}
+	}
+}
+
+// abandon takes a request out of the queue, unless it was admitted meanwhile.
+func (e *Engine) abandon(j *job) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if j.index < 0 {
+		return false
+	}
+	heap.Remove(&e.queue, j.index)
+	e.note()
+	return true
+}
+
+// prefixBytes is the length of the prompt's beginning that the cache keeps.
+const prefixBytes = 512
+
+// prefill returns how long reading the prompt takes, without what is cached.
+func (e *Engine) prefill(j *job, prompt []byte) time.Duration {
+	hash := fnv.New64a()
+	hash.Write(prompt[:min(len(prompt), prefixBytes)])
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	cached := e.cache.use(hash.Sum64(), j.input, e.CacheTokens)
+	seconds := float64(j.input-cached) / e.PrefillRate
+	return e.slowed(time.Duration(seconds * float64(time.Second)))
+}
+
+// slowed stretches a duration by the load of the batch.
+func (e *Engine) slowed(length time.Duration) time.Duration {
+	factor := 1 + 0.5*float64(e.running)/float64(e.Slots)
+	if e.slowness > 0 {
+		factor *= e.slowness
+	}
+	return time.Duration(float64(length) * factor)
+}
+
+func (e *Engine) tokenTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.slowed(e.DecodeInterval)
+}
--- /dev/null
+++ b/pkg/box/members.go
@@ -0,0 +1,104 @@
+// Package box keeps which boxes of the fleet are alive, from what they say
+// themselves and from the platform's lagging list.
+package box
+
+import (
+	"sync"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/peer"
+)
+
+// Member is another box that was heard of.
+type Member struct {
+	peer.Sender
+	// HeardAt is when its last message came.
+	HeardAt time.Time
+	// Revision is the revision of the settings in force there.
+	Revision uint64
+	// Leaving is set once it stops taking work.
+	Leaving bool
+	// Silent is set once its session ended.
+	Silent bool
+	// Demand is what it has waiting and running, by pool.
+	Demand map[string]int
+}
+
+// Members are the other boxes, by incarnation. It is safe for concurrent use.
+type Members struct {
+	mu      sync.Mutex
+	members map[uint64]*Member
+}
+
+// keepSilent is how long a silent incarnation stays listed for operators.
+const keepSilent = 10 * time.Minute
+
+// Heard notes a message. First messages hold everything, later ones changes.
+func (m *Members) Heard(from peer.Sender, news peer.State, first bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.members == nil {
+		m.members = map[uint64]*Member{}
+	}
+	member := m.members[from.Incarnation]
+	if member == nil || first {
+		member = &Member{Sender: from, Demand: map[string]int{}}
+		m.members[from.Incarnation] = member
+	}
+	member.HeardAt = now
+	member.Silent = false
+	member.Revision = news.Revision
+	member.Leaving = news.Leaving
+	for pool, state := range news.Pools {
+		member.Demand[pool] = state.Demand
+	}
+	m.forgetOld(now)
+}
+
+// Silent notes that a box's session ended.
+func (m *Members) Silent(from peer.Sender) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if member := m.members[from.Incarnation]; member != nil {
+		member.Silent = true
+	}
+}
+
+func (m *Members) forgetOld(now time.Time) {
+	for incarnation, member := range m.members {
+		if member.Silent && now.Sub(member.HeardAt) > keepSilent {
+			delete(m.members, incarnation)
+		}
+	}
+}
+
+// Live returns copies of the members that are heard and take work.
+func (m *Members) Live() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	live := make([]Member, 0, len(m.members))
+	for _, member := range m.members {
+		if !member.Silent && !member.Leaving {
+			live = append(live, *member)
+		}
+	}
+	return live
+}
+
+// Demand returns the number of live routers in a pool, this one included, and
+// what the others have waiting and running there.
+func (m *Members) Demand(pool string) (liveRouters, demand int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	liveRouters = 1
+	for _, member := range m.members {
+		if member.Silent {
+			continue
+		}
+		demand += member.Demand[pool]
+		if !member.Leaving {
+			liveRouters++
+		}
+	}
+	return liveRouters, demand
+}
--- /dev/null
+++ b/pkg/claim/claim.go
@@ -0,0 +1,334 @@
+// Package claim makes calls that must not be repeated run at most once. A
+// claim is a row that one router inserts before the first byte of a call may
+// leave. It is never taken over: whoever holds it may have been paused and
+// send later, so everyone else can only wait for the outcome.
+package claim
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/quaylead/quaylead/pkg/platform"
+)
+
+// Table is the table that holds claims, one row for each idempotency key.
+const Table = "claims"
+
+// inlineBytes is the largest body of an outcome kept in the row itself.
+const inlineBytes = 16 << 10
+
+// Key names what is claimed.
+type Key struct {
+	Customer string
+	Pool     string
+	// Value is the caller's idempotency key.
+	Value string
+}
+
+// row is the key's place in the table. Hashing keeps callers' keys, which may
+// be long or hold secrets, out of paths and logs.
+func (k Key) row() string {
+	digest := sha256.New()
+	for _, part := range []string{k.Customer, k.Pool, k.Value} {
+		digest.Write([]byte(part))
+		digest.Write([]byte{0})
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// Outcome is the whole answer to a claimed call.
+type Outcome struct {
+	Status      int
+	ContentType string
+	Body        []byte `json:",omitempty"`
+	// Object is the key of a body too large for the row.
+	Object string `json:",omitempty"`
+}
+
+// record is the content of a row.
+type record struct {
+	// Nonce tells one attempt to claim from every other.
+	Nonce string
+	// Digest is a hash of the request; another request may not use the key.
+	Digest string
+	Box    string
+	At     time.Time
+	// Outcome is nil while the call may still be running.
+	Outcome *Outcome `json:",omitempty"`
+}
+
+// Result says how things stand with a key: one of Taken, Stored, Held, Reused.
+type Result interface {
+	result()
+}
+
+// Taken means that the claim is ours: the call may be sent, once.
+type Taken struct {
+	Claim *Claim
+}
+
+// Stored means that the call was made before, with this outcome.
+type Stored struct {
+	Outcome Outcome
+}
+
+// Held means that another attempt has the claim and no outcome is known yet.
+type Held struct{}
+
+// Reused means that the key belongs to a different request.
+type Reused struct{}
+
+func (Taken) result()  {}
+func (Stored) result() {}
+func (Held) result()   {}
+func (Reused) result() {}
+
+// Claim is a confirmed claim. Exactly one of Settle and Release follows, or
+// neither when it is not known whether the call ran.
+type Claim struct {
+	key     Key
+	record  record
+	version string
+}
+
+// Store is what a registry needs of the platform.
+type Store interface {
+	Get(table, key string) (platform.Row, error)
+	Put(table, key string, value []byte, when platform.Condition) (string, error)
+	Delete(table, key, version string) error
+	PutObject(key string, value []byte) error
+	GetObject(key string) ([]byte, error)
+}
+
+// Registry takes and settles claims for one router.
+type Registry struct {
+	// Store keeps the claims.
+	Store Store
+	// Box is written into claims, for operators.
+	Box string
+	// NewNonce makes a value that no other attempt ever has.
+	NewNonce func() string
+
+	mu sync.Mutex
+	// unfinished are claims whose release or outcome is still to be written.
+	unfinished []unfinished
+}
+
+// unfinished is a write that the store has not confirmed yet. Nothing depends
+// on it but that a repeat of the key gets a better answer than "unknown".
+type unfinished struct {
+	claim   *Claim
+	outcome *Outcome
+	until   time.Time
+}
+
+const (
+	// retryPause lies between two tries at the store within one call.
+	retryPause = 50 * time.Millisecond
+	// finishInterval lies between two rounds over the unfinished claims.
+	finishInterval = time.Second
+	// finishFor is how long an unfinished claim is tried.
+	finishFor = 10 * time.Minute
+	// maxUnfinished bounds the unfinished claims held in memory.
+	maxUnfinished = 10000
+)
+
+// Take claims a key for a request. An error means that the store could not
+// confirm a claim before the context ended: nothing may be sent then.
+func (r *Registry) Take(ctx context.Context, key Key, digest string) (result Result, err error) {
+	defer func() { err = trace.Wrap(err, "claiming an idempotency key") }()
+	claim := &Claim{key: key, record: record{
+		Nonce:  r.NewNonce(),
+		Digest: digest,
+		Box:    r.Box,
+		At:     time.Now().UTC(),
+	}}
+	uncertain := false
+	for {
+		result, err = r.tryTake(claim, &uncertain)
+		if err == nil || !unavailable(err) {
+			return result, err
+		}
+		if pause(ctx, retryPause) != nil {
+			if uncertain {
+				r.postpone(claim, nil)
+			}
+			return nil, err
+		}
+	}
+}
+
+// tryTake inserts the claim, and settles a lost or contrary answer by reading.
+func (r *Registry) tryTake(claim *Claim, uncertain *bool) (Result, error) {
+	value, err := json.Marshal(claim.record)
+	if err != nil {
+		return nil, err
+	}
+	claim.version, err = r.Store.Put(Table, claim.key.row(), value, platform.Absent{})
+	if err == nil {
+		return Taken{Claim: claim}, nil
+	}
+	if unavailable(err) {
+		*uncertain = true
+	}
+	row, readErr := r.Store.Get(Table, claim.key.row())
+	if readErr != nil {
+		if _, absent := trace.Unwrap(readErr).(*platform.NotFoundError); absent && unavailable(err) {
+			return nil, err
+		}
+		return nil, asUnavailable(readErr)
+	}
+	return r.judge(claim, row)
+}
+
+// judge decides by the row what the claim's attempt may do.
+func (r *Registry) judge(claim *Claim, row platform.Row) (Result, error) {
+	var found record
+	if err := json.Unmarshal(row.Value, &found); err != nil {
+		return nil, err
+	}
+	switch {
+	case found.Nonce == claim.record.Nonce:
+		claim.version = row.Version
+		return Taken{Claim: claim}, nil
+	case found.Digest != claim.record.Digest:
+		return Reused{}, nil
+	case found.Outcome == nil:
+		return Held{}, nil
+	}
+	outcome := *found.Outcome
+	if outcome.Object != "" {
+		body, err := r.Store.GetObject(outcome.Object)
+		if err != nil {
+			return nil, asUnavailable(err)
+		}
+		outcome.Body = body
+	}
+	return Stored{Outcome: outcome}, nil
+}
+
+// Settle stores the outcome, so that a repeat gets the same answer. When the
+// store does not take it now, it is tried again in the background.
+func (r *Registry) Settle(claim *Claim, outcome Outcome) {
+	if r.writeOutcome(claim, outcome) != nil {
+		r.postpone(claim, &outcome)
+	}
+}
+
+func (r *Registry) writeOutcome(claim *Claim, outcome Outcome) error {
+	if len(outcome.Body) > inlineBytes {
+		object := "outcome-" + claim.key.row() + "-" + claim.record.Nonce
+		if err := r.Store.PutObject(object, outcome.Body); err != nil {
+			return err
+		}
+		outcome.Object = object
+		outcome.Body = nil
+	}
+	settled := claim.record
+	settled.Outcome = &outcome
+	value, err := json.Marshal(settled)
+	if err != nil {
+		return err
+	}
+	_, err = r.Store.Put(Table, claim.key.row(), value, platform.Current{Version: claim.version})
+	return err
+}
+
+// Release gives a claim back after a call that provably did not run, so that a
+// repeat may run. The claim must not be used after.
+func (r *Registry) Release(claim *Claim) {
+	if err := r.Store.Delete(Table, claim.key.row(), claim.version); unavailable(err) {
+		r.postpone(claim, nil)
+	}
+}
+
+func (r *Registry) postpone(claim *Claim, outcome *Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.unfinished) >= maxUnfinished {
+		return
+	}
+	r.unfinished = append(r.unfinished, unfinished{
+		claim:   claim,
+		outcome: outcome,
+		until:   time.Now().Add(finishFor),
+	})
+}
+
+// Run finishes postponed writes until the context ends.
+func (r *Registry) Run(ctx context.Context) error {
+	for pause(ctx, finishInterval) == nil {
+		r.mu.Lock()
+		batch := r.unfinished
+		r.unfinished = nil
+		r.mu.Unlock()
+		for _, open := range batch {
+			r.finish(ctx, open)
+		}
+	}
+	return nil
+}
+
+// finish writes an outcome or removes a claim of ours that was never used. The
+// row may not be there yet when the store is slow, so absence is no end.
+func (r *Registry) finish(ctx context.Context, open unfinished) {
+	if ctx.Err() != nil || time.Now().After(open.until) {
+		return
+	}
+	done := r.tryFinish(open)
+	if done {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unfinished = append(r.unfinished, open)
+}
+
+func (r *Registry) tryFinish(open unfinished) (done bool) {
+	row, err := r.Store.Get(Table, open.claim.key.row())
+	if err != nil {
+		return false
+	}
+	var found record
+	if json.Unmarshal(row.Value, &found) != nil || found.Nonce != open.claim.record.Nonce {
+		return true
+	}
+	open.claim.version = row.Version
+	if open.outcome != nil {
+		return found.Outcome != nil || r.writeOutcome(open.claim, *open.outcome) == nil
+	}
+	return !unavailable(r.Store.Delete(Table, open.claim.key.row(), row.Version))
+}
+
+// unavailable tells that the store's answer is missing, not contrary.
+func unavailable(err error) bool {
+	var missing *platform.UnavailableError
+	return errors.As(err, &missing)
+}
+
+// asUnavailable makes a failed read count as the store not answering: a row
+// that was in the way a moment ago and is gone now has to be tried again.
+func asUnavailable(err error) error {
+	if unavailable(err) {
+		return err
+	}
+	return &platform.UnavailableError{Path: Table, Err: err}
+}
+
+func pause(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/endpoint/conn.go
@@ -0,0 +1,185 @@
+// Package endpoint speaks HTTP to the endpoints of a pool. It keeps its own
+// connections, so that it always knows whether a byte of a request may have
+// left, and never reuses a connection whose answer was not read to its end.
+package endpoint
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+)
+
+// Check is asked again and again while an answer is awaited. An error ends the
+// wait: the caller went away, or its deadline passed.
+type Check func() error
+
+// checkInterval is the time between two calls of a Check.
+const checkInterval = 200 * time.Millisecond
+
+// maxIdleConns bounds the idle connections kept for one address.
+const maxIdleConns = 64
+
+// StalledError reports silence in the middle of an answer.
+type StalledError struct {
+	Address string
+	Silence time.Duration
+}
+
+// Error names the address and the length of the silence.
+func (e *StalledError) Error() string {
+	return "endpoint " + e.Address + " was silent for " + e.Silence.String()
+}
+
+// DialError reports that no connection was made, so no byte has left.
+type DialError struct {
+	Address string
+	Err     error
+}
+
+// Error names the address and the cause.
+func (e *DialError) Error() string {
+	return "connecting to endpoint " + e.Address + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error {
+	return e.Err
+}
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+}
+
+// Client holds the connections to one address.
+type Client struct {
+	// Address is the endpoint's IP and port.
+	Address string
+	// ConnectTimeout bounds connecting.
+	ConnectTimeout time.Duration
+	// StallTimeout is the longest silence in the middle of an answer.
+	StallTimeout time.Duration
+	// HeaderBytes bounds the head of an answer.
+	HeaderBytes int
+
+	mu   sync.Mutex
+	idle []*conn
+}
+
+// dial opens a connection.
+func (c *Client) dial() (*conn, error) {
+	raw, err := net.DialTimeout("tcp", c.Address, c.ConnectTimeout)
+	if err != nil {
+		return nil, &DialError{Address: c.Address, Err: err}
+	}
+	return &conn{
+		Conn:   raw,
+		reader: bufio.NewReaderSize(raw, max(4096, c.HeaderBytes)),
+		writer: bufio.NewWriterSize(raw, 4096),
+	}, nil
+}
+
+// take returns an idle connection that is still open, or a new one.
+func (c *Client) take(fresh bool) (*conn, error) {
+	for !fresh {
+		idle := c.pop()
+		if idle == nil {
+			break
+		}
+		if idle.reader.Buffered() == 0 && IsOpen(idle.Conn) {
+			return idle, nil
+		}
+		idle.Close()
+	}
+	return c.dial()
+}
+
+func (c *Client) pop() *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle) == 0 {
+		return nil
+	}
+	last := c.idle[len(c.idle)-1]
+	c.idle = c.idle[:len(c.idle)-1]
+	return last
+}
+
+// give keeps a connection whose answer was read to its end.
+func (c *Client) give(open *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle) >= maxIdleConns {
+		open.Close()
+		return
+	}
+	c.idle = append(c.idle, open)
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, idle := range c.idle {
+		idle.Close()
+	}
+	c.idle = nil
+}
+
+// Send writes the request and waits for the head of the answer. Fresh asks for
+// a connection of its own, so that a stale one can not leave the outcome open.
+// Sending is called just before the first byte may leave, sent once all has.
+func (c *Client) Send(call *fasthttp.Request, fresh bool, check Check, sending, sent func() error) (answer *Answer, err error) {
+	open, err := c.take(fresh)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			open.Close()
+			err = trace.Wrap(err, "calling endpoint %s", c.Address)
+		}
+	}()
+	if err := sending(); err != nil {
+		return nil, err
+	}
+	if err := open.write(call, c.StallTimeout); err != nil {
+		return nil, err
+	}
+	if err := sent(); err != nil {
+		return nil, err
+	}
+	answer = &Answer{client: c, conn: open, check: check}
+	answer.Response.StreamBody = true
+	answer.Response.SkipBody = call.Header.IsHead()
+	if err := answer.await(false); err != nil {
+		return nil, err
+	}
+	if err := answer.Response.ReadLimitBody(open.reader, 0); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (c *conn) write(call *fasthttp.Request, timeout time.Duration) error {
+	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	if err := call.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// isTimeout tells a passed read deadline from other failures.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
--- /dev/null
+++ b/pkg/endpoint/engine.go
@@ -0,0 +1,146 @@
+package endpoint
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+)
+
+// Usage is the true cost of a model request, as the engine counts it.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// ModelCall is what the router reads of a caller's model request. The members
+// it does not know pass on unchanged.
+type ModelCall struct {
+	Model     string
+	Stream    bool
+	MaxTokens int
+	// WantsUsage tells that the caller asked for the usage event of a stream.
+	WantsUsage bool
+	// PromptBytes is the length of the prompt's JSON.
+	PromptBytes int
+	// Affinity is a hash of the prompt's beginning, never 0.
+	Affinity uint64
+
+	members map[string]json.RawMessage
+}
+
+// affinityBytes is the length of the prompt's beginning that leads requests to
+// the same endpoint.
+const affinityBytes = 512
+
+// BytesPerToken is the rough length of a token, used until the engine says.
+const BytesPerToken = 4
+
+// streamOptions is the part of a request that asks for the usage event.
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// ParseModelCall reads the body of a call to the OpenAI-compatible API.
+func ParseModelCall(body []byte) (call *ModelCall, err error) {
+	defer func() { err = trace.Wrap(err, "reading model request") }()
+	call = &ModelCall{}
+	if err := json.Unmarshal(body, &call.members); err != nil {
+		return nil, err
+	}
+	if call.members == nil {
+		return nil, trace.BadParameter("the body is no JSON object")
+	}
+	if err := call.member("model", &call.Model); err != nil {
+		return nil, err
+	}
+	if err := call.member("stream", &call.Stream); err != nil {
+		return nil, err
+	}
+	var options streamOptions
+	if err := call.member("stream_options", &options); err != nil {
+		return nil, err
+	}
+	call.WantsUsage = options.IncludeUsage
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		if err := call.member(name, &call.MaxTokens); err != nil {
+			return nil, err
+		}
+	}
+	if call.MaxTokens < 0 {
+		return nil, trace.BadParameter("max_tokens is negative")
+	}
+	call.readPrompt()
+	return call, nil
+}
+
+func (c *ModelCall) member(name string, into any) error {
+	raw, ok := c.members[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return trace.BadParameter("%s: %v", name, err)
+	}
+	return nil
+}
+
+func (c *ModelCall) readPrompt() {
+	prompt := c.members["messages"]
+	if prompt == nil {
+		prompt = c.members["prompt"]
+	}
+	c.PromptBytes = len(prompt)
+	c.Affinity = xxhash.Sum64(prompt[:min(len(prompt), affinityBytes)]) | 1
+}
+
+// Body writes the request for an engine: with its priority, and asking for the
+// usage event that the cost is settled by.
+func (c *ModelCall) Body(priorityField string, priority int) (body []byte, err error) {
+	defer func() { err = trace.Wrap(err, "writing model request") }()
+	if priorityField != "" {
+		c.members[priorityField] = strconv.AppendInt(nil, int64(priority), 10)
+	}
+	if c.Stream {
+		options := map[string]json.RawMessage{}
+		if raw := c.members["stream_options"]; len(raw) > 0 {
+			if err := json.Unmarshal(raw, &options); err != nil {
+				return nil, err
+			}
+		}
+		if options == nil {
+			options = map[string]json.RawMessage{}
+		}
+		options["include_usage"] = json.RawMessage("true")
+		if c.members["stream_options"], err = json.Marshal(options); err != nil {
+			return nil, err
+		}
+	}
+	return json.Marshal(c.members)
+}
+
+// WholeUsage reads the usage of an answer that came in one piece.
+func WholeUsage(body []byte) (usage Usage, known bool) {
+	var answer struct {
+		Usage *Usage `json:"usage"`
+	}
+	if json.Unmarshal(body, &answer) != nil || answer.Usage == nil {
+		return Usage{}, false
+	}
+	return *answer.Usage, true
+}
+
+// usageMark is how an event that carries usage is told from the many that do
+// not, without decoding each.
+var usageMark = []byte(`"usage":`)
+
+func hasUsage(event []byte) bool {
+	at := bytes.Index(event, usageMark)
+	if at < 0 {
+		return false
+	}
+	rest := bytes.TrimLeft(event[at+len(usageMark):], " ")
+	return len(rest) > 0 && rest[0] == '{'
+}
--- /dev/null
+++ b/pkg/endpoint/open_linux.go
@@ -0,0 +1,37 @@
+package endpoint
+
+import (
+	"crypto/tls"
+	"net"
+	"syscall"
+)
+
+// IsOpen tells whether the other side of a connection still holds it open, as
+// far as this box has heard. It reads nothing and does not block.
+func IsOpen(c net.Conn) bool {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	holder, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := true
+	err = raw.Control(func(fd uintptr) {
+		open = peek(int(fd))
+	})
+	return open && err == nil
+}
+
+func peek(fd int) bool {
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	if err == syscall.EAGAIN || err == syscall.EINTR {
+		return true
+	}
+	return err == nil && n > 0
+}
--- /dev/null
+++ b/pkg/peer/exchange.go
@@ -0,0 +1,438 @@
+// Package peer keeps the boxes of a fleet informed of each other. Each box
+// tells every other one, over a session that it opens itself, what it has
+// served and what waits; it keeps nothing that another box depends on.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/quaylead/quaylead/pkg/peer/peerpb"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// Teller gives what this box tells its peers.
+type Teller interface {
+	// State is how things stand now. It is called for each peer and message.
+	State() State
+	// Snapshot is the settings in force; revision 0 means none.
+	Snapshot() (revision uint64, content []byte)
+}
+
+// Listener takes what peers tell.
+type Listener interface {
+	// Heard takes a message. First marks the first one of a stream, which
+	// holds everything that the peer knows.
+	Heard(from Sender, news State, first bool)
+	// Silent reports that the peer's stream ended.
+	Silent(from Sender)
+}
+
+// Sender is the box that a message came from.
+type Sender struct {
+	Box         string
+	Zone        string
+	Incarnation uint64
+}
+
+// State is what one box tells the others.
+type State struct {
+	// Revision is the revision of the settings in force.
+	Revision uint64
+	// Leaving is set once the box stops taking work.
+	Leaving bool
+	// Pools are by name. In a received state, only what changed is there.
+	Pools map[string]PoolState
+}
+
+// PoolState is one pool in a State.
+type PoolState struct {
+	// Demand is the number of requests waiting and running.
+	Demand int
+	// Customers are by name.
+	Customers map[string]CustomerState
+}
+
+// CustomerState is one customer in a PoolState. All amounts are weighted tokens.
+type CustomerState struct {
+	Served  uint64
+	Pending uint64
+	Waiting uint32
+	// Lead is how far ahead of the furthest behind; sent in first messages.
+	Lead uint64
+}
+
+// Traffic counts the bytes between boxes.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// Exchange runs the sessions of one box.
+type Exchange struct {
+	// Box and Incarnation introduce this process.
+	Box         settings.Box
+	Incarnation uint64
+	Teller      Teller
+	Listener    Listener
+	Log         *zap.Logger
+	// TLS secures sessions; nil means plain TCP.
+	TLS *tls.Config
+	// Traffic counts what the exchange sends and receives.
+	Traffic Traffic
+
+	mu    sync.Mutex
+	peers map[string]*link
+	group *errgroup.Group
+	ctx   context.Context
+}
+
+// link is the session to one peer that this box opened.
+type link struct {
+	name    string
+	address string
+	cancel  context.CancelFunc
+	session atomic.Pointer[yamux.Session]
+}
+
+// maxMessageBytes bounds a message between boxes; a snapshot is the largest.
+const maxMessageBytes = 16 << 20
+
+// Run serves peers on the listener and keeps a session to each known peer,
+// until the context ends.
+func (e *Exchange) Run(ctx context.Context, listener net.Listener) (err error) {
+	defer func() { err = trace.Wrap(err, "exchanging with peers") }()
+	group, ctx := errgroup.WithContext(ctx)
+	e.mu.Lock()
+	e.group = group
+	e.ctx = ctx
+	e.peers = map[string]*link{}
+	e.mu.Unlock()
+	e.SetPeers(e.Box.Peers)
+	group.Go(func() error {
+		<-ctx.Done()
+		return listener.Close()
+	})
+	group.Go(func() error { return e.accept(ctx, group, listener) })
+	return group.Wait()
+}
+
+// SetPeers says which peers to tell. Sessions to peers that are no longer
+// among them are closed.
+func (e *Exchange) SetPeers(peers map[string]settings.Peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.group == nil || e.ctx.Err() != nil {
+		return
+	}
+	for name, known := range e.peers {
+		if peer, ok := peers[name]; !ok || peer.Address != known.address {
+			known.cancel()
+			delete(e.peers, name)
+		}
+	}
+	for name, peer := range peers {
+		if _, known := e.peers[name]; known || name == e.Box.Name {
+			continue
+		}
+		ctx, cancel := context.WithCancel(e.ctx)
+		added := &link{name: name, address: peer.Address, cancel: cancel}
+		e.peers[name] = added
+		e.group.Go(func() error {
+			e.keep(ctx, added)
+			return nil
+		})
+	}
+}
+
+// keep opens the session to a peer again and again until it is cancelled.
+func (e *Exchange) keep(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		err := e.tell(ctx, l)
+		if ctx.Err() != nil {
+			return
+		}
+		e.Log.Debug("session to peer ended", zap.String("Peer", l.name), zap.Error(err))
+		sleep(ctx, jitter(e.Box.Exchange.Heartbeat.Duration))
+	}
+}
+
+// tell opens a session and sends updates on it until it breaks.
+func (e *Exchange) tell(ctx context.Context, l *link) (err error) {
+	raw, err := e.dial(ctx, l.address)
+	if err != nil {
+		return err
+	}
+	session, err := yamux.Client(&countedConn{Conn: raw, traffic: &e.Traffic}, e.sessionConfig())
+	if err != nil {
+		raw.Close()
+		return err
+	}
+	defer session.Close()
+	l.session.Store(session)
+	defer l.session.Store(nil)
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	stream, err := session.Open()
+	if err != nil {
+		return err
+	}
+	e.Log.Info("session to peer opened", zap.String("Peer", l.name))
+	return e.sendUpdates(ctx, stream)
+}
+
+func (e *Exchange) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: e.Box.Exchange.DialTimeout.Duration}
+	if e.TLS == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	secure := tls.Dialer{NetDialer: &dialer, Config: e.TLS}
+	return secure.DialContext(ctx, "tcp", address)
+}
+
+// sendUpdates sends everything once and then what changed, at least a
+// heartbeat in each heartbeat interval.
+func (e *Exchange) sendUpdates(ctx context.Context, stream net.Conn) error {
+	timing := e.Box.Exchange
+	encoder := newEncoder()
+	hello := &peerpb.Opening{Purpose: &peerpb.Opening_Hello{Hello: &peerpb.Hello{
+		Box:         e.Box.Name,
+		Zone:        e.Box.Zone,
+		Incarnation: e.Incarnation,
+	}}}
+	if err := send(stream, hello, timing.Lapse.Duration); err != nil {
+		return err
+	}
+	lastSent := time.Time{}
+	for {
+		update, changed := encoder.encode(e.Teller.State())
+		if changed || time.Since(lastSent) >= timing.Heartbeat.Duration {
+			if err := send(stream, update, timing.Lapse.Duration); err != nil {
+				return err
+			}
+			lastSent = time.Now()
+		}
+		if err := sleep(ctx, jitter(timing.Interval.Duration)); err != nil {
+			return err
+		}
+	}
+}
+
+func (e *Exchange) accept(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		group.Go(func() error {
+			if err := e.serve(ctx, raw); err != nil {
+				e.Log.Debug("session from peer ended", zap.Error(err))
+			}
+			return nil
+		})
+	}
+}
+
+// serve answers one peer's session.
+func (e *Exchange) serve(ctx context.Context, raw net.Conn) error {
+	defer raw.Close()
+	if e.TLS != nil {
+		raw = tls.Server(raw, e.TLS)
+	}
+	session, err := yamux.Server(&countedConn{Conn: raw, traffic: &e.Traffic}, e.sessionConfig())
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	group := errgroup.Group{}
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			session.Close()
+			return trace.NewAggregate(err, group.Wait())
+		}
+		group.Go(func() error {
+			defer stream.Close()
+			return e.serveStream(stream, session)
+		})
+	}
+}
+
+func (e *Exchange) serveStream(stream net.Conn, session *yamux.Session) error {
+	reader := bufio.NewReader(stream)
+	if err := e.expect(stream); err != nil {
+		return err
+	}
+	opening := &peerpb.Opening{}
+	if err := receive(reader, opening); err != nil {
+		return err
+	}
+	switch purpose := opening.Purpose.(type) {
+	case *peerpb.Opening_Hello:
+		defer session.Close()
+		return e.listen(stream, reader, purpose.Hello)
+	case *peerpb.Opening_SnapshotRequest:
+		revision, content := e.Teller.Snapshot()
+		reply := &peerpb.Snapshot{Revision: revision, Content: content}
+		return send(stream, reply, e.Box.Exchange.Lapse.Duration)
+	}
+	return trace.BadParameter("stream without a purpose")
+}
+
+// listen passes on a peer's updates until it is silent for too long. The
+// session is then closed, so that the peer starts again with everything.
+func (e *Exchange) listen(stream net.Conn, reader *bufio.Reader, hello *peerpb.Hello) error {
+	from := Sender{Box: hello.Box, Zone: hello.Zone, Incarnation: hello.Incarnation}
+	if from.Incarnation == e.Incarnation {
+		return nil
+	}
+	defer e.Listener.Silent(from)
+	decoder := decoder{}
+	for first := true; ; first = false {
+		if err := e.expect(stream); err != nil {
+			return err
+		}
+		update := &peerpb.Update{}
+		if err := receive(reader, update); err != nil {
+			return err
+		}
+		e.Listener.Heard(from, decoder.decode(update), first)
+	}
+}
+
+// expect bounds the wait for the peer's next message.
+func (e *Exchange) expect(stream net.Conn) error {
+	return stream.SetReadDeadline(time.Now().Add(e.Box.Exchange.Lapse.Duration))
+}
+
+// Fetch asks peers for settings of at least a revision, one after the other,
+// the named one first, and returns the first that has them.
+func (e *Exchange) Fetch(first string, revision uint64) (found uint64, content []byte, err error) {
+	defer func() { err = trace.Wrap(err, "fetching settings from peers") }()
+	for _, l := range e.links(first) {
+		session := l.session.Load()
+		if session == nil {
+			continue
+		}
+		snapshot, err := e.fetchFrom(session, revision)
+		if err == nil && snapshot.Revision >= revision && snapshot.Revision > 0 {
+			return snapshot.Revision, snapshot.Content, nil
+		}
+	}
+	return 0, nil, trace.NotFound("no reachable peer has revision %d", revision)
+}
+
+func (e *Exchange) links(first string) []*link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	links := make([]*link, 0, len(e.peers))
+	for _, l := range e.peers {
+		links = append(links, l)
+		if l.name == first {
+			last := len(links) - 1
+			links[0], links[last] = links[last], links[0]
+		}
+	}
+	return links
+}
+
+func (e *Exchange) fetchFrom(session *yamux.Session, revision uint64) (snapshot *peerpb.Snapshot, err error) {
+	stream, err := session.Open()
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	timeout := e.Box.Exchange.Lapse.Duration
+	opening := &peerpb.Opening{Purpose: &peerpb.Opening_SnapshotRequest{
+		SnapshotRequest: &peerpb.SnapshotRequest{Revision: revision},
+	}}
+	if err := send(stream, opening, timeout); err != nil {
+		return nil, err
+	}
+	if err := stream.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	snapshot = &peerpb.Snapshot{}
+	return snapshot, receive(bufio.NewReader(stream), snapshot)
+}
+
+// sessionConfig turns the library's own heartbeats off; ours carry news.
+func (e *Exchange) sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false
+	config.ConnectionWriteTimeout = e.Box.Exchange.Lapse.Duration
+	config.StreamOpenTimeout = e.Box.Exchange.Lapse.Duration
+	config.LogOutput = io.Discard
+	return config
+}
+
+func send(stream net.Conn, message proto.Message, timeout time.Duration) error {
+	if err := stream.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	buffered := bufio.NewWriter(stream)
+	if _, err := protodelim.MarshalTo(buffered, message); err != nil {
+		return err
+	}
+	return buffered.Flush()
+}
+
+func receive(reader *bufio.Reader, message proto.Message) error {
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	return options.UnmarshalFrom(reader, message)
+}
+
+// jitter spreads periodic work of many boxes: between 0.75 and 1.25 of the mean.
+func jitter(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.75 + rand.Float64()/2))
+}
+
+func sleep(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// countedConn counts the bytes of a session, with the library's framing.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/pkg/pool/choose.go
@@ -0,0 +1,119 @@
+package pool
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+const (
+	// zonePenalty is the load that another availability zone counts as.
+	zonePenalty = 0.05
+	// affinityPenalty is the extra load at which a request still goes to the
+	// endpoint that probably has its prompt's beginning in its cache.
+	affinityPenalty = 0.25
+	// tieNoise spreads routers that see the same late reports.
+	tieNoise = 0.02
+)
+
+// choose returns the endpoint that a ticket should go to, or nil when none has
+// room for it now.
+func (s *Schedule) choose(t *Ticket, now time.Time) *Endpoint {
+	var best, favourite *Endpoint
+	bestLoad := math.Inf(1)
+	favouriteLoad := math.Inf(1)
+	var favouriteRank uint64
+	for _, endpoint := range s.endpoints {
+		if !endpoint.available(now) || s.skip(t, endpoint, now) {
+			continue
+		}
+		load := endpoint.load(now) + tieNoise*s.Rand.Float64()
+		if endpoint.Zone != s.Zone {
+			load += zonePenalty
+		}
+		rank := affinityRank(t.Affinity, endpoint.Name)
+		if !s.hasRoom(t, endpoint, now) {
+			continue
+		}
+		if load < bestLoad {
+			best, bestLoad = endpoint, load
+		}
+		if t.Affinity != 0 && (favourite == nil || rank > favouriteRank) {
+			favourite, favouriteLoad, favouriteRank = endpoint, load, rank
+		}
+	}
+	if favourite != nil && favouriteLoad <= bestLoad+affinityPenalty {
+		return favourite
+	}
+	return best
+}
+
+// skip leaves out endpoints that already failed this request, as long as
+// another one is available.
+func (s *Schedule) skip(t *Ticket, endpoint *Endpoint, now time.Time) bool {
+	if !t.tried[endpoint.Name] {
+		return false
+	}
+	for _, other := range s.endpoints {
+		if !t.tried[other.Name] && other.available(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom tells whether this router may send the ticket to the endpoint now.
+func (s *Schedule) hasRoom(t *Ticket, endpoint *Endpoint, now time.Time) bool {
+	if !t.Quick && s.rules.QuickSlots > 0 {
+		slots := endpoint.Slots - s.rules.QuickSlots
+		return endpoint.slow < s.demandPart(slots)
+	}
+	switch s.rules.SlotPolicy {
+	case settings.FixedSlots:
+		return endpoint.running < max(1, endpoint.Slots/s.liveRouters)
+	case settings.BacklogSlots:
+		return endpoint.running < s.demandPart(endpoint.Slots)
+	case settings.SlackSlots:
+		if s.rules.Kind == settings.PlainPool {
+			return endpoint.running < s.demandPart(endpoint.Slots)
+		}
+		return s.hasSlack(endpoint, now)
+	}
+	return false
+}
+
+// demandPart is this router's part of some slots: in proportion to its demand
+// among all routers, and at least 1.
+func (s *Schedule) demandPart(slots int) int {
+	own := float64(s.Demand())
+	total := own + float64(s.peerDemand)
+	if total == 0 {
+		return slots
+	}
+	return max(1, int(math.Ceil(float64(slots)*own/total)))
+}
+
+// hasSlack lets a router fill its part of the slots believed free, and keep
+// Slack more requests in the engine's own priority queue.
+func (s *Schedule) hasSlack(endpoint *Endpoint, now time.Time) bool {
+	if endpoint.running >= endpoint.Slots+s.rules.Slack {
+		return false
+	}
+	free := max(0, endpoint.Slots-endpoint.running-endpoint.others(now))
+	allowed := s.rules.Slack + free/s.liveRouters
+	return endpoint.unstarted < allowed
+}
+
+// affinityRank is the rendezvous hash of a prompt's beginning and an endpoint.
+func affinityRank(affinity uint64, endpoint string) uint64 {
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], affinity)
+	digest := xxhash.New()
+	digest.Write(seed[:])
+	digest.WriteString(endpoint)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/pkg/pool/conversions.go
@@ -0,0 +1,56 @@
+package pool
+
+import (
+	"math"
+
+	"github.com/quaylead/quaylead/pkg/peer"
+	"github.com/quaylead/quaylead/pkg/share"
+)
+
+// State is the account that peers are told. Amounts are whole weighted tokens,
+// rounded down, so that a total never falls.
+func (s *Schedule) State() peer.PoolState {
+	state := peer.PoolState{
+		Demand:    s.Demand(),
+		Customers: map[string]peer.CustomerState{},
+	}
+	s.Ledger.Each(func(customer string, counter *share.Counter) {
+		lead := math.Max(0, s.Ledger.Lead(customer))
+		now := peer.CustomerState{
+			Served:  uint64(counter.Served),
+			Pending: uint64(counter.Pending),
+			Waiting: uint32(counter.Waiting),
+			Lead:    uint64(lead),
+		}
+		if now != (peer.CustomerState{}) {
+			state.Customers[customer] = now
+		}
+	})
+	return state
+}
+
+// Hear applies a peer's account. The first word of an incarnation tells where
+// customers stand; the later ones tell of service given since.
+func (s *Schedule) Hear(incarnation uint64, news peer.PoolState, first bool) {
+	for customer, said := range news.Customers {
+		service := share.PeerService{
+			Served:  float64(said.Served),
+			Pending: float64(said.Pending),
+			Waiting: int(said.Waiting),
+		}
+		if first && !s.Ledger.Knows(incarnation, customer) {
+			s.Ledger.Adopt(incarnation, customer, service, float64(said.Lead))
+			continue
+		}
+		s.Ledger.Merge(incarnation, customer, service)
+	}
+}
+
+// Addresses are the endpoints' addresses by name.
+func (s *Schedule) Addresses() map[string]string {
+	addresses := make(map[string]string, len(s.endpoints))
+	for name, endpoint := range s.endpoints {
+		addresses[name] = endpoint.Address
+	}
+	return addresses
+}
--- /dev/null
+++ b/pkg/pool/schedule.go
@@ -0,0 +1,408 @@
+// Package pool decides which waiting request goes to which endpoint, and when.
+// Schedule is pure: events in, decisions out, with the time as an argument.
+// Pool puts a lock around it for the goroutines that serve callers.
+package pool
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/request"
+	"github.com/quaylead/quaylead/pkg/settings"
+	"github.com/quaylead/quaylead/pkg/share"
+)
+
+// Schedule is the state of one pool at one router.
+type Schedule struct {
+	Name string
+	// Zone is the router's own availability zone.
+	Zone string
+	// Rand breaks ties; tests seed it.
+	Rand *rand.Rand
+	// Ledger holds who has had what service.
+	Ledger share.Ledger
+
+	rules     settings.Pool
+	customers map[string]settings.Customer
+	endpoints map[string]*Endpoint
+	queues    map[string]*queue
+	// waiting and running count this router's tickets in the pool.
+	waiting int
+	running int
+	// liveRouters counts this router and its live peers; at least 1.
+	liveRouters int
+	// peerDemand is what the live peers together have waiting and running.
+	peerDemand int
+	// retries is the number of retries the budget allows now.
+	retries float64
+}
+
+// retryBurst caps the retries that successes may save up.
+const retryBurst = 10
+
+// Configure applies settings. Requests in flight finish under what they began
+// with; endpoints that are gone get no new work.
+func (s *Schedule) Configure(rules settings.Pool, customers map[string]settings.Customer) {
+	s.rules = rules
+	s.customers = customers
+	s.Ledger.Bound = rules.MergeBound
+	for name, customer := range customers {
+		s.Ledger.SetShare(name, customer.Share)
+	}
+	known := s.endpoints
+	s.endpoints = map[string]*Endpoint{}
+	for name, declared := range rules.Endpoints {
+		endpoint := known[name]
+		if endpoint == nil || endpoint.Address != declared.Address {
+			endpoint = &Endpoint{Name: name, unstartedSince: map[*Ticket]struct{}{}}
+		}
+		endpoint.Endpoint = declared
+		s.endpoints[name] = endpoint
+	}
+	if s.queues == nil {
+		s.queues = map[string]*queue{}
+		s.retries = retryBurst
+		s.liveRouters = 1
+	}
+}
+
+// Rules returns the pool's settings in force.
+func (s *Schedule) Rules() settings.Pool {
+	return s.rules
+}
+
+// Enqueue puts a ticket in line, or refuses it when its customer's line is full.
+func (s *Schedule) Enqueue(t *Ticket, now time.Time) *request.Refusal {
+	line := s.queue(t.Customer)
+	if line.length() >= s.customers[t.Customer].QueueLength {
+		return &request.Refusal{
+			Code:       request.QueueFull,
+			Message:    "the customer's queue at this router is full",
+			Run:        request.NotRun,
+			RetryAfter: line.retryAfter(),
+		}
+	}
+	line.push(t)
+	t.phase = waiting
+	s.waiting++
+	s.Ledger.Arrive(t.Customer)
+	return nil
+}
+
+// Withdraw takes a waiting ticket out of line. It returns false when the
+// ticket was granted an endpoint before; the caller then has to Finish it.
+func (s *Schedule) Withdraw(t *Ticket) bool {
+	if t.phase != waiting {
+		return false
+	}
+	s.queue(t.Customer).remove(t)
+	s.leaveLine(t)
+	t.phase = finished
+	return true
+}
+
+func (s *Schedule) leaveLine(t *Ticket) {
+	s.waiting--
+	s.Ledger.Depart(t.Customer)
+}
+
+// Next chooses the ticket to go next and its endpoint, and books it as running.
+// It returns nil when nothing that waits can go now.
+func (s *Schedule) Next(now time.Time) *Ticket {
+	if s.waiting == 0 {
+		return nil
+	}
+	lines := s.order()
+	for _, line := range lines {
+		if !s.withinShare(line) {
+			continue
+		}
+		if t := s.take(line.quick, now); t != nil {
+			return t
+		}
+	}
+	for _, line := range lines {
+		if t := s.take(line.oldestFirst(s.rules.Order), now); t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
+// order sorts the customers that wait here: furthest behind first, or by the
+// arrival of their first request in the baseline.
+func (s *Schedule) order() []*queue {
+	lines := make([]*queue, 0, len(s.queues))
+	for _, line := range s.queues {
+		if line.length() > 0 && !s.overdrawn(line) {
+			line.key = s.Ledger.Key(line.customer)
+			lines = append(lines, line)
+		}
+	}
+	slices.SortFunc(lines, func(a, b *queue) int {
+		if s.rules.Order == settings.ArrivalOrder {
+			return a.first().Compare(b.first())
+		}
+		if order := cmp.Compare(a.key, b.key); order != 0 {
+			return order
+		}
+		return a.first().Compare(b.first())
+	})
+	return lines
+}
+
+// overdrawn tells that what runs unsettled for the customer is at its bound.
+func (s *Schedule) overdrawn(line *queue) bool {
+	if line.running == 0 || s.rules.Order == settings.ArrivalOrder {
+		return false
+	}
+	return s.Ledger.Counter(line.customer).Pending >= s.customers[line.customer].Unsettled
+}
+
+// withinShare tells whether quick requests of the customer go before others: a
+// customer far ahead of its share may not flood the pool by the quick class.
+func (s *Schedule) withinShare(line *queue) bool {
+	if s.rules.Order == settings.ArrivalOrder {
+		return false
+	}
+	return s.Ledger.Lead(line.customer) <= s.rules.MergeBound/4
+}
+
+// take grants the first ticket for which an endpoint has room.
+func (s *Schedule) take(tickets []*Ticket, now time.Time) *Ticket {
+	for i, t := range tickets {
+		if i > 0 && t.Quick == tickets[i-1].Quick && len(t.tried) == 0 {
+			continue
+		}
+		if endpoint := s.choose(t, now); endpoint != nil {
+			s.start(t, endpoint, now)
+			return t
+		}
+	}
+	return nil
+}
+
+func (s *Schedule) start(t *Ticket, endpoint *Endpoint, now time.Time) {
+	line := s.queue(t.Customer)
+	line.remove(t)
+	s.leaveLine(t)
+	t.Priority = s.priority(t)
+	t.Endpoint = endpoint
+	t.phase = running
+	t.sentAt = now
+	t.started = false
+	t.served = 0
+	t.estimate = s.estimate(t)
+	t.uncovered = t.estimate
+	s.Ledger.Charge(t.Customer, t.estimate)
+	s.running++
+	line.start(now)
+	endpoint.running++
+	endpoint.unstarted++
+	endpoint.unstartedSince[t] = struct{}{}
+	if !t.Quick {
+		endpoint.slow++
+	}
+	if endpoint.ejections > 0 {
+		endpoint.probing = true
+	}
+}
+
+// slowPriority puts requests of no quick class behind those of a quick one.
+const slowPriority = 1 << 24
+
+// priority is the customer's lead at the moment of sending, so that an engine
+// with requests of several routers serves the one furthest behind.
+func (s *Schedule) priority(t *Ticket) int {
+	if s.rules.Order == settings.ArrivalOrder {
+		return 0
+	}
+	lead := s.Ledger.Lead(t.Customer)
+	priority := int(min(max(lead, 0), slowPriority-1))
+	if !t.Quick || lead > s.rules.MergeBound/4 {
+		priority += slowPriority
+	}
+	return priority
+}
+
+// estimate is what a request is charged before its cost is known.
+func (s *Schedule) estimate(t *Ticket) float64 {
+	if s.rules.Kind == settings.PlainPool {
+		return 1
+	}
+	output := s.queue(t.Customer).typicalOutput(t.Class)
+	if t.MaxOutputTokens > 0 {
+		output = min(output, t.MaxOutputTokens)
+	}
+	return t.InputTokens*s.rules.InputWeight + output*s.rules.OutputWeight
+}
+
+// Begin notes the first piece of an answer: the request holds a slot now.
+func (s *Schedule) Begin(t *Ticket) {
+	if t.phase != running || t.started {
+		return
+	}
+	s.begun(t)
+	if s.rules.Kind == settings.ModelPool {
+		s.serve(t, t.InputTokens*s.rules.InputWeight)
+	}
+}
+
+func (s *Schedule) begun(t *Ticket) {
+	t.started = true
+	t.Endpoint.unstarted--
+	delete(t.Endpoint.unstartedSince, t)
+}
+
+// Stream books tokens as they are streamed.
+func (s *Schedule) Stream(t *Ticket, tokens float64) {
+	if t.phase == running {
+		s.serve(t, tokens*s.rules.OutputWeight)
+	}
+}
+
+func (s *Schedule) serve(t *Ticket, service float64) {
+	covered := min(max(service, 0), t.uncovered)
+	t.uncovered -= covered
+	t.served += service
+	s.Ledger.Serve(t.Customer, service, covered)
+}
+
+// Finish settles an attempt. After it the ticket may be enqueued again.
+func (s *Schedule) Finish(t *Ticket, how Outcome, now time.Time) {
+	if t.phase != running {
+		return
+	}
+	endpoint := t.Endpoint
+	s.settle(t, how)
+	if !t.started {
+		s.begun(t)
+	}
+	endpoint.running--
+	if !t.Quick {
+		endpoint.slow--
+	}
+	s.running--
+	s.queue(t.Customer).running--
+	t.phase = finished
+	if t.tried == nil {
+		t.tried = map[string]bool{}
+	}
+	t.tried[endpoint.Name] = true
+	switch how := how.(type) {
+	case Answered:
+		endpoint.succeed()
+		s.retries = min(s.retries+s.rules.RetryBudget, retryBurst)
+	case Failed:
+		endpoint.fail(now, &s.rules)
+	case Declined:
+		endpoint.probing = false
+		endpoint.saysLeaving = endpoint.saysLeaving || how.Leaving
+	case Abandoned:
+		endpoint.probing = false
+	}
+}
+
+// settle brings what was charged to the true cost.
+func (s *Schedule) settle(t *Ticket, how Outcome) {
+	if answered, ok := how.(Answered); ok {
+		line := s.queue(t.Customer)
+		switch {
+		case s.rules.Kind == settings.PlainPool:
+			s.serve(t, 1)
+		case answered.Known:
+			cost := answered.InputTokens*s.rules.InputWeight + answered.OutputTokens*s.rules.OutputWeight
+			s.serve(t, cost-t.served)
+			line.learn(t.Class, answered.OutputTokens)
+		}
+	}
+	s.Ledger.Release(t.Customer, t.uncovered)
+	t.uncovered = 0
+}
+
+// TakeRetry tells whether the retry budget allows another attempt, and books it.
+func (s *Schedule) TakeRetry() bool {
+	if s.retries < 1 {
+		return false
+	}
+	s.retries--
+	return true
+}
+
+// Report applies an endpoint's word on its load. A report that shows an empty
+// queue proves that what was sent well before it has begun.
+func (s *Schedule) Report(name string, report Report, now time.Time) {
+	endpoint := s.endpoints[name]
+	if endpoint == nil {
+		return
+	}
+	endpoint.report = report
+	endpoint.reportedAt = now
+	endpoint.runningAtWord = endpoint.running
+	endpoint.saysLeaving = report.Leaving
+	if now.After(endpoint.ejectedUntil) {
+		endpoint.succeed()
+	}
+	if report.Waiting > 0 {
+		return
+	}
+	for t := range endpoint.unstartedSince {
+		if !t.Streamed && now.Sub(t.sentAt) > s.rules.ReportInterval.Duration {
+			s.begun(t)
+		}
+	}
+}
+
+// ReportFailed notes that an endpoint did not answer when asked for its load.
+func (s *Schedule) ReportFailed(name string, now time.Time) {
+	endpoint := s.endpoints[name]
+	if endpoint == nil || now.Before(endpoint.ejectedUntil) {
+		return
+	}
+	endpoint.fail(now, &s.rules)
+}
+
+// ListLeaving applies the box list's word. The list lags, so it can only take
+// work away: an endpoint that says itself that it leaves stays without.
+func (s *Schedule) ListLeaving(leaving map[string]bool) {
+	for _, endpoint := range s.endpoints {
+		endpoint.listedLeaving = leaving[endpoint.Address]
+	}
+}
+
+// NoneAvailable tells that every endpoint is leaving or ejected, and how long
+// until the first ejected one is tried again.
+func (s *Schedule) NoneAvailable(now time.Time) (wait time.Duration, none bool) {
+	for _, endpoint := range s.endpoints {
+		if endpoint.available(now) || endpoint.probing {
+			return 0, false
+		}
+		if left := endpoint.ejectedUntil.Sub(now); !endpoint.leaving() && (wait == 0 || left < wait) {
+			wait = left
+		}
+	}
+	return wait, true
+}
+
+// SetPeers says how many routers live, this one included, and what the others
+// together have waiting and running in the pool.
+func (s *Schedule) SetPeers(liveRouters, peerDemand int) {
+	s.liveRouters = max(1, liveRouters)
+	s.peerDemand = peerDemand
+}
+
+// Demand is what this router has waiting and running in the pool.
+func (s *Schedule) Demand() int {
+	return s.waiting + s.running
+}
+
+func (s *Schedule) queue(customer string) *queue {
+	line := s.queues[customer]
+	if line == nil {
+		line = &queue{customer: customer, typical: map[string]float64{}}
+		s.queues[customer] = line
+	}
+	return line
+}
--- /dev/null
+++ b/pkg/request/refusal.go
@@ -0,0 +1,116 @@
+package request
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Code is the machine-readable reason of a refusal.
+type Code string
+
+// The codes of refusals, with the status each is sent with.
+const (
+	InvalidRequest   Code = "invalid_request"
+	InvalidKey       Code = "invalid_api_key"
+	NotAllowed       Code = "not_allowed"
+	NoSuchModel      Code = "model_not_found"
+	NoSuchPath       Code = "path_not_found"
+	QueueFull        Code = "queue_full"
+	DeadlinePassed   Code = "deadline_passed"
+	NoEndpoint       Code = "no_endpoint"
+	NotReady         Code = "not_ready"
+	EndpointFailed   Code = "endpoint_failed"
+	StoreUnavailable Code = "store_unavailable"
+	KeyReused        Code = "idempotency_key_reused"
+	OutcomeUnknown   Code = "outcome_unknown"
+	CallerGone       Code = "caller_gone"
+)
+
+var codeStatus = map[Code]int{
+	InvalidRequest:   fasthttp.StatusBadRequest,
+	InvalidKey:       fasthttp.StatusUnauthorized,
+	NotAllowed:       fasthttp.StatusForbidden,
+	NoSuchModel:      fasthttp.StatusNotFound,
+	NoSuchPath:       fasthttp.StatusNotFound,
+	QueueFull:        fasthttp.StatusTooManyRequests,
+	DeadlinePassed:   fasthttp.StatusGatewayTimeout,
+	NoEndpoint:       fasthttp.StatusServiceUnavailable,
+	NotReady:         fasthttp.StatusServiceUnavailable,
+	EndpointFailed:   fasthttp.StatusBadGateway,
+	StoreUnavailable: fasthttp.StatusServiceUnavailable,
+	KeyReused:        fasthttp.StatusUnprocessableEntity,
+	OutcomeUnknown:   fasthttp.StatusConflict,
+	CallerGone:       499,
+}
+
+// The headers that every answer of quaylead itself carries.
+const (
+	RunHeader = "Quaylead-Run"
+	IDHeader  = "X-Request-Id"
+)
+
+// Refusal is a final answer that quaylead gives in place of an endpoint.
+type Refusal struct {
+	Code    Code
+	Message string
+	// Run is what is known of whether an endpoint ran the request.
+	Run Run
+	// RetryAfter tells the caller when to come back; 0 means that it should not.
+	RetryAfter time.Duration
+}
+
+// Error makes a refusal usable as an error inside the router.
+func (r *Refusal) Error() string {
+	return string(r.Code) + ": " + r.Message
+}
+
+// Status is the HTTP status that goes with the code.
+func (r *Refusal) Status() int {
+	if status, ok := codeStatus[r.Code]; ok {
+		return status
+	}
+	return fasthttp.StatusInternalServerError
+}
+
+// refusalBody is the JSON form, in the shape that callers of the
+// OpenAI-compatible API already parse.
+type refusalBody struct {
+	Error refusalError `json:"error"`
+}
+
+type refusalError struct {
+	Code       Code    `json:"code"`
+	Type       string  `json:"type"`
+	Message    string  `json:"message"`
+	RequestID  string  `json:"request_id"`
+	Run        Run     `json:"run"`
+	RetryAfter float64 `json:"retry_after_seconds,omitempty"`
+}
+
+// Write puts the refusal into an answer.
+func (r *Refusal) Write(response *fasthttp.Response, id string) {
+	response.Reset()
+	response.SetStatusCode(r.Status())
+	response.Header.SetContentType("application/json")
+	response.Header.Set(RunHeader, string(r.Run))
+	response.Header.Set(IDHeader, id)
+	if r.RetryAfter > 0 {
+		seconds := int(math.Ceil(r.RetryAfter.Seconds()))
+		response.Header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	body, err := json.Marshal(refusalBody{Error: refusalError{
+		Code:       r.Code,
+		Type:       "quaylead_refusal",
+		Message:    r.Message,
+		RequestID:  id,
+		Run:        r.Run,
+		RetryAfter: r.RetryAfter.Seconds(),
+	}})
+	if err == nil {
+		response.SetBody(body)
+	}
+}
--- /dev/null
+++ b/pkg/revision/repository.go
@@ -0,0 +1,224 @@
+// Package revision accepts settings once and keeps their history, in the
+// platform's stores. A snapshot is an immutable object; one conditional write
+// moves the head row from one revision to the next.
+package revision
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/quaylead/quaylead/pkg/platform"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// The tables and rows that hold settings.
+const (
+	HeadTable    = "settings"
+	HeadKey      = "head"
+	HistoryTable = "settings-history"
+)
+
+// Head is the accepted settings, and an entry of the history.
+type Head struct {
+	// Revision counts acceptances from 1; 0 means that there were none.
+	Revision uint64
+	// Hash is the SHA-256 of the snapshot, in hex, and names its object.
+	Hash    string
+	Author  string
+	Message string
+	At      time.Time
+	// Nonce tells this acceptance from any other, so that one whose answer was
+	// lost can be recognised.
+	Nonce string
+}
+
+// ConflictError reports that another acceptance came first.
+type ConflictError struct {
+	// Expected is the revision that was to be followed.
+	Expected uint64
+	// Found is the head that stands instead.
+	Found Head
+}
+
+// Error names both revisions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("expected revision %d, but revision %d by %s is accepted",
+		e.Expected, e.Found.Revision, e.Found.Author)
+}
+
+// UnknownOutcomeError reports that the store did not say whether it accepted.
+type UnknownOutcomeError struct {
+	Revision uint64
+	Err      error
+}
+
+// Error names the revision that may or may not be accepted.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("not known whether revision %d is accepted: %v", e.Revision, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOutcomeError) Unwrap() error {
+	return e.Err
+}
+
+// Store is what a repository needs of the platform.
+type Store interface {
+	Get(table, key string) (platform.Row, error)
+	Transact(writes []platform.Write) error
+	PutObject(key string, value []byte) error
+	GetObject(key string) ([]byte, error)
+}
+
+// Repository is the accepted settings in the platform's stores.
+type Repository struct {
+	Store Store
+}
+
+// Head reads the accepted settings' head and the version of its row. Before
+// the first acceptance both are empty.
+func (r Repository) Head() (head Head, version string, err error) {
+	defer func() { err = trace.Wrap(err, "reading the head of settings") }()
+	row, err := r.Store.Get(HeadTable, HeadKey)
+	if absent(err) {
+		return Head{}, "", nil
+	}
+	if err != nil {
+		return Head{}, "", err
+	}
+	err = json.Unmarshal(row.Value, &head)
+	return head, row.Version, err
+}
+
+// Entry reads the history's entry of a revision.
+func (r Repository) Entry(number uint64) (head Head, err error) {
+	defer func() { err = trace.Wrap(err, "reading settings revision %d", number) }()
+	row, err := r.Store.Get(HistoryTable, historyKey(number))
+	if err != nil {
+		return Head{}, err
+	}
+	err = json.Unmarshal(row.Value, &head)
+	return head, err
+}
+
+// Snapshot reads a head's snapshot and checks it against its hash.
+func (r Repository) Snapshot(head Head) (snapshot []byte, err error) {
+	defer func() { err = trace.Wrap(err, "reading the snapshot of revision %d", head.Revision) }()
+	snapshot, err = r.Store.GetObject(objectKey(head.Hash))
+	if err != nil {
+		return nil, err
+	}
+	if found := hashOf(snapshot); found != head.Hash {
+		return nil, trace.CompareFailed("the snapshot has hash %s, not %s", found, head.Hash)
+	}
+	return snapshot, nil
+}
+
+// Proposal is settings to be accepted after a known revision.
+type Proposal struct {
+	Fleet *settings.Fleet
+	// Expect is the revision that the proposal follows.
+	Expect  uint64
+	Author  string
+	Message string
+	// Nonce is a value that no other proposal has.
+	Nonce string
+	// Until bounds the tries to learn the outcome when the store is failing.
+	Until time.Time
+}
+
+// retryPause lies between two tries at a failing store.
+const retryPause = 200 * time.Millisecond
+
+// Accept makes a proposal the head. The error is a *ConflictError when another
+// acceptance came first, an *UnknownOutcomeError when the store did not say.
+func (r Repository) Accept(proposal Proposal) (head Head, err error) {
+	defer func() { err = trace.Wrap(err, "accepting settings") }()
+	snapshot, err := settings.EncodeSnapshot(proposal.Fleet)
+	if err != nil {
+		return Head{}, err
+	}
+	head = Head{
+		Revision: proposal.Expect + 1,
+		Hash:     hashOf(snapshot),
+		Author:   proposal.Author,
+		Message:  proposal.Message,
+		At:       time.Now().UTC(),
+		Nonce:    proposal.Nonce,
+	}
+	current, version, err := r.Head()
+	if err != nil {
+		return Head{}, err
+	}
+	if current.Revision != proposal.Expect {
+		return Head{}, &ConflictError{Expected: proposal.Expect, Found: current}
+	}
+	if err := r.Store.PutObject(objectKey(head.Hash), snapshot); err != nil {
+		return Head{}, err
+	}
+	return head, r.move(head, version, proposal.Until)
+}
+
+// move writes the head and its history entry in one transaction. The same
+// writes may be sent again when an answer is lost: the condition on the head's
+// version lets them take effect once.
+func (r Repository) move(head Head, version string, until time.Time) error {
+	value, err := json.Marshal(head)
+	if err != nil {
+		return err
+	}
+	writes := []platform.Write{
+		{Table: HeadTable, Key: HeadKey, Value: value, IfAbsent: version == "", IfVersion: version},
+		{Table: HistoryTable, Key: historyKey(head.Revision), Value: value, IfAbsent: true},
+	}
+	for {
+		err := r.Store.Transact(writes)
+		if err == nil {
+			return nil
+		}
+		settled, settleErr := r.settle(head)
+		if settled {
+			return settleErr
+		}
+		if time.Now().After(until) {
+			return &UnknownOutcomeError{Revision: head.Revision, Err: err}
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// settle learns by reading which acceptance has the revision.
+func (r Repository) settle(head Head) (settled bool, err error) {
+	entry, err := r.Entry(head.Revision)
+	if err != nil {
+		return false, nil
+	}
+	if entry.Nonce == head.Nonce {
+		return true, nil
+	}
+	return true, &ConflictError{Expected: head.Revision - 1, Found: entry}
+}
+
+func absent(err error) bool {
+	var notFound *platform.NotFoundError
+	return errors.As(err, &notFound)
+}
+
+func hashOf(snapshot []byte) string {
+	sum := sha256.Sum256(snapshot)
+	return hex.EncodeToString(sum[:])
+}
+
+func objectKey(hash string) string {
+	return "settings-" + hash
+}
+
+func historyKey(number uint64) string {
+	return fmt.Sprintf("%012d", number)
+}
--- /dev/null
+++ b/pkg/router/caller.go
@@ -0,0 +1,168 @@
+package router
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/logflags"
+	"github.com/quaylead/quaylead/pkg/record"
+	"github.com/quaylead/quaylead/pkg/request"
+)
+
+// Headers that callers may set.
+const (
+	// ClassHeader names the class of a request.
+	ClassHeader = "Quaylead-Class"
+	// TimeoutHeader bounds a request, as a duration such as "10s".
+	TimeoutHeader = "Quaylead-Timeout"
+)
+
+// newID makes an identifier that no other request or process has.
+func newID() string {
+	var random [15]byte
+	// The standard library's source never fails.
+	_, _ = rand.Read(random[:])
+	return base64.RawURLEncoding.EncodeToString(random[:])
+}
+
+// maxIDLength bounds the ids that callers may give.
+const maxIDLength = 128
+
+func requestID(ctx *fasthttp.RequestCtx) string {
+	given := ctx.Request.Header.Peek(request.IDHeader)
+	if len(given) > 0 && len(given) <= maxIDLength {
+		return string(given)
+	}
+	return newID()
+}
+
+// serveCaller answers one call.
+func (r *Router) serveCaller(ctx *fasthttp.RequestCtx) {
+	r.inFlight.Add(1)
+	j := &job{router: r, ctx: ctx, id: requestID(ctx), arrived: time.Now()}
+	if r.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+	if refusal := r.route(j); refusal != nil {
+		j.refuse(refusal)
+	}
+	if !j.streaming {
+		r.inFlight.Add(-1)
+	}
+}
+
+// route finds out what a call is, and has it served.
+func (r *Router) route(j *job) *request.Refusal {
+	j.view = r.current.Load()
+	if j.view == nil {
+		return &request.Refusal{
+			Code:       request.NotReady,
+			Message:    "this router has no settings yet",
+			Run:        request.NotRun,
+			RetryAfter: time.Second,
+		}
+	}
+	customer, refusal := j.view.identify(j.ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	if refusal != nil {
+		return refusal
+	}
+	j.customer = customer
+	if refusal := j.readDeadline(); refusal != nil {
+		return refusal
+	}
+	switch path := string(j.ctx.Path()); path {
+	case "/v1/models":
+		return j.listModels()
+	case "/v1/chat/completions", "/v1/completions":
+		return j.serveModel()
+	default:
+		return j.servePlain(path)
+	}
+}
+
+// readDeadline sets the one deadline that is carried through the request.
+func (j *job) readDeadline() *request.Refusal {
+	longest := j.router.Box.Limits.RequestTimeout.Duration
+	given := j.ctx.Request.Header.Peek(TimeoutHeader)
+	if len(given) > 0 {
+		parsed, err := time.ParseDuration(string(given))
+		if err != nil || parsed <= 0 {
+			return invalid("the header " + TimeoutHeader + " is no duration such as 10s")
+		}
+		longest = min(longest, parsed)
+	}
+	j.deadline = j.arrived.Add(longest)
+	return nil
+}
+
+func invalid(message string) *request.Refusal {
+	return &request.Refusal{Code: request.InvalidRequest, Message: message, Run: request.NotRun}
+}
+
+// modelList is the answer to /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (j *job) listModels() *request.Refusal {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for model, pool := range j.view.models {
+		if j.view.allowed(j.customer, pool) {
+			list.Data = append(list.Data, modelEntry{ID: model, Object: "model", OwnedBy: pool})
+		}
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return invalid(err.Error())
+	}
+	j.ctx.Response.Header.SetContentType("application/json")
+	j.ctx.Response.Header.Set(request.IDHeader, j.id)
+	j.ctx.Response.SetBody(body)
+	return nil
+}
+
+// refuse writes a final answer of our own.
+func (j *job) refuse(refusal *request.Refusal) {
+	r := j.router
+	r.Metrics.Refusals.Add(string(refusal.Code), 1)
+	r.logs.For(logflags.Caller).Debug("request refused",
+		zap.String("Request", j.id),
+		zap.String("Customer", j.customer),
+		zap.String("Code", string(refusal.Code)),
+		zap.String("Run", string(refusal.Run)))
+	refusal.Write(&j.ctx.Response, j.id)
+	if refusal.Code == request.CallerGone {
+		j.ctx.SetConnectionClose()
+	}
+}
+
+// refuseMalformed answers what is no HTTP request within the limits.
+func (r *Router) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	r.logs.For(logflags.Caller).Debug("malformed request", zap.Error(err))
+	refusal := invalid("the request is malformed, too large or too slow")
+	refusal.Write(&ctx.Response, newID())
+	ctx.SetConnectionClose()
+}
+
+// gone tells whether the caller's connection is closed.
+func (j *job) gone() bool {
+	return !endpoint.IsOpen(j.ctx.Conn())
+}
+
+func (j *job) count(latencies *record.Latencies) {
+	key := record.Key{Customer: j.customer, Class: j.class}
+	latencies.Add(key, time.Since(j.arrived))
+}
--- /dev/null
+++ b/pkg/router/follow.go
@@ -0,0 +1,258 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/logflags"
+	"github.com/quaylead/quaylead/pkg/peer"
+	"github.com/quaylead/quaylead/pkg/platform"
+	"github.com/quaylead/quaylead/pkg/pool"
+	"github.com/quaylead/quaylead/pkg/revision"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// every calls work now and then again after about the interval, until the
+// context ends. The interval is jittered, so that boxes do not keep step.
+func every(ctx context.Context, interval time.Duration, work func()) error {
+	for {
+		work()
+		wait := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+	}
+}
+
+// followHead looks for accepted settings in the store.
+func (r *Router) followHead(ctx context.Context) error {
+	if r.Box.Platform.Address == "" {
+		return nil
+	}
+	log := r.logs.For(logflags.Settings)
+	return every(ctx, r.Box.Platform.HeadInterval.Duration, func() {
+		if err := r.checkHead(); err != nil {
+			log.Debug("looking for accepted settings failed", zap.Error(err))
+		}
+	})
+}
+
+// checkHead reads the head row and, when it is newer, the snapshot it names.
+func (r *Router) checkHead() error {
+	head, _, err := revision.Repository{Store: r.store}.Head()
+	if err != nil || head.Revision <= r.revision() {
+		return err
+	}
+	snapshot, err := revision.Repository{Store: r.store}.Snapshot(head)
+	if err != nil {
+		return err
+	}
+	return r.apply(head.Revision, snapshot)
+}
+
+// revision is that of the settings in force; 0 when there are none accepted.
+func (r *Router) revision() uint64 {
+	if now := r.current.Load(); now != nil {
+		return now.revision
+	}
+	return 0
+}
+
+// followBoxList looks at the platform's list of boxes.
+func (r *Router) followBoxList(ctx context.Context) error {
+	if r.Box.Platform.Address == "" {
+		return nil
+	}
+	log := r.logs.For(logflags.Platform)
+	return every(ctx, r.Box.Platform.BoxListInterval.Duration, func() {
+		boxes, err := r.store.Boxes()
+		if err != nil {
+			log.Debug("reading the box list failed", zap.Error(err))
+			return
+		}
+		r.applyBoxList(boxes)
+	})
+}
+
+// applyBoxList adds peers and takes work from endpoints that are leaving. A
+// box that is missing from the list is not taken for dead: the list lags.
+func (r *Router) applyBoxList(boxes []platform.ListedBox) {
+	peers := map[string]settings.Peer{}
+	leaving := map[string]bool{}
+	for _, listed := range boxes {
+		switch listed.Role {
+		case platform.RouterRole:
+			peers[listed.Name] = settings.Peer{Address: listed.Address, Zone: listed.Zone}
+		case platform.EndpointRole:
+			leaving[listed.Address] = listed.State == platform.LeavingState
+		}
+	}
+	// What this box's own settings say of a peer goes before the list.
+	for name, known := range r.Box.Peers {
+		peers[name] = known
+	}
+	r.exchange.SetPeers(peers)
+	r.mu.Lock()
+	r.listed = leaving
+	r.mu.Unlock()
+	for _, p := range r.poolsNow() {
+		p.Do(func(s *pool.Schedule, now time.Time) { s.ListLeaving(leaving) })
+	}
+}
+
+// followPeers tells each pool how many routers live and what they demand.
+func (r *Router) followPeers(ctx context.Context) error {
+	return every(ctx, r.Box.Exchange.Interval.Duration, func() {
+		for name, p := range r.poolsNow() {
+			liveRouters, demand := r.members.Demand(name)
+			p.Do(func(s *pool.Schedule, now time.Time) { s.SetPeers(liveRouters, demand) })
+		}
+	})
+}
+
+// State gives peers this router's account of every pool.
+func (r *Router) State() peer.State {
+	state := peer.State{
+		Revision: r.revision(),
+		Leaving:  r.stopping.Load(),
+		Pools:    map[string]peer.PoolState{},
+	}
+	for name, p := range r.poolsNow() {
+		p.Look(func(s *pool.Schedule, now time.Time) {
+			state.Pools[name] = s.State()
+		})
+	}
+	return state
+}
+
+// Snapshot gives peers the settings in force.
+func (r *Router) Snapshot() (revision uint64, content []byte) {
+	now := r.current.Load()
+	if now == nil {
+		return 0, nil
+	}
+	return now.revision, now.snapshot
+}
+
+// Heard applies a peer's account.
+func (r *Router) Heard(from peer.Sender, news peer.State, first bool) {
+	r.members.Heard(from, news, first, time.Now())
+	for name, state := range news.Pools {
+		p := r.pool(name)
+		if p == nil {
+			continue
+		}
+		p.Do(func(s *pool.Schedule, now time.Time) { s.Hear(from.Incarnation, state, first) })
+	}
+	if news.Revision > r.revision() {
+		r.fetchSettings(from.Box, news.Revision)
+	}
+}
+
+// fetchSettings takes a higher revision from the peer that told of it, so that
+// a store outage does not stop its spread.
+func (r *Router) fetchSettings(from string, revision uint64) {
+	log := r.logs.For(logflags.Settings)
+	found, content, err := r.exchange.Fetch(from, revision)
+	if err == nil {
+		err = r.apply(found, content)
+	}
+	if err != nil {
+		log.Warn("taking settings from a peer failed", zap.String("Peer", from), zap.Error(err))
+	}
+}
+
+// Silent drops what a peer said is waiting or charged there.
+func (r *Router) Silent(from peer.Sender) {
+	r.members.Silent(from)
+	for _, p := range r.poolsNow() {
+		p.Do(func(s *pool.Schedule, now time.Time) { s.Ledger.Forget(from.Incarnation) })
+	}
+}
+
+// followReports asks endpoints for their load.
+func (r *Router) followReports(ctx context.Context) error {
+	ticks := map[string]time.Time{}
+	return every(ctx, reportTick, func() {
+		for name, p := range r.poolsNow() {
+			rules, addresses := endpointsOf(p)
+			due := time.Since(ticks[name]) >= rules.ReportInterval.Duration
+			if rules.ReportPath == "" || !due {
+				continue
+			}
+			ticks[name] = time.Now()
+			r.askReports(p, &rules, addresses)
+		}
+	})
+}
+
+// reportTick is the finest grain of report intervals.
+const reportTick = 50 * time.Millisecond
+
+func endpointsOf(p *pool.Pool) (rules settings.Pool, addresses map[string]string) {
+	p.Look(func(s *pool.Schedule, now time.Time) {
+		rules = s.Rules()
+		addresses = s.Addresses()
+	})
+	return rules, addresses
+}
+
+// askReports asks all endpoints of a pool at once, each within the interval.
+func (r *Router) askReports(p *pool.Pool, rules *settings.Pool, addresses map[string]string) {
+	group := errgroup.Group{}
+	for name, address := range addresses {
+		group.Go(func() error {
+			report, err := r.askReport(address, rules)
+			p.Do(func(s *pool.Schedule, now time.Time) {
+				if err != nil {
+					s.ReportFailed(name, now)
+					return
+				}
+				s.Report(name, report, now)
+			})
+			return nil
+		})
+	}
+	// The workers report failures to the schedule and return none.
+	_ = group.Wait()
+}
+
+// askReport reads one endpoint's load.
+func (r *Router) askReport(address string, rules *settings.Pool) (report pool.Report, err error) {
+	defer func() { err = trace.Wrap(err, "asking endpoint %s for its load", address) }()
+	call := &fasthttp.Request{}
+	call.SetRequestURI("http://" + address + rules.ReportPath)
+	patience := max(rules.ReportInterval.Duration, rules.ConnectTimeout.Duration)
+	deadline := time.Now().Add(patience)
+	check := func() error {
+		if time.Now().After(deadline) {
+			return trace.LimitExceeded("no report within %s", patience)
+		}
+		return nil
+	}
+	step := func() error { return nil }
+	answer, err := r.client(address, rules).Send(call, false, check, step, step)
+	if err != nil {
+		return report, err
+	}
+	defer answer.Close()
+	body, err := answer.Whole(r.Box.Limits.HeaderBytes)
+	if err != nil {
+		return report, err
+	}
+	if status := answer.Response.StatusCode(); status != fasthttp.StatusOK {
+		return report, trace.BadParameter("status %d", status)
+	}
+	return report, json.Unmarshal(body, &report)
+}
--- /dev/null
+++ b/pkg/router/model.go
@@ -0,0 +1,193 @@
+package router
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/pool"
+	"github.com/quaylead/quaylead/pkg/request"
+)
+
+var eventStreamType = []byte("text/event-stream")
+
+// serveModel serves a call to a model pool.
+func (j *job) serveModel() *request.Refusal {
+	if !j.ctx.IsPost() {
+		return invalid("model requests are made by POST")
+	}
+	call, err := endpoint.ParseModelCall(j.ctx.PostBody())
+	if err != nil {
+		return invalid("the body is no model request: " + err.Error())
+	}
+	poolName, ok := j.view.models[call.Model]
+	if !ok {
+		return &request.Refusal{
+			Code:    request.NoSuchModel,
+			Message: "there is no model " + strconv.Quote(call.Model),
+			Run:     request.NotRun,
+		}
+	}
+	if refusal := j.enter(poolName); refusal != nil {
+		return refusal
+	}
+	named := string(j.ctx.Request.Header.Peek(ClassHeader))
+	j.class, j.ticket.Quick = j.view.classify(named, call.MaxTokens)
+	j.ticket.Class = j.class
+	j.ticket.InputTokens = float64(call.PromptBytes) / endpoint.BytesPerToken
+	j.ticket.MaxOutputTokens = float64(call.MaxTokens)
+	j.ticket.Affinity = call.Affinity
+	j.ticket.Streamed = call.Stream
+	j.repeatable = true
+	j.compose = func() (*fasthttp.Request, error) {
+		body, err := call.Body(j.rules.PriorityField, j.ticket.Priority)
+		if err != nil {
+			return nil, err
+		}
+		request := j.forward()
+		request.SetBodyRaw(body)
+		return request, nil
+	}
+	return j.answerModel(call)
+}
+
+// answerModel passes an engine's answer on. Until its first event nothing has
+// been delivered, so a broken answer may still be had from another engine.
+func (j *job) answerModel(call *endpoint.ModelCall) *request.Refusal {
+	if refusal := j.pool.Submit(j.ticket); refusal != nil {
+		return refusal
+	}
+	for {
+		answer, refusal := j.obtain()
+		if refusal != nil {
+			return refusal
+		}
+		var err error
+		switch {
+		case answer.Response.StatusCode() != fasthttp.StatusOK:
+			return j.passOn(answer)
+		case bytes.HasPrefix(answer.Response.Header.ContentType(), eventStreamType):
+			err = j.answerStream(answer, call.WantsUsage)
+		default:
+			err = j.answerWhole(answer)
+		}
+		if err == nil {
+			return nil
+		}
+		answer.Close()
+		if refusal := j.afterFailure(err); refusal != nil {
+			return refusal
+		}
+	}
+}
+
+// answerWhole passes on an answer that came in one piece.
+func (j *job) answerWhole(answer *endpoint.Answer) error {
+	body, err := answer.Whole(j.router.Box.Limits.AnswerBytes)
+	if err != nil {
+		return err
+	}
+	answer.Close()
+	usage, known := endpoint.WholeUsage(body)
+	j.pool.Begin(j.ticket)
+	j.finish(pool.Answered{
+		InputTokens:  float64(usage.PromptTokens),
+		OutputTokens: float64(usage.CompletionTokens),
+		Known:        known,
+	})
+	j.count(&j.router.Metrics.FirstToken)
+	j.copyHead(answer)
+	j.ctx.Response.SetBody(body)
+	return nil
+}
+
+// answerStream hands the stream to the server, which reads it event by event.
+func (j *job) answerStream(answer *endpoint.Answer, keepUsage bool) error {
+	events := &endpoint.EventStream{Source: answer, KeepUsage: keepUsage}
+	events.Count = func(tokens int) { j.pool.Stream(j.ticket, float64(tokens)) }
+	if err := events.Prime(); err != nil {
+		return err
+	}
+	j.pool.Begin(j.ticket)
+	j.count(&j.router.Metrics.FirstToken)
+	j.copyHead(answer)
+	j.streaming = true
+	j.ctx.Response.ImmediateHeaderFlush = true
+	j.ctx.Response.SetBodyStream(&eventBody{body: body{job: j, answer: answer}, events: events}, -1)
+	return nil
+}
+
+// finish settles the request as answered.
+func (j *job) finish(how pool.Answered) {
+	j.pool.Finish(j.ticket, how)
+	// An answering request can always be settled.
+	_ = j.life.Advance(request.Settled)
+	j.router.Metrics.Answers.Add(j.poolName, 1)
+	j.count(&j.router.Metrics.Total)
+}
+
+// body is an answer on its way to the caller. Its Close settles the request.
+type body struct {
+	job    *job
+	answer *endpoint.Answer
+	// whole is set once the end was passed on.
+	whole  bool
+	closed bool
+}
+
+// allowWrite gives a slow caller its time for the next piece.
+func (b *body) allowWrite() error {
+	timeout := b.job.router.Box.Limits.WriteTimeout.Duration
+	return b.job.ctx.Conn().SetWriteDeadline(time.Now().Add(timeout))
+}
+
+// close ends the exchange with the endpoint, whole or cut.
+func (b *body) close(how pool.Answered) error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	j := b.job
+	defer j.router.inFlight.Add(-1)
+	err := b.answer.Close()
+	if b.whole {
+		j.finish(how)
+		return err
+	}
+	j.router.Metrics.Cut.Add(j.poolName, 1)
+	if j.gone() {
+		j.pool.Finish(j.ticket, pool.Abandoned{})
+		return err
+	}
+	j.pool.Finish(j.ticket, pool.Failed{})
+	return err
+}
+
+// eventBody is an engine's stream on its way to the caller.
+type eventBody struct {
+	body
+	events *endpoint.EventStream
+}
+
+// Read passes on the next events. An error other than io.EOF makes the server
+// close the connection without a clean end, so that the caller sees the cut.
+func (b *eventBody) Read(p []byte) (n int, err error) {
+	n, err = b.events.Read(p)
+	b.whole = isEnd(err)
+	if err != nil {
+		return n, err
+	}
+	return n, b.allowWrite()
+}
+
+// Close settles the request at its true cost.
+func (b *eventBody) Close() error {
+	return b.close(pool.Answered{
+		InputTokens:  float64(b.events.Usage.PromptTokens),
+		OutputTokens: float64(b.events.Usage.CompletionTokens),
+		Known:        b.events.Known,
+	})
+}
--- /dev/null
+++ b/pkg/router/operator.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+
+	"github.com/quaylead/quaylead/pkg/box"
+)
+
+// Status is what /status tells operators of one box.
+type Status struct {
+	Box         string
+	Zone        string
+	Incarnation uint64
+	Revision    uint64
+	Stopping    bool
+	InFlight    int64
+	Members     []box.Member
+	// ControlSent and ControlReceived are the bytes exchanged with peers.
+	ControlSent     int64
+	ControlReceived int64
+}
+
+// operatorTimeout bounds an operator's call.
+const operatorTimeout = 10 * time.Second
+
+func (r *Router) operatorServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:      r.serveOperator,
+		Name:         "quaylead",
+		ReadTimeout:  operatorTimeout,
+		WriteTimeout: operatorTimeout,
+		IdleTimeout:  operatorTimeout,
+	}
+}
+
+func (r *Router) serveOperator(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		r.serveReady(ctx)
+	case "/status":
+		r.serveStatus(ctx)
+	case "/debug/vars":
+		expvarhandler.ExpvarHandler(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// serveReady tells the balancer whether to send callers here, and why not.
+func (r *Router) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case r.stopping.Load():
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("stopping\n")
+	case r.current.Load() == nil:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("no settings yet: the store and all peers are out of reach, or nothing was accepted\n")
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
+
+func (r *Router) serveStatus(ctx *fasthttp.RequestCtx) {
+	status := Status{
+		Box:             r.Box.Name,
+		Zone:            r.Box.Zone,
+		Incarnation:     r.incarnation,
+		Revision:        r.revision(),
+		Stopping:        r.stopping.Load(),
+		InFlight:        r.inFlight.Load(),
+		Members:         r.members.Live(),
+		ControlSent:     r.exchange.Traffic.Sent.Load(),
+		ControlReceived: r.exchange.Traffic.Received.Load(),
+	}
+	body, err := json.Marshal(status)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/pkg/router/plain.go
@@ -0,0 +1,246 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/pkg/claim"
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/pool"
+	"github.com/quaylead/quaylead/pkg/request"
+)
+
+// servePlain serves a call to a plain service.
+func (j *job) servePlain(path string) *request.Refusal {
+	poolName, ok := j.view.poolOfPath(path)
+	if !ok {
+		return &request.Refusal{
+			Code:    request.NoSuchPath,
+			Message: "no service has this path",
+			Run:     request.NotRun,
+		}
+	}
+	if refusal := j.enter(poolName); refusal != nil {
+		return refusal
+	}
+	named := string(j.ctx.Request.Header.Peek(ClassHeader))
+	j.class, j.ticket.Quick = j.view.classify(named, 0)
+	j.ticket.Class = j.class
+	method := string(j.ctx.Method())
+	j.repeatable = mayRepeat(&j.rules, method, path)
+	j.compose = func() (*fasthttp.Request, error) {
+		call := j.forward()
+		call.SetBodyRaw(j.ctx.PostBody())
+		return call, nil
+	}
+	key := string(j.ctx.Request.Header.Peek(j.rules.KeyHeader))
+	if j.repeatable || key == "" {
+		return j.answerPlain()
+	}
+	return j.answerClaimed(key)
+}
+
+// answerPlain passes a plain service's answer on as it comes.
+func (j *job) answerPlain() *request.Refusal {
+	if refusal := j.pool.Submit(j.ticket); refusal != nil {
+		return refusal
+	}
+	answer, refusal := j.obtain()
+	if refusal != nil {
+		return refusal
+	}
+	return j.passOn(answer)
+}
+
+// passOn hands an answer to the server, which reads it piece by piece.
+func (j *job) passOn(answer *endpoint.Answer) *request.Refusal {
+	j.pool.Begin(j.ticket)
+	j.copyHead(answer)
+	if answer.Empty() {
+		j.ctx.Response.SkipBody = j.ctx.IsHead()
+		answer.Close()
+		j.finish(pool.Answered{})
+		return nil
+	}
+	j.streaming = true
+	stream := &plainBody{body{job: j, answer: answer}}
+	j.ctx.Response.SetBodyStream(stream, answer.Length())
+	return nil
+}
+
+// plainBody is a plain service's answer on its way to the caller.
+type plainBody struct {
+	body
+}
+
+// Read passes on the next piece. An error other than io.EOF makes the server
+// close the connection without a clean end, so that the caller sees the cut.
+func (b *plainBody) Read(p []byte) (n int, err error) {
+	n, err = b.answer.Read(p)
+	b.whole = isEnd(err)
+	if err != nil {
+		return n, err
+	}
+	return n, b.allowWrite()
+}
+
+// Close settles the request.
+func (b *plainBody) Close() error {
+	return b.close(pool.Answered{})
+}
+
+func isEnd(err error) bool {
+	return err == io.EOF
+}
+
+// answerClaimed serves a call that must run at most once and carries a key: it
+// is claimed before the first byte leaves, and its outcome is kept.
+func (j *job) answerClaimed(key string) *request.Refusal {
+	ctx, cancel := context.WithDeadline(context.Background(), j.deadline)
+	defer cancel()
+	named := claim.Key{Customer: j.customer, Pool: j.poolName, Value: key}
+	result, err := j.router.claims.Take(ctx, named, j.digest())
+	if err != nil {
+		return &request.Refusal{
+			Code:       request.StoreUnavailable,
+			Message:    "the claim of the idempotency key could not be confirmed",
+			Run:        request.NotRun,
+			RetryAfter: retryHint,
+		}
+	}
+	switch result := result.(type) {
+	case claim.Taken:
+		// A received request can always be claimed.
+		_ = j.life.Advance(request.Claimed)
+		return j.sendClaimed(result.Claim)
+	case claim.Stored:
+		j.answerStored(result.Outcome)
+		return nil
+	case claim.Reused:
+		return &request.Refusal{
+			Code:    request.KeyReused,
+			Message: "the idempotency key belongs to a different request",
+			Run:     request.NotRun,
+		}
+	default:
+		return &request.Refusal{
+			Code:       request.OutcomeUnknown,
+			Message:    "the call with this idempotency key was begun and its outcome is not known",
+			Run:        request.Unknown,
+			RetryAfter: retryHint,
+		}
+	}
+}
+
+// digest tells this request from others under the same key.
+func (j *job) digest() string {
+	digest := sha256.New()
+	for _, part := range [][]byte{j.ctx.Method(), j.ctx.RequestURI(), j.ctx.PostBody()} {
+		digest.Write(part)
+		digest.Write([]byte{0})
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// sendClaimed makes the one call that a claim allows.
+func (j *job) sendClaimed(held *claim.Claim) *request.Refusal {
+	refusal := j.pool.Submit(j.ticket)
+	var answer *endpoint.Answer
+	if refusal == nil {
+		answer, refusal = j.obtain()
+	}
+	if refusal != nil {
+		if j.life.Run() == request.NotRun {
+			j.router.claims.Release(held)
+		}
+		return refusal
+	}
+	defer answer.Close()
+	content, err := answer.Whole(j.router.Box.Limits.AnswerBytes)
+	if err != nil {
+		j.pool.Finish(j.ticket, pool.Failed{})
+		return &request.Refusal{
+			Code:    request.OutcomeUnknown,
+			Message: "the call ran, but its answer did not come whole",
+			Run:     j.life.Run(),
+		}
+	}
+	j.finish(pool.Answered{})
+	j.router.claims.Settle(held, claim.Outcome{
+		Status:      answer.Response.StatusCode(),
+		ContentType: string(answer.Response.Header.ContentType()),
+		Body:        content,
+	})
+	j.copyHead(answer)
+	j.ctx.Response.SetBody(content)
+	return nil
+}
+
+// ReplayedHeader marks an answer that was stored when the call ran.
+const ReplayedHeader = "Quaylead-Replayed"
+
+func (j *job) answerStored(outcome claim.Outcome) {
+	response := &j.ctx.Response
+	response.SetStatusCode(outcome.Status)
+	response.Header.SetContentType(outcome.ContentType)
+	response.Header.Set(request.RunHeader, string(request.DidRun))
+	response.Header.Set(request.IDHeader, j.id)
+	response.Header.Set(ReplayedHeader, "true")
+	response.SetBody(outcome.Body)
+}
+
+// forward copies a caller's request for an endpoint. The customer's key stays
+// here, and so do the headers that concern one connection only.
+func (j *job) forward() *fasthttp.Request {
+	call := &fasthttp.Request{}
+	j.ctx.Request.Header.CopyTo(&call.Header)
+	for _, name := range hopHeaders {
+		call.Header.Del(name)
+	}
+	call.Header.Del(fasthttp.HeaderAuthorization)
+	call.Header.Del(fasthttp.HeaderContentLength)
+	call.SetRequestURI(string(j.ctx.RequestURI()))
+	call.Header.SetHost(j.ticket.Endpoint.Address)
+	call.Header.Set(request.IDHeader, j.id)
+	call.Header.Set(TimeoutHeader, time.Until(j.deadline).Round(time.Millisecond).String())
+	if j.rules.CustomerHeader != "" {
+		call.Header.Set(j.rules.CustomerHeader, j.customer)
+	}
+	return call
+}
+
+// copyHead starts the caller's answer with the endpoint's status and headers.
+func (j *job) copyHead(answer *endpoint.Answer) {
+	response := &j.ctx.Response
+	closing := response.ConnectionClose()
+	answer.Response.Header.CopyTo(&response.Header)
+	for _, name := range hopHeaders {
+		response.Header.Del(name)
+	}
+	response.Header.Del(fasthttp.HeaderContentLength)
+	response.Header.ResetConnectionClose()
+	if closing {
+		response.SetConnectionClose()
+	}
+	response.Header.Set(request.RunHeader, string(request.DidRun))
+	response.Header.Set(request.IDHeader, j.id)
+}
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	fasthttp.HeaderConnection,
+	fasthttp.HeaderKeepAlive,
+	fasthttp.HeaderProxyAuthenticate,
+	fasthttp.HeaderProxyAuthorization,
+	fasthttp.HeaderProxyConnection,
+	fasthttp.HeaderTE,
+	fasthttp.HeaderTrailer,
+	fasthttp.HeaderTransferEncoding,
+	fasthttp.HeaderUpgrade,
+	fasthttp.HeaderExpect,
+}
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,260 @@
+// Package router is the process that serves callers: it identifies customers,
+// queues their requests, sends them to endpoints and passes answers back.
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/box"
+	"github.com/quaylead/quaylead/pkg/claim"
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/logflags"
+	"github.com/quaylead/quaylead/pkg/peer"
+	"github.com/quaylead/quaylead/pkg/platform"
+	"github.com/quaylead/quaylead/pkg/pool"
+	"github.com/quaylead/quaylead/pkg/record"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// Router is one box of the fleet. Its exported fields are set before Run.
+type Router struct {
+	// Box is the box's own settings.
+	Box settings.Box
+	// Initial is the fleet's settings to start from; nil means none.
+	Initial *settings.Fleet
+	// Metrics are counted into; the program publishes them.
+	Metrics *record.Metrics
+
+	logs        logflags.Logs
+	log         *zap.Logger
+	incarnation uint64
+	members     box.Members
+	exchange    *peer.Exchange
+	store       *platform.Store
+	claims      *claim.Registry
+	current     atomic.Pointer[view]
+	// stopping is set once a planned stop began; it is never cleared.
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	pools   map[string]*pool.Pool
+	clients map[string]*endpoint.Client
+	// listed are the addresses that the box list shows as leaving.
+	listed map[string]bool
+}
+
+// listeners are the sockets of one box.
+type listeners struct {
+	caller, operator, peer net.Listener
+}
+
+// Run serves until the context ends, and then stops as planned: it takes no
+// new work, finishes what is in flight, and says what is left at the limit.
+func (r *Router) Run(ctx context.Context) (err error) {
+	defer func() { err = trace.Wrap(err, "running box %s", r.Box.Name) }()
+	if err := r.prepare(); err != nil {
+		return err
+	}
+	sockets, err := r.listen()
+	if err != nil {
+		return err
+	}
+	// The work behind callers outlives the context by the time of a drain.
+	behind, stopBehind := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBehind()
+	group, behind := errgroup.WithContext(behind)
+	group.Go(func() error { return r.exchange.Run(behind, sockets.peer) })
+	group.Go(func() error { return r.claims.Run(behind) })
+	group.Go(func() error { return r.followHead(behind) })
+	group.Go(func() error { return r.followBoxList(behind) })
+	group.Go(func() error { return r.followPeers(behind) })
+	group.Go(func() error { return r.followReports(behind) })
+	operators := r.operatorServer()
+	group.Go(func() error { return operators.Serve(sockets.operator) })
+	callers := r.callerServer()
+	group.Go(func() error { return callers.Serve(sockets.caller) })
+	r.log.Info("box started",
+		zap.String("Box", r.Box.Name),
+		zap.String("Zone", r.Box.Zone),
+		zap.String("Callers", r.Box.CallerAddress))
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-behind.Done():
+		}
+		drainErr := r.drain(callers)
+		stopBehind()
+		return trace.NewAggregate(drainErr, operators.Shutdown())
+	})
+	return group.Wait()
+}
+
+func (r *Router) prepare() error {
+	r.logs = logflags.Logs{Settings: r.Box.Log}
+	r.log = r.logs.For(logflags.Box)
+	r.incarnation = rand.Uint64()
+	r.pools = map[string]*pool.Pool{}
+	r.clients = map[string]*endpoint.Client{}
+	if r.Metrics == nil {
+		r.Metrics = &record.Metrics{}
+	}
+	r.store = &platform.Store{Settings: r.Box.Platform}
+	r.claims = &claim.Registry{Store: r.store, Box: r.Box.Name, NewNonce: newID}
+	r.exchange = &peer.Exchange{
+		Box:         r.Box,
+		Incarnation: r.incarnation,
+		Teller:      r,
+		Listener:    r,
+		Log:         r.logs.For(logflags.Peer),
+	}
+	if r.Initial == nil {
+		return nil
+	}
+	snapshot, err := settings.EncodeSnapshot(r.Initial)
+	if err != nil {
+		return err
+	}
+	return r.apply(0, snapshot)
+}
+
+func (r *Router) listen() (sockets listeners, err error) {
+	if sockets.caller, err = net.Listen("tcp", r.Box.CallerAddress); err != nil {
+		return sockets, err
+	}
+	if sockets.operator, err = net.Listen("tcp", r.Box.OperatorAddress); err != nil {
+		return sockets, err
+	}
+	sockets.peer, err = net.Listen("tcp", r.Box.PeerAddress)
+	return sockets, err
+}
+
+// callerServer is the library's server with every bound of the settings.
+func (r *Router) callerServer() *fasthttp.Server {
+	limits := r.Box.Limits
+	return &fasthttp.Server{
+		Handler:                      r.serveCaller,
+		ErrorHandler:                 r.refuseMalformed,
+		Name:                         "quaylead",
+		Concurrency:                  limits.Connections,
+		MaxConnsPerIP:                limits.ConnectionsPerIP,
+		ReadBufferSize:               limits.HeaderBytes,
+		MaxRequestBodySize:           limits.BodyBytes,
+		ReadTimeout:                  limits.ReadTimeout.Duration,
+		WriteTimeout:                 limits.WriteTimeout.Duration,
+		IdleTimeout:                  limits.IdleTimeout.Duration,
+		DisablePreParseMultipartForm: true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+		Logger:                       quietLogger{r.logs.For(logflags.Caller)},
+	}
+}
+
+// quietLogger passes the library's own words on at the debug level.
+type quietLogger struct {
+	log *zap.Logger
+}
+
+// Printf logs a message of the library.
+func (l quietLogger) Printf(format string, args ...any) {
+	l.log.Sugar().Debugf(format, args...)
+}
+
+// drain stops the box as planned. Readiness goes off at once; connections are
+// taken for a little longer, until the balancer has noticed.
+func (r *Router) drain(callers *fasthttp.Server) error {
+	r.stopping.Store(true)
+	r.log.Info("planned stop began", zap.Int64("InFlight", r.inFlight.Load()))
+	time.Sleep(r.Box.Limits.DrainWait.Duration)
+	ctx, cancel := context.WithTimeout(context.Background(), r.Box.Limits.DrainTimeout.Duration)
+	defer cancel()
+	err := callers.ShutdownWithContext(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		r.log.Error("planned stop passed its limit", zap.Int64("InFlight", r.inFlight.Load()))
+		return err
+	}
+	r.log.Info("planned stop ended", zap.Int64("InFlight", r.inFlight.Load()))
+	return err
+}
+
+// pool returns a pool of the settings in force.
+func (r *Router) pool(name string) *pool.Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pools[name]
+}
+
+// poolsNow returns all pools by name.
+func (r *Router) poolsNow() map[string]*pool.Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pools := make(map[string]*pool.Pool, len(r.pools))
+	for name, p := range r.pools {
+		pools[name] = p
+	}
+	return pools
+}
+
+// client returns the connections to an endpoint's address.
+func (r *Router) client(address string, rules *settings.Pool) *endpoint.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	client := r.clients[address]
+	if client == nil {
+		client = &endpoint.Client{
+			Address:        address,
+			ConnectTimeout: rules.ConnectTimeout.Duration,
+			StallTimeout:   rules.StallTimeout.Duration,
+			HeaderBytes:    r.Box.Limits.HeaderBytes,
+		}
+		r.clients[address] = client
+	}
+	return client
+}
+
+// apply puts settings into force. What does not decode changes nothing.
+func (r *Router) apply(revision uint64, snapshot []byte) (err error) {
+	defer func() { err = trace.Wrap(err, "applying settings revision %d", revision) }()
+	fleet, err := settings.DecodeSnapshot(snapshot)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := r.current.Load(); now != nil && revision <= now.revision {
+		return nil
+	}
+	for name, rules := range fleet.Pools {
+		r.configure(name, rules, fleet.Customers)
+	}
+	r.current.Store(newView(revision, snapshot, fleet))
+	r.logs.For(logflags.Settings).Info("settings in force", zap.Uint64("Revision", revision))
+	return nil
+}
+
+func (r *Router) configure(name string, rules settings.Pool, customers map[string]settings.Customer) {
+	p := r.pools[name]
+	if p == nil {
+		p = &pool.Pool{Schedule: pool.Schedule{
+			Name: name,
+			Zone: r.Box.Zone,
+			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}}
+		r.pools[name] = p
+	}
+	p.Do(func(s *pool.Schedule, now time.Time) {
+		s.Configure(rules, customers)
+		s.ListLeaving(r.listed)
+	})
+}
--- /dev/null
+++ b/pkg/settings/load.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// LoadBox reads a box's settings from a file, applies overrides of the form
+// Key.Path=Value and checks the result. Nothing is started by it. The error is
+// an *InvalidError when the settings are at fault.
+func LoadBox(file string, overrides []string) (box Box, err error) {
+	defer func() { err = trace.Wrap(err, "loading box settings") }()
+	box = DefaultBox()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return box, err
+	}
+	if err := decodeStrict(file, text, &box); err != nil {
+		return box, err
+	}
+	for _, override := range overrides {
+		if err := applyOverride(&box, override); err != nil {
+			return box, err
+		}
+	}
+	problems := checkBox(&box)
+	locate(problems, []source{{file: file, lines: keyLines(text)}})
+	if len(problems) > 0 {
+		return box, &InvalidError{Problems: problems}
+	}
+	return box, nil
+}
+
+func decodeStrict(file string, text []byte, into any) error {
+	decoder := toml.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return &InvalidError{Problems: decodeProblems(file, err)}
+	}
+	return nil
+}
+
+// applyOverride decodes KEY=VALUE as one more line of TOML. A value that is no
+// TOML is taken as text, so that addresses need no quotes on a command line.
+func applyOverride(into any, override string) error {
+	key, value, found := strings.Cut(override, "=")
+	if !found || key == "" {
+		return &InvalidError{Problems: []*Problem{{
+			Path:    override,
+			Message: "an override has the form Key.Path=Value",
+		}}}
+	}
+	line := []byte(key + " = " + value)
+	var probe map[string]any
+	if toml.Unmarshal(line, &probe) != nil {
+		line = fmt.Appendf(nil, "%s = %q", key, value)
+	}
+	return decodeStrict("--set "+override, line, into)
+}
+
+// Print writes settings as TOML with every default, for `quaylead check --print`.
+func Print(settings any) (text string, err error) {
+	defer func() { err = trace.Wrap(err, "printing settings") }()
+	var buffer bytes.Buffer
+	encoder := toml.NewEncoder(&buffer)
+	encoder.SetIndentTables(true)
+	err = encoder.Encode(settings)
+	return buffer.String(), err
+}
+
+// EncodeSnapshot gives the immutable form in which accepted settings are kept.
+func EncodeSnapshot(fleet *Fleet) (text []byte, err error) {
+	defer func() { err = trace.Wrap(err, "encoding settings snapshot") }()
+	return json.Marshal(fleet)
+}
+
+// DecodeSnapshot reads a snapshot strictly and checks it; what does not pass is
+// never applied.
+func DecodeSnapshot(text []byte) (fleet *Fleet, err error) {
+	defer func() { err = trace.Wrap(err, "decoding settings snapshot") }()
+	fleet = &Fleet{}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(fleet); err != nil {
+		return nil, err
+	}
+	if problems := checkFleet(fleet); len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return fleet, nil
+}
