cmd/quayctl: apply, history, status and drain; promises proved on processes

Change: quayctl with check, plan, apply, history, show, rollback, status and drain; acceptance is one transaction on the head row, lost answers are settled by reading.

Ports chosen by the kernel and freed were given out twice, or taken by an outgoing connection, so a fleet sometimes did not start; now each harness has a loopback address of its own and remembers what it gave out.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 # Everything a newcomer needs: `make demo` and `make test`.
-PROGRAMS := quaylead quaystand quaybench
+PROGRAMS := quaylead quayctl quaystand quaybench
 
-.PHONY: build demo test race check generate bench experiments
+# The race detector needs a C compiler; without one the tests run without it.
+RACE := $(if $(shell command -v gcc),-race)
+
+.PHONY: build demo test check generate
 
 build:
 	@mkdir -p bin
@@ -10,8 +13,11 @@
 demo: build
 	bin/quaybench demo
 
-test: build
-	go test work
+# Tests start real processes, built with the race detector too.
+test:
+	@mkdir -p bin/test
+	go build $(RACE) -o bin/test/ $(PROGRAMS:%=./cmd/%)
+	go test $(RACE) -count=1 work
 
 check:
 	_scripts/check
--- a/cmd/quaybench/experiment/experiment.go
+++ b/cmd/quaybench/experiment/experiment.go
@@ -142,16 +142,8 @@
 
 // drive sends the trace while the faults follow their timetable.
 func (r *Run) drive(ctx context.Context, f *fleet.Fleet) (records []load.Record, err error) {
-	runner := &load.Runner{
-		Key:      fleet.Key,
-		Model:    fleet.Model,
-		Path:     fleet.BookingPath,
-		Timeout:  r.Experiment.Timeout.Duration,
-		Progress: r.progress,
-	}
-	for _, router := range f.Routers {
-		runner.URLs = append(runner.URLs, router.CallerURL())
-	}
+	runner := f.Caller(r.Experiment.Timeout.Duration)
+	runner.Progress = r.progress
 	arrivals := load.Trace(r.Experiment.Sources, len(f.Routers), r.Experiment.Length.Duration, r.Seed)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return follow(ctx, f, r.Experiment.Faults) })
--- a/cmd/quaybench/experiment/experiment_test.go
+++ b/cmd/quaybench/experiment/experiment_test.go
@@ -15,7 +15,7 @@
 // bin is where `make build` puts the programs.
 func bin(t *testing.T) string {
 	t.Helper()
-	path, err := filepath.Abs("../../../bin")
+	path, err := filepath.Abs("../../../bin/test")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/quaybench/fleet/fleet.go
+++ b/cmd/quaybench/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -380,10 +381,13 @@
 	if err != nil {
 		return "", err
 	}
-	path = filepath.Join(f.Dir, "fleet.toml")
+	path = f.TreeFile()
 	return path, os.WriteFile(path, text, 0o644)
 }
 
+// treeName is the file of the settings tree in the fleet's folder.
+const treeName = "fleet.toml"
+
 // serviceSlots is the number of calls a plain service takes at once.
 const serviceSlots = 64
 
@@ -421,7 +425,7 @@
 // awaitMesh waits until every router hears every other one.
 func (f *Fleet) awaitMesh(ctx context.Context) error {
 	for _, router := range f.Routers {
-		err := poll(ctx, func() (bool, error) {
+		err := Poll(ctx, func() (bool, error) {
 			status, err := router.Status()
 			return err == nil && len(status.Members) == len(f.Routers)-1, nil
 		})
@@ -450,21 +454,37 @@
 	}
 }
 
-// freeAddress lets the kernel choose a free port.
+// given are the addresses that were handed out in this process. The kernel may
+// choose a port again before the process that it is meant for has started.
+var given sync.Map
+
+// freeAddress lets the kernel choose a free port. It is chosen on a loopback
+// address that only this harness uses: on 127.0.0.1 the port of an outgoing
+// connection could take it before the process that it is meant for starts.
 func freeAddress() (address string, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.Wrap(err, "choosing a port")
+	defer func() { err = trace.Wrap(err, "choosing a port") }()
+	pid := os.Getpid()
+	host := net.IPv4(127, byte(1+pid>>8&0x7f), byte(pid), 1)
+	for {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host.String(), "0"))
+		if err != nil {
+			return "", err
+		}
+		address = listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return "", err
+		}
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 // awaitReady waits until a router takes callers.
 func awaitReady(ctx context.Context, router *Router) error {
-	err := poll(ctx, func() (bool, error) {
+	err := Poll(ctx, func() (bool, error) {
 		status, _, err := fasthttp.GetTimeout(nil, "http://"+router.OperatorAddress+"/readyz", time.Second)
 		return err == nil && status == fasthttp.StatusOK, nil
 	})
-	return trace.Wrap(err, "waiting for %s to be ready", router.Name)
+	return trace.Wrap(err, "waiting for %s to be ready; it printed:\n%s", router.Name, router.Printed())
 }
--- a/cmd/quaybench/fleet/links.go
+++ b/cmd/quaybench/fleet/links.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"os/exec"
+	"path/filepath"
 	"slices"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"github.com/quaylead/quaylead/cmd/quaybench/load"
 	"github.com/quaylead/quaylead/cmd/quaystand/platform"
 	"github.com/quaylead/quaylead/cmd/quaystand/truth"
 )
@@ -56,6 +60,32 @@
 	return events, nil
 }
 
+// Caller makes callers of this fleet.
+func (f *Fleet) Caller(timeout time.Duration) *load.Runner {
+	runner := &load.Runner{Key: Key, Model: Model, Path: BookingPath, Timeout: timeout}
+	for _, router := range f.Routers {
+		runner.URLs = append(runner.URLs, router.CallerURL())
+	}
+	return runner
+}
+
+// Quayctl runs an operator's command against a router,
+// and returns its exit status and what it printed.
+func (f *Fleet) Quayctl(router int, args ...string) (status int, output string) {
+	all := append([]string{"--box", f.Routers[router].OperatorAddress}, args...)
+	command := exec.Command(filepath.Join(f.Bin, "quayctl"), all...)
+	text, err := command.CombinedOutput()
+	if command.ProcessState == nil {
+		return -1, err.Error()
+	}
+	return command.ProcessState.ExitCode(), string(text)
+}
+
+// TreeFile is the settings tree that the fleet was started with.
+func (f *Fleet) TreeFile() string {
+	return filepath.Join(f.Dir, treeName)
+}
+
 // PlatformCounts reads how often the platform was called.
 func (f *Fleet) PlatformCounts() (counts platform.Counts, err error) {
 	defer func() { err = trace.Wrap(err, "reading the platform's counts") }()
--- a/cmd/quaybench/fleet/process.go
+++ b/cmd/quaybench/fleet/process.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -43,6 +45,16 @@
 	return p.command.Start()
 }
 
+// Printed is the end of what the process has printed.
+func (p *Process) Printed() string {
+	const most = 2000
+	text, err := os.ReadFile(p.LogFile)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-most):])
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal os.Signal) error {
 	return trace.Wrap(p.command.Process.Signal(signal))
@@ -116,8 +128,8 @@
 // pollInterval is the time between two looks at a condition.
 const pollInterval = 20 * time.Millisecond
 
-// poll looks at a condition until it holds, within startTimeout.
-func poll(ctx context.Context, holds func() (bool, error)) error {
+// Poll looks at a condition until it holds, within startTimeout.
+func Poll(ctx context.Context, holds func() (bool, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	ticker := time.NewTicker(pollInterval)
@@ -137,7 +149,7 @@
 
 // awaitAccept waits until an address takes connections.
 func awaitAccept(address string) error {
-	return poll(context.Background(), func() (bool, error) {
+	return Poll(context.Background(), func() (bool, error) {
 		c, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
 			return false, nil
@@ -145,3 +157,25 @@
 		return true, c.Close()
 	})
 }
+
+// raceMark is what the race detector prints first.
+const raceMark = "WARNING: DATA RACE"
+
+// Races lists the processes in which the race detector found something.
+func (f *Fleet) Races() (names []string, err error) {
+	defer func() { err = trace.Wrap(err, "looking for data races") }()
+	logs, err := filepath.Glob(filepath.Join(f.Dir, "*.log"))
+	if err != nil {
+		return nil, err
+	}
+	for _, log := range logs {
+		text, err := os.ReadFile(log)
+		if err != nil {
+			return nil, err
+		}
+		if strings.Contains(string(text), raceMark) {
+			names = append(names, log)
+		}
+	}
+	return names, nil
+}
--- a/cmd/quaybench/load/caller.go
+++ b/cmd/quaybench/load/caller.go
@@ -61,6 +61,9 @@
 	if source.Class != "" {
 		call.Header.Set("Quaylead-Class", source.Class)
 	}
+	if arrival.Timeout > 0 {
+		call.Header.Set("Quaylead-Timeout", arrival.Timeout.String())
+	}
 	if arrival.Key != "" {
 		call.Header.Set("Idempotency-Key", arrival.Key)
 	}
--- a/cmd/quaybench/load/load.go
+++ b/cmd/quaybench/load/load.go
@@ -55,6 +55,8 @@
 	Input  int
 	Output int
 	Source *Source
+	// Timeout is stated to the router; 0 means that none is.
+	Timeout time.Duration
 }
 
 // Trace draws all arrivals of a run. The same seed gives the same trace.
@@ -166,6 +168,11 @@
 	records []Record
 }
 
+// Call makes one call at once and returns what the caller saw.
+func (r *Runner) Call(ctx context.Context, arrival Arrival) Record {
+	return r.send(ctx, arrival)
+}
+
 // Run sends every request at its time and returns what the callers saw.
 func (r *Runner) Run(ctx context.Context, trace []Arrival) (records []Record, err error) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}
--- /dev/null
+++ b/cmd/quayctl/cmds/boxes.go
@@ -0,0 +1,185 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/pkg/platform"
+	"github.com/quaylead/quaylead/pkg/revision"
+	"github.com/quaylead/quaylead/pkg/router"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// askTimeout bounds one call to a box.
+const askTimeout = 3 * time.Second
+
+// askStatus reads a box's own account.
+func askStatus(address string) (status router.Status, err error) {
+	defer func() { err = trace.Wrap(err, "asking the box at %s", address) }()
+	code, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/status", askTimeout)
+	if err != nil {
+		return status, err
+	}
+	if code != fasthttp.StatusOK {
+		return status, trace.BadParameter("status %d", code)
+	}
+	return status, json.Unmarshal(body, &status)
+}
+
+// repository reaches the platform as a box does, or at the address given.
+func (o *options) repository() (repository revision.Repository, err error) {
+	reach := settings.DefaultBox().Platform
+	reach.Address = o.platformAddress
+	if o.platformAddress == "" {
+		status, err := askStatus(o.box)
+		if err != nil {
+			return repository, err
+		}
+		reach = status.Platform
+	}
+	if reach.Address == "" {
+		return repository, &usageError{Message: "the box has no platform; give --platform"}
+	}
+	return revision.Repository{Store: &platform.Store{Settings: reach}}, nil
+}
+
+// look asks a box to look at accepted settings now. A box that does not answer
+// finds them by itself a little later.
+func (o *options) look() {
+	_, _, _ = fasthttp.GetTimeout(nil, "http://"+o.box+"/look", askTimeout)
+}
+
+// boxRow is a box as `status` shows it.
+type boxRow struct {
+	Box          string
+	Zone         string
+	Address      string
+	Revision     uint64
+	InForceSince time.Time
+	Stopping     bool
+	InFlight     int64
+	// Fault says why the box did not answer; empty when it did.
+	Fault string `json:",omitempty"`
+}
+
+// allBoxes asks every box that one box knows of.
+func (o *options) allBoxes() (rows []boxRow, err error) {
+	first, err := askStatus(o.box)
+	if err != nil {
+		return nil, err
+	}
+	rows = append(rows, rowOf(o.box, first))
+	for _, member := range first.Members {
+		status, err := askStatus(member.OperatorAddress)
+		if err != nil {
+			rows = append(rows, boxRow{
+				Box:     member.Box,
+				Zone:    member.Zone,
+				Address: member.OperatorAddress,
+				Fault:   err.Error(),
+			})
+			continue
+		}
+		rows = append(rows, rowOf(member.OperatorAddress, status))
+	}
+	return rows, nil
+}
+
+func rowOf(address string, status router.Status) boxRow {
+	return boxRow{
+		Box:          status.Box,
+		Zone:         status.Zone,
+		Address:      address,
+		Revision:     status.Revision,
+		InForceSince: status.InForceSince,
+		Stopping:     status.Stopping,
+		InFlight:     status.InFlight,
+	}
+}
+
+func statusCommand(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show every live box and the revision in force on it",
+		Args:  exactArgs(0),
+		RunE: func(command *cobra.Command, args []string) error {
+			rows, err := opts.allBoxes()
+			if err != nil {
+				return err
+			}
+			return opts.print(command, rows, func(out *table) {
+				out.row("BOX", "ZONE", "REVISION", "SINCE", "STATE", "IN FLIGHT")
+				for _, row := range rows {
+					state := "serving"
+					if row.Stopping {
+						state = "stopping"
+					}
+					if row.Fault != "" {
+						state = "no answer: " + row.Fault
+					}
+					out.row(row.Box, row.Zone, fmt.Sprint(row.Revision),
+						row.InForceSince.Format(time.RFC3339), state, fmt.Sprint(row.InFlight))
+				}
+			})
+		},
+	}
+}
+
+func drainCommand(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "drain BOX|ENDPOINT",
+		Short: "Stop a box as planned, or take new work from an endpoint",
+		Long: "Stop a box as planned, or take new work from an endpoint.\n\n" +
+			"A box stops as by SIGTERM. An endpoint is marked as leaving by a new revision\n" +
+			"of the settings; mark it so in the tree as well, or the next apply takes it back.",
+		Args: exactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			rows, err := opts.allBoxes()
+			if err != nil {
+				return err
+			}
+			for _, row := range rows {
+				if row.Box == args[0] {
+					return drainBox(row.Address)
+				}
+			}
+			return opts.drainEndpoint(command, args[0])
+		},
+	}
+}
+
+func drainBox(address string) error {
+	call := &fasthttp.Request{}
+	call.Header.SetMethod(fasthttp.MethodPost)
+	call.SetRequestURI("http://" + address + "/drain")
+	return trace.Wrap(fasthttp.DoTimeout(call, &fasthttp.Response{}, askTimeout), "asking for a planned stop")
+}
+
+// drainEndpoint marks every endpoint of the name as leaving.
+func (o *options) drainEndpoint(command *cobra.Command, name string) error {
+	repository, err := o.repository()
+	if err != nil {
+		return err
+	}
+	head, fleet, err := acceptedFleet(repository)
+	if err != nil {
+		return err
+	}
+	found := false
+	for _, pool := range fleet.Pools {
+		if endpoint, ok := pool.Endpoints[name]; ok {
+			endpoint.Leaving = true
+			pool.Endpoints[name] = endpoint
+			found = true
+		}
+	}
+	if !found {
+		return &usageError{Message: fmt.Sprintf("there is no box or endpoint %q", name)}
+	}
+	return o.accept(command, repository, fleet, head.Revision, "drain "+name)
+}
--- /dev/null
+++ b/cmd/quayctl/cmds/print.go
@@ -0,0 +1,31 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+)
+
+// table writes rows in columns.
+type table struct {
+	writer *tabwriter.Writer
+}
+
+func (t *table) row(cells ...string) {
+	fmt.Fprintln(t.writer, strings.Join(cells, "\t"))
+}
+
+// print writes a value as JSON or, by fill, as a table.
+func (o *options) print(command *cobra.Command, value any, fill func(out *table)) error {
+	if o.output == "json" {
+		encoder := json.NewEncoder(command.OutOrStdout())
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	out := &table{writer: tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)}
+	fill(out)
+	return out.writer.Flush()
+}
--- /dev/null
+++ b/cmd/quayctl/main.go
@@ -0,0 +1,13 @@
+// Quayctl is the command line of operators: it checks and applies settings, and
+// shows and drains boxes.
+package main
+
+import (
+	"os"
+
+	"github.com/quaylead/quaylead/cmd/quayctl/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Execute())
+}
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -47,6 +47,8 @@
 	Box         string
 	Zone        string
 	Incarnation uint64
+	// OperatorAddress is where operators reach the box.
+	OperatorAddress string
 }
 
 // State is what one box tells the others.
@@ -210,9 +212,10 @@
 	timing := e.Box.Exchange
 	encoder := newEncoder()
 	hello := &peerpb.Opening{Purpose: &peerpb.Opening_Hello{Hello: &peerpb.Hello{
-		Box:         e.Box.Name,
-		Zone:        e.Box.Zone,
-		Incarnation: e.Incarnation,
+		Box:             e.Box.Name,
+		Zone:            e.Box.Zone,
+		Incarnation:     e.Incarnation,
+		OperatorAddress: e.Box.OperatorAddress,
 	}}}
 	if err := send(stream, hello, timing.Lapse.Duration); err != nil {
 		return err
@@ -301,7 +304,12 @@
 // listen passes on a peer's updates until it is silent for too long. The
 // session is then closed, so that the peer starts again with everything.
 func (e *Exchange) listen(stream net.Conn, reader *bufio.Reader, hello *peerpb.Hello) error {
-	from := Sender{Box: hello.Box, Zone: hello.Zone, Incarnation: hello.Incarnation}
+	from := Sender{
+		Box:             hello.Box,
+		Zone:            hello.Zone,
+		Incarnation:     hello.Incarnation,
+		OperatorAddress: hello.OperatorAddress,
+	}
 	if from.Incarnation == e.Incarnation {
 		return nil
 	}
--- a/pkg/revision/repository.go
+++ b/pkg/revision/repository.go
@@ -159,12 +159,31 @@
 	if current.Revision != proposal.Expect {
 		return Head{}, &ConflictError{Expected: proposal.Expect, Found: current}
 	}
-	if err := r.Store.PutObject(objectKey(head.Hash), snapshot); err != nil {
+	if err := r.keep(head.Hash, snapshot, proposal.Until); err != nil {
 		return Head{}, err
 	}
 	return head, r.move(head, version, proposal.Until)
 }
 
+// keep stores a snapshot. Its key is its hash, so writing it again is harmless,
+// and one whose answer was lost is found by reading.
+func (r Repository) keep(hash string, snapshot []byte, until time.Time) error {
+	for {
+		err := r.Store.PutObject(objectKey(hash), snapshot)
+		if err == nil {
+			return nil
+		}
+		found, readErr := r.Store.GetObject(objectKey(hash))
+		if readErr == nil && hashOf(found) == hash {
+			return nil
+		}
+		if time.Now().After(until) {
+			return err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
 // move writes the head and its history entry in one transaction. The same
 // writes may be sent again when an answer is lost: the condition on the head's
 // version lets them take effect once.
--- a/pkg/router/operator.go
+++ b/pkg/router/operator.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"github.com/quaylead/quaylead/pkg/box"
+	"github.com/quaylead/quaylead/pkg/settings"
 )
 
 // Status is what /status tells operators of one box.
@@ -16,9 +17,13 @@
 	Zone        string
 	Incarnation uint64
 	Revision    uint64
-	Stopping    bool
-	InFlight    int64
-	Members     []box.Member
+	// InForceSince is when this box put the revision into force.
+	InForceSince time.Time
+	// Platform is how this box reaches the platform, for operators' commands.
+	Platform settings.Platform
+	Stopping bool
+	InFlight int64
+	Members  []box.Member
 	// ControlSent and ControlReceived are the bytes exchanged with peers.
 	ControlSent     int64
 	ControlReceived int64
@@ -45,6 +50,10 @@
 		r.serveReady(ctx)
 	case "/status":
 		r.serveStatus(ctx)
+	case "/look":
+		r.serveLook(ctx)
+	case "/drain":
+		r.serveDrain(ctx)
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(ctx)
 	default:
@@ -66,12 +75,39 @@
 	}
 }
 
+// serveLook looks at the accepted settings at once, as an operator who has just
+// had some accepted asks for.
+func (r *Router) serveLook(ctx *fasthttp.RequestCtx) {
+	if err := r.checkHead(); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// serveDrain begins a planned stop, as SIGTERM does.
+func (r *Router) serveDrain(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		ctx.Error("a planned stop is asked for by POST", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	r.stopOnce.Do(func() { close(r.stopAsked) })
+}
+
+// inForceSince is when the settings came into force; zero when there are none.
+func (r *Router) inForceSince() time.Time {
+	if now := r.current.Load(); now != nil {
+		return now.since
+	}
+	return time.Time{}
+}
+
 func (r *Router) serveStatus(ctx *fasthttp.RequestCtx) {
 	status := Status{
 		Box:             r.Box.Name,
 		Zone:            r.Box.Zone,
 		Incarnation:     r.incarnation,
 		Revision:        r.revision(),
+		InForceSince:    r.inForceSince(),
+		Platform:        r.Box.Platform,
 		Stopping:        r.stopping.Load(),
 		InFlight:        r.inFlight.Load(),
 		Members:         r.members.Live(),
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -47,6 +47,9 @@
 	// stopping is set once a planned stop began; it is never cleared.
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// stopAsked is closed once an operator asks for a planned stop.
+	stopAsked chan struct{}
+	stopOnce  sync.Once
 
 	mu      sync.Mutex
 	pools   map[string]*pool.Pool
@@ -92,6 +95,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
+		case <-r.stopAsked:
 		case <-behind.Done():
 		}
 		drainErr := r.drain(callers)
@@ -105,6 +109,7 @@
 	r.logs = logflags.Logs{Settings: r.Box.Log}
 	r.log = r.logs.For(logflags.Box)
 	r.incarnation = rand.Uint64()
+	r.stopAsked = make(chan struct{})
 	r.pools = map[string]*pool.Pool{}
 	r.clients = map[string]*endpoint.Client{}
 	if r.Metrics == nil {
--- a/pkg/router/view.go
+++ b/pkg/router/view.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/settings"
@@ -18,6 +19,8 @@
 	revision uint64
 	snapshot []byte
 	fleet    *settings.Fleet
+	// since is when the settings came into force at this box.
+	since time.Time
 	// keys maps the hash of a bearer key to its customer.
 	keys map[[sha256.Size]byte]keyEntry
 	// models maps a model name to its pool.
@@ -52,6 +55,7 @@
 		revision: revision,
 		snapshot: snapshot,
 		fleet:    fleet,
+		since:    time.Now(),
 		keys:     map[[sha256.Size]byte]keyEntry{},
 		models:   map[string]string{},
 	}
