pkg/share: count as backlogged only what waits for long, also at engines

(2) a customer whose requests all waited inside engines' queues counted as not backlogged; the others' leads then restarted from 0 and went before its older, higher priorities for ever.

Ruled out: load reports (the pool was busy throughout), estimates (settled costs match usage).

Change: backlogged means waiting for over 500 ms at the router or unstarted at an engine; peers are told that flag in place of a count; while nobody is backlogged the floor follows started requests; a merge may always move a counter by an eighth of the bound.

--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -73,7 +73,8 @@
 type CustomerState struct {
 	Served  uint64
 	Pending uint64
-	Waiting uint32
+	// Backlogged tells that requests have waited for long.
+	Backlogged bool
 	// Lead is how far ahead of the furthest behind; sent in first messages.
 	Lead uint64
 }
--- a/pkg/pool/conversions.go
+++ b/pkg/pool/conversions.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/share"
@@ -9,21 +10,22 @@
 
 // State is the account that peers are told. Amounts are whole weighted tokens,
 // rounded down, so that a total never falls.
-func (s *Schedule) State() peer.PoolState {
+func (s *Schedule) State(now time.Time) peer.PoolState {
+	s.noteBacklogs(now)
 	state := peer.PoolState{
 		Demand:    s.Demand(),
 		Customers: map[string]peer.CustomerState{},
 	}
 	s.Ledger.Each(func(customer string, counter *share.Counter) {
 		lead := math.Max(0, s.Ledger.Lead(customer))
-		now := peer.CustomerState{
-			Served:  uint64(counter.Served),
-			Pending: uint64(counter.Pending),
-			Waiting: uint32(counter.Waiting),
-			Lead:    uint64(lead),
+		account := peer.CustomerState{
+			Served:     uint64(counter.Served),
+			Pending:    uint64(counter.Pending),
+			Backlogged: counter.Backlogged,
+			Lead:       uint64(lead),
 		}
-		if now != (peer.CustomerState{}) {
-			state.Customers[customer] = now
+		if account != (peer.CustomerState{}) {
+			state.Customers[customer] = account
 		}
 	})
 	return state
@@ -34,9 +36,9 @@
 func (s *Schedule) Hear(incarnation uint64, news peer.PoolState, first bool) {
 	for customer, said := range news.Customers {
 		service := share.PeerService{
-			Served:  float64(said.Served),
-			Pending: float64(said.Pending),
-			Waiting: int(said.Waiting),
+			Served:     float64(said.Served),
+			Pending:    float64(said.Pending),
+			Backlogged: said.Backlogged,
 		}
 		if first && !s.Ledger.Knows(incarnation, customer) {
 			s.Ledger.Adopt(incarnation, customer, service, float64(said.Lead))
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -13,6 +13,9 @@
 	// quick and slow hold the waiting tickets in order of arrival.
 	quick []*Ticket
 	slow  []*Ticket
+	// unstarted are the tickets that were sent to an endpoint and show no sign of
+	// having begun; they may wait in the endpoint's own queue.
+	unstarted map[*Ticket]struct{}
 	// running counts the customer's tickets at endpoints.
 	running int
 	// key is the customer's place, computed afresh for each decision.
@@ -67,6 +70,20 @@
 	}
 }
 
+// waitsSince tells whether any request has been waiting since a time, here or
+// in an endpoint's queue.
+func (q *queue) waitsSince(since time.Time) bool {
+	if q.length() > 0 && q.first().Before(since) {
+		return true
+	}
+	for t := range q.unstarted {
+		if t.Arrived.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // oldestFirst gives the tickets in the order the customer's own go: quick ones
 // first, or strictly by arrival in the baseline.
 func (q *queue) oldestFirst(order settings.OrderPolicy) []*Ticket {
--- a/pkg/pool/schedule.go
+++ b/pkg/pool/schedule.go
@@ -114,6 +114,7 @@
 	if s.waiting == 0 {
 		return nil
 	}
+	s.noteBacklogs(now)
 	lines := s.order()
 	for _, line := range lines {
 		if !s.withinShare(line) {
@@ -131,6 +132,17 @@
 	return nil
 }
 
+// backlogAge is how long a customer's first request must have waited for it to
+// count as backlogged. It is longer than news takes between routers.
+const backlogAge = 500 * time.Millisecond
+
+// noteBacklogs tells the ledger which customers are backlogged here.
+func (s *Schedule) noteBacklogs(now time.Time) {
+	for customer, line := range s.queues {
+		s.Ledger.SetBacklogged(customer, line.waitsSince(now.Add(-backlogAge)))
+	}
+}
+
 // order sorts the customers that wait here: furthest behind first, or by the
 // arrival of their first request in the baseline.
 func (s *Schedule) order() []*queue {
@@ -202,6 +214,7 @@
 	endpoint.running++
 	endpoint.unstarted++
 	endpoint.unstartedSince[t] = struct{}{}
+	line.unstarted[t] = struct{}{}
 	if !t.Quick {
 		endpoint.slow++
 	}
@@ -254,6 +267,7 @@
 	t.started = true
 	t.Endpoint.unstarted--
 	delete(t.Endpoint.unstartedSince, t)
+	delete(s.queue(t.Customer).unstarted, t)
 }
 
 // Stream books tokens as they are streamed.
@@ -401,7 +415,11 @@
 func (s *Schedule) queue(customer string) *queue {
 	line := s.queues[customer]
 	if line == nil {
-		line = &queue{customer: customer, typical: map[string]float64{}}
+		line = &queue{
+			customer:  customer,
+			typical:   map[string]float64{},
+			unstarted: map[*Ticket]struct{}{},
+		}
 		s.queues[customer] = line
 	}
 	return line
--- a/pkg/router/follow.go
+++ b/pkg/router/follow.go
@@ -130,7 +130,7 @@
 	}
 	for name, p := range r.poolsNow() {
 		p.Look(func(s *pool.Schedule, now time.Time) {
-			state.Pools[name] = s.State()
+			state.Pools[name] = s.State(now)
 		})
 	}
 	return state
--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -15,8 +15,10 @@
 	Bound float64
 
 	counters map[string]*Counter
-	// floor is the highest value that the lowest active counter has had. It
-	// never falls, so a customer that returns from idle earned no credit.
+	// floor is where a customer that returns from idle begins: the highest value
+	// that the lowest backlogged counter has had, or, while nobody is backlogged,
+	// that a started request's customer has had. It never falls, so idleness
+	// earns no credit.
 	floor float64
 }
 
@@ -32,6 +34,10 @@
 	Pending float64
 	// Waiting is the number of requests waiting at this router.
 	Waiting int
+	// Backlogged tells that requests have waited here for longer than the time
+	// that news needs between routers. A customer whose requests start at once
+	// is not backlogged, although one may be waiting at any moment.
+	Backlogged bool
 	// Served is the service given by this router since it started, not divided
 	// by Share. It never falls, and is what peers are told.
 	Served float64
@@ -44,9 +50,9 @@
 
 // peerCounter is what one incarnation of a peer last said of the customer.
 type peerCounter struct {
-	served  float64
-	pending float64
-	waiting int
+	served     float64
+	pending    float64
+	backlogged bool
 }
 
 // PeerService is what a peer's incarnation says of one customer.
@@ -55,8 +61,8 @@
 	Served float64
 	// Pending is charged in advance there and not yet settled.
 	Pending float64
-	// Waiting is the number of requests waiting there.
-	Waiting int
+	// Backlogged tells that requests have waited there for long.
+	Backlogged bool
 }
 
 // Counter returns the customer's account, opened at the floor if it is new.
@@ -77,15 +83,21 @@
 	l.Counter(customer).Share = share
 }
 
-// Arrive notes a request that waits here.
+// Arrive notes a request that waits here. A customer with nothing else waiting
+// begins level with the others.
 func (l *Ledger) Arrive(customer string) {
 	counter := l.Counter(customer)
-	if !counter.backlogged() {
+	if counter.Waiting == 0 && !counter.backlogged() {
 		l.lift(counter)
 	}
 	counter.Waiting++
 }
 
+// SetBacklogged says whether the customer's requests have waited here for long.
+func (l *Ledger) SetBacklogged(customer string, backlogged bool) {
+	l.Counter(customer).Backlogged = backlogged
+}
+
 // Depart notes that a waiting request started or was given up.
 func (l *Ledger) Depart(customer string) {
 	l.Counter(customer).Waiting--
@@ -93,7 +105,11 @@
 
 // Charge books an estimate in advance when a request starts.
 func (l *Ledger) Charge(customer string, estimate float64) {
-	l.Counter(customer).Pending += estimate
+	counter := l.Counter(customer)
+	if _, any := l.lowestBacklogged(); !any {
+		l.floor = math.Max(l.floor, counter.key())
+	}
+	counter.Pending += estimate
 }
 
 // Serve books service that was given, of which covered was charged in advance.
@@ -136,7 +152,7 @@
 		known = &peerCounter{}
 		counter.peers[incarnation] = known
 	}
-	if news.Waiting > 0 && !counter.backlogged() {
+	if news.Backlogged && !counter.backlogged() {
 		l.lift(counter)
 	}
 	increment := news.Served - known.served
@@ -145,7 +161,7 @@
 		l.advance(counter, increment/counter.Share)
 	}
 	known.pending = news.Pending
-	known.waiting = news.Waiting
+	known.backlogged = news.Backlogged
 }
 
 // Adopt takes over how far ahead customers stand elsewhere. A router that
@@ -154,9 +170,9 @@
 func (l *Ledger) Adopt(incarnation uint64, customer string, news PeerService, lead float64) {
 	counter := l.Counter(customer)
 	counter.peers[incarnation] = &peerCounter{
-		served:  news.Served,
-		pending: news.Pending,
-		waiting: news.Waiting,
+		served:     news.Served,
+		pending:    news.Pending,
+		backlogged: news.Backlogged,
 	}
 	lead = math.Min(math.Max(lead, 0), l.Bound)
 	counter.Virtual = math.Max(counter.Virtual, l.floor+lead)
@@ -168,7 +184,7 @@
 	for _, counter := range l.counters {
 		if known := counter.peers[incarnation]; known != nil {
 			known.pending = 0
-			known.waiting = 0
+			known.backlogged = false
 		}
 	}
 }
@@ -186,42 +202,46 @@
 	counter.Virtual = math.Max(counter.Virtual, l.floor)
 }
 
-// advance moves a counter by news from a peer, clipped to Bound over the lowest.
+// stepPart is the part of Bound that news may always move a counter by, so that
+// ordinary service counts in full however far ahead the customer already is.
+const stepPart = 0.125
+
+// advance moves a counter by news from a peer. News of a long time apart is
+// clipped to Bound over the lowest backlogged counter.
 func (l *Ledger) advance(counter *Counter, step float64) {
-	limit := l.lowest() + l.Bound
-	if counter.Virtual >= limit {
-		return
-	}
+	limit := math.Max(l.lowest()+l.Bound, counter.Virtual+stepPart*l.Bound)
 	counter.Virtual = math.Min(counter.Virtual+step, limit)
 }
 
 // lowest returns the lowest counter of a backlogged customer and raises the
 // floor to it; without any it returns the floor.
 func (l *Ledger) lowest() float64 {
-	lowest := math.Inf(1)
-	for _, counter := range l.counters {
-		if counter.backlogged() {
-			lowest = math.Min(lowest, counter.key())
-		}
-	}
-	if math.IsInf(lowest, 1) {
+	lowest, any := l.lowestBacklogged()
+	if !any {
 		return l.floor
 	}
 	l.floor = math.Max(l.floor, lowest)
 	return lowest
 }
 
-// Waits tells whether a request of the customer waits anywhere in the fleet.
-func (c *Counter) Waits() bool {
-	return c.backlogged()
+func (l *Ledger) lowestBacklogged() (lowest float64, any bool) {
+	lowest = math.Inf(1)
+	for _, counter := range l.counters {
+		if counter.backlogged() {
+			lowest = math.Min(lowest, counter.key())
+			any = true
+		}
+	}
+	return lowest, any
 }
 
+// backlogged tells whether the customer is backlogged anywhere in the fleet.
 func (c *Counter) backlogged() bool {
-	if c.Waiting > 0 {
+	if c.Backlogged {
 		return true
 	}
 	for _, peer := range c.peers {
-		if peer.waiting > 0 {
+		if peer.backlogged {
 			return true
 		}
 	}
