pkg/pool: bound the fleet's gap in property tests, and mend what they found

Cause: the gap bound was only measured. Property tests (rapid) now drive 1 to 5 schedules before engines that honour priorities, with random sizes, shares, customers on few routers, routers cut off, rejoining and restarting empty.

Leads beyond half of the bound have one priority now, so the older goes first. - credit: nobody is left further than the bound behind who is served. - decisions depended on the order of a map; endpoints are ordered now. MergeBound 0 (the default) is derived from the pool's slots.

Doubt: the bound of the fleet test grows with the exchange interval.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # The race detector needs a C compiler; without one the tests run without it.
 RACE := $(if $(shell command -v gcc),-race)
 
-.PHONY: build demo test check generate
+.PHONY: build demo test check generate experiments
 
 build:
 	@mkdir -p bin
@@ -19,6 +19,10 @@
 	go build $(RACE) -o bin/test/ $(PROGRAMS:%=./cmd/%)
 	go test $(RACE) -count=1 work
 
+# About a quarter of an hour: every experiment, and each with one queue.
+experiments: build
+	bin/quaybench experiments _fixtures/experiments/*.toml
+
 check:
 	_scripts/check
 
--- a/cmd/quaybench/cmds/commands.go
+++ b/cmd/quaybench/cmds/commands.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), runCommand())
+	root.AddCommand(demoCommand(), runCommand(), compareCommand(), experimentsCommand())
 	return root
 }
 
--- a/cmd/quaybench/experiment/experiment.go
+++ b/cmd/quaybench/experiment/experiment.go
@@ -226,3 +226,18 @@
 	counts, err := m.fleet.PlatformCounts()
 	return total + counts.Bytes, err
 }
+
+// OneQueue is the same trace through one router with one queue, without the
+// faults that concern several routers.
+func (e Experiment) OneQueue() Experiment {
+	e.Title += " (one queue)"
+	e.Fleet.Routers = 1
+	var kept []Step
+	for _, step := range e.Faults {
+		if len(step.Routers) == 0 && step.Action != Rejoin {
+			kept = append(kept, step)
+		}
+	}
+	e.Faults = kept
+	return e
+}
--- a/cmd/quaybench/measure/measure.go
+++ b/cmd/quaybench/measure/measure.go
@@ -112,6 +112,7 @@
 	curves.fairness(&result)
 	curves.utilisation(&result)
 	curves.starved(&result)
+	curves.throughput(&result, runs)
 	result.FairnessBound = bound(&in)
 	return result
 }
@@ -370,6 +371,17 @@
 	return false
 }
 
+// throughput is the output of all engines over the time that is judged.
+func (c *curves) throughput(result *Result, runs map[string][]run) {
+	tokens := 0
+	for _, all := range runs {
+		for _, r := range all {
+			tokens += r.output
+		}
+	}
+	result.TokensPerSecond = float64(tokens) / c.in.Until.Sub(c.in.From).Seconds()
+}
+
 // starved counts customers that waited long without any service.
 func (c *curves) starved(result *Result) {
 	limit := int(StarvedAfter / grid)
--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -36,10 +36,10 @@
 			continue
 		}
 		entry := &peerpb.CustomerUpdate{
-			Customer:   e.number(update, customer),
-			Served:     now.Served,
-			Pending:    now.Pending,
-			Backlogged: now.Backlogged,
+			Customer: e.number(update, customer),
+			Served:   now.Served,
+			Pending:  now.Pending,
+			Waiting:  now.Waiting,
 		}
 		if e.first {
 			entry.Lead = now.Lead
@@ -54,7 +54,7 @@
 }
 
 func sameCustomer(a, b CustomerState) bool {
-	return a.Served == b.Served && a.Pending == b.Pending && a.Backlogged == b.Backlogged
+	return a.Served == b.Served && a.Pending == b.Pending && a.Waiting == b.Waiting
 }
 
 // number gives a name its number, announcing it on first use.
@@ -98,10 +98,10 @@
 	}
 	for _, entry := range pool.Customers {
 		result.Customers[d.names[entry.Customer]] = CustomerState{
-			Served:     entry.Served,
-			Pending:    entry.Pending,
-			Backlogged: entry.Backlogged,
-			Lead:       entry.Lead,
+			Served:  entry.Served,
+			Pending: entry.Pending,
+			Waiting: entry.Waiting,
+			Lead:    entry.Lead,
 		}
 	}
 	return result
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -73,8 +73,8 @@
 type CustomerState struct {
 	Served  uint64
 	Pending uint64
-	// Backlogged tells that requests have waited for long.
-	Backlogged bool
+	// Waiting is twice the mean number of requests waiting.
+	Waiting uint32
 	// Lead is how far ahead of the furthest behind; sent in first messages.
 	Lead uint64
 }
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -27,7 +27,7 @@
 	bestLoad := math.Inf(1)
 	favouriteLoad := math.Inf(1)
 	var favouriteRank uint64
-	for _, endpoint := range s.endpoints {
+	for _, endpoint := range s.inOrder {
 		if !endpoint.available(now) || s.skip(t, endpoint, now) {
 			continue
 		}
@@ -58,7 +58,7 @@
 	if !t.tried[endpoint.Name] {
 		return false
 	}
-	for _, other := range s.endpoints {
+	for _, other := range s.inOrder {
 		if !t.tried[other.Name] && other.available(now) {
 			return true
 		}
--- a/pkg/pool/conversions.go
+++ b/pkg/pool/conversions.go
@@ -8,10 +8,14 @@
 	"github.com/quaylead/quaylead/pkg/share"
 )
 
+// waitingScale turns a mean number of waiting requests into the whole halves
+// that peers are told.
+const waitingScale = 2
+
 // State is the account that peers are told. Amounts are whole weighted tokens,
 // rounded down, so that a total never falls.
 func (s *Schedule) State(now time.Time) peer.PoolState {
-	s.noteBacklogs(now)
+	s.noteWaiting(now)
 	state := peer.PoolState{
 		Demand:    s.Demand(),
 		Customers: map[string]peer.CustomerState{},
@@ -19,10 +23,10 @@
 	s.Ledger.Each(func(customer string, counter *share.Counter) {
 		lead := math.Max(0, s.Ledger.Lead(customer))
 		account := peer.CustomerState{
-			Served:     uint64(counter.Served),
-			Pending:    uint64(counter.Pending),
-			Backlogged: counter.Backlogged,
-			Lead:       uint64(lead),
+			Served:  uint64(counter.Served),
+			Pending: uint64(counter.Pending),
+			Waiting: uint32(math.Round(counter.MeanWaiting * waitingScale)),
+			Lead:    uint64(lead),
 		}
 		if account != (peer.CustomerState{}) {
 			state.Customers[customer] = account
@@ -36,15 +40,15 @@
 func (s *Schedule) Hear(incarnation uint64, news peer.PoolState, first bool) {
 	for customer, said := range news.Customers {
 		service := share.PeerService{
-			Served:     float64(said.Served),
-			Pending:    float64(said.Pending),
-			Backlogged: said.Backlogged,
+			Served:      float64(said.Served),
+			Pending:     float64(said.Pending),
+			MeanWaiting: float64(said.Waiting) / waitingScale,
 		}
 		if first && !s.Ledger.Knows(incarnation, customer) {
 			s.Ledger.Adopt(incarnation, customer, service, float64(said.Lead))
 			continue
 		}
-		s.Ledger.Merge(incarnation, customer, service)
+		s.Ledger.Merge(incarnation, customer, service, first)
 	}
 }
 
--- /dev/null
+++ b/pkg/pool/fairness_test.go
@@ -0,0 +1,330 @@
+package pool_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quaylead/quaylead/pkg/pool"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// fakeFleet is several schedules before engines that honour priorities, driven
+// step by step. Customers are always backlogged at the routers they use.
+type fakeFleet struct {
+	schedules []*pool.Schedule
+	rules     settings.Pool
+	customers map[string]settings.Customer
+	// uses are the routers of each customer.
+	uses    map[string][]int
+	engines map[string]*fakeEngine
+	// cut routers exchange nothing with the others.
+	cut   map[int]bool
+	known map[[2]int]bool
+	// incarnations tell a router that started again from the one before.
+	incarnations []uint64
+	now          time.Time
+	service      map[string]float64
+	random       *rand.Rand
+	tickets      int
+}
+
+type fakeEngine struct {
+	queue   []flight
+	running []flight
+}
+
+// flight is a ticket at an engine.
+type flight struct {
+	*pool.Ticket
+	router int
+	output float64
+}
+
+const (
+	fakeSlots  = 4
+	maxInput   = 100
+	maxOutput  = 100
+	fakeStep   = 10 * time.Millisecond
+	gossipStep = 50
+	// watchedSteps are many exchanges between routers.
+	watchedSteps = 1500
+)
+
+func newFakeFleet(routers, engines, customers int, seed uint64) *fakeFleet {
+	f := &fakeFleet{
+		rules:     settings.DefaultDefaults().Pool,
+		customers: map[string]settings.Customer{},
+		uses:      map[string][]int{},
+		engines:   map[string]*fakeEngine{},
+		cut:       map[int]bool{},
+		known:     map[[2]int]bool{},
+		now:       time.Unix(0, 0),
+		service:   map[string]float64{},
+		random:    rand.New(rand.NewPCG(seed, 1)),
+	}
+	f.rules.Endpoints = map[string]settings.Endpoint{}
+	for i := range engines {
+		name := fmt.Sprintf("engine-%d", i)
+		f.rules.Endpoints[name] = settings.Endpoint{Address: name, Slots: fakeSlots}
+		f.engines[name] = &fakeEngine{}
+	}
+	for i := range customers {
+		name := fmt.Sprintf("customer-%d", i)
+		customer := settings.DefaultDefaults().Customer
+		customer.Share = float64(1 + f.random.IntN(4))
+		f.customers[name] = customer
+		for router := range routers {
+			if router == i%routers || f.random.IntN(3) == 0 {
+				f.uses[name] = append(f.uses[name], router)
+			}
+		}
+	}
+	for i := range routers {
+		s := &pool.Schedule{Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+		s.Configure(f.rules, f.customers)
+		s.SetPeers(routers, 0)
+		f.schedules = append(f.schedules, s)
+		f.incarnations = append(f.incarnations, uint64(i))
+	}
+	return f
+}
+
+// restart makes a router start again, empty. The others' sessions to it end.
+func (f *fakeFleet) restart(router int) {
+	for _, other := range f.schedules {
+		other.Ledger.Forget(f.incarnations[router])
+	}
+	s := &pool.Schedule{Rand: rand.New(rand.NewPCG(uint64(router), uint64(f.tickets)))}
+	s.Configure(f.rules, f.customers)
+	s.SetPeers(len(f.schedules), 0)
+	f.schedules[router] = s
+	f.incarnations[router] += 1000
+	for pair := range f.known {
+		if pair[0] == router || pair[1] == router {
+			delete(f.known, pair)
+		}
+	}
+	for _, engine := range f.engines {
+		engine.queue = without(engine.queue, router)
+		engine.running = without(engine.running, router)
+	}
+}
+
+func without(flights []flight, router int) (kept []flight) {
+	for _, one := range flights {
+		if one.router != router {
+			kept = append(kept, one)
+		}
+	}
+	return kept
+}
+
+func (f *fakeFleet) step(number int) {
+	f.now = f.now.Add(fakeStep)
+	f.arrive()
+	for router, s := range f.schedules {
+		for t := s.Next(f.now); t != nil; t = s.Next(f.now) {
+			engine := f.engines[t.Endpoint.Name]
+			output := float64(1 + f.random.IntN(maxOutput))
+			engine.queue = append(engine.queue, flight{Ticket: t, router: router, output: output})
+		}
+	}
+	for _, name := range sorted(f.engines) {
+		engine := f.engines[name]
+		f.admit(engine)
+		f.finishOne(engine)
+	}
+	if number%gossipStep == 0 {
+		f.gossip()
+	}
+}
+
+// waitingEach is more than the engines can take in a step, so that a customer is
+// never without a waiting request.
+const waitingEach = 8
+
+// arrive keeps requests of each customer waiting at each router it uses.
+func (f *fakeFleet) arrive() {
+	for _, name := range sorted(f.uses) {
+		for _, router := range f.uses[name] {
+			s := f.schedules[router]
+			for s.Waiting(name) < waitingEach {
+				f.tickets++
+				s.Enqueue(&pool.Ticket{
+					Customer:    name,
+					InputTokens: float64(1 + f.random.IntN(maxInput)),
+					Arrived:     f.now,
+					Streamed:    true,
+					Granted:     make(chan struct{}, 1),
+				}, f.now)
+			}
+		}
+	}
+}
+
+func sorted[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// admit starts waiting requests, lowest priority value first.
+func (f *fakeFleet) admit(engine *fakeEngine) {
+	for len(engine.running) < fakeSlots && len(engine.queue) > 0 {
+		first := 0
+		for i := range engine.queue {
+			if engine.queue[i].Priority < engine.queue[first].Priority {
+				first = i
+			}
+		}
+		started := engine.queue[first]
+		engine.queue = append(engine.queue[:first], engine.queue[first+1:]...)
+		engine.running = append(engine.running, started)
+		f.schedules[started.router].Begin(started.Ticket)
+		f.service[started.Customer] += started.InputTokens * f.rules.InputWeight
+	}
+}
+
+func (f *fakeFleet) finishOne(engine *fakeEngine) {
+	if len(engine.running) == 0 {
+		return
+	}
+	i := f.random.IntN(len(engine.running))
+	done := engine.running[i]
+	engine.running = append(engine.running[:i], engine.running[i+1:]...)
+	f.service[done.Customer] += done.output * f.rules.OutputWeight
+	f.schedules[done.router].Finish(done.Ticket, pool.Answered{
+		InputTokens:  done.InputTokens,
+		OutputTokens: done.output,
+		Known:        true,
+	}, f.now)
+}
+
+func (f *fakeFleet) gossip() {
+	for from, teller := range f.schedules {
+		state := teller.State(f.now)
+		for to, listener := range f.schedules {
+			if from == to || f.cut[from] != f.cut[to] {
+				continue
+			}
+			pair := [2]int{from, to}
+			listener.Hear(f.incarnations[from], state, !f.known[pair])
+			f.known[pair] = true
+		}
+	}
+}
+
+// gap is the widest range of differences since the watch began.
+type gap struct {
+	low, high map[[2]string]float64
+}
+
+func (g *gap) watch(f *fakeFleet) (widest float64) {
+	if g.low == nil {
+		g.low, g.high = map[[2]string]float64{}, map[[2]string]float64{}
+	}
+	for a := range f.service {
+		for b := range f.service {
+			if a >= b {
+				continue
+			}
+			pair := [2]string{a, b}
+			difference := f.service[a]/f.customers[a].Share - f.service[b]/f.customers[b].Share
+			if _, seen := g.low[pair]; !seen {
+				g.low[pair], g.high[pair] = difference, difference
+			}
+			g.low[pair] = math.Min(g.low[pair], difference)
+			g.high[pair] = math.Max(g.high[pair], difference)
+			widest = math.Max(widest, g.high[pair]-g.low[pair])
+		}
+	}
+	return widest
+}
+
+// singleQueueBound is twice what all slots can hold, the known result for one
+// queue: 2 * max(w_in * L_in, w_out * M).
+func (f *fakeFleet) singleQueueBound() float64 {
+	return 2 * f.rules.OutputWeight * maxOutput * fakeSlots * float64(len(f.engines))
+}
+
+func TestGapOfOneRouterIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeFleet(1, rapid.IntRange(1, 3).Draw(t, "engines"),
+			rapid.IntRange(2, 6).Draw(t, "customers"), rapid.Uint64().Draw(t, "seed"))
+		var g gap
+		for number := range watchedSteps {
+			f.step(number)
+			if widest := g.watch(f); widest > f.singleQueueBound() {
+				t.Fatalf("the gap is %.0f after %d steps, above %.0f", widest, number, f.singleQueueBound())
+			}
+		}
+	})
+}
+
+// fleetBound adds what routers can not know of each other: the service given
+// within one exchange interval, by which two customers may drift apart either
+// way, and what each router may have waiting in each engine's queue.
+func (f *fakeFleet) fleetBound() float64 {
+	perRequest := maxInput*f.rules.InputWeight + maxOutput*f.rules.OutputWeight
+	unseen := gossipStep * perRequest * float64(len(f.engines))
+	queued := perRequest * float64(len(f.schedules)*len(f.engines)*f.rules.Slack)
+	return f.singleQueueBound() + 2*unseen + queued
+}
+
+func TestGapOfAFleetIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeFleet(rapid.IntRange(2, 5).Draw(t, "routers"), rapid.IntRange(1, 3).Draw(t, "engines"),
+			rapid.IntRange(2, 6).Draw(t, "customers"), rapid.Uint64().Draw(t, "seed"))
+		var g gap
+		for number := range watchedSteps {
+			f.step(number)
+			if widest := g.watch(f); widest > f.fleetBound() {
+				t.Fatalf("the gap is %.0f after %d steps, above %.0f", widest, number, f.fleetBound())
+			}
+		}
+	})
+}
+
+// TestNobodyStarvesAfterARejoin cuts a router off for long, lets it rejoin, and
+// has routers restart empty. After the rejoin the gap stays within the fleet's
+// bound plus MergeBound, and every customer is served.
+func TestNobodyStarvesAfterARejoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeFleet(rapid.IntRange(3, 5).Draw(t, "routers"), 2,
+			rapid.IntRange(2, 5).Draw(t, "customers"), rapid.Uint64().Draw(t, "seed"))
+		for number := range 500 {
+			f.step(number)
+		}
+		f.cut[0] = true
+		apart := rapid.IntRange(100, 5000).Draw(t, "apart")
+		for number := range apart {
+			f.step(number)
+		}
+		delete(f.cut, 0)
+		f.gossip()
+		f.restart(1)
+		f.gossip()
+		before := map[string]float64{}
+		for name, service := range f.service {
+			before[name] = service
+		}
+		var g gap
+		bound := f.fleetBound() + f.schedules[0].Ledger.Bound
+		for number := range watchedSteps {
+			f.step(number)
+			if widest := g.watch(f); widest > bound {
+				t.Fatalf("the gap is %.0f after %d steps, above %.0f", widest, number, bound)
+			}
+		}
+		for name := range f.customers {
+			if f.service[name] == before[name] {
+				t.Fatalf("customer %s had no service after the rejoin", name)
+			}
+		}
+	})
+}
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -1,10 +1,9 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
-
-	"github.com/quaylead/quaylead/pkg/settings"
 )
 
 // queue is one customer's line at one router.
@@ -23,6 +22,9 @@
 	// typical is a moving mean of the true output, by class.
 	typical map[string]float64
 
+	mean   float64
+	meanAt time.Time
+
 	lastStart time.Time
 	startGap  time.Duration
 }
@@ -70,29 +72,23 @@
 	}
 }
 
-// waitsSince tells whether any request has been waiting since a time, here or
-// in an endpoint's queue.
-func (q *queue) waitsSince(since time.Time) bool {
-	if q.length() > 0 && q.first().Before(since) {
-		return true
-	}
-	for t := range q.unstarted {
-		if t.Arrived.Before(since) {
-			return true
-		}
-	}
-	return false
+// meanTime is the time over which the mean of waiting requests moves.
+const meanTime = time.Second
+
+// meanWaiting is the moving mean of the requests that wait here or in an
+// endpoint's queue.
+func (q *queue) meanWaiting(now time.Time) float64 {
+	waiting := float64(q.length() + len(q.unstarted))
+	weight := 1 - math.Exp(-float64(now.Sub(q.meanAt))/float64(meanTime))
+	q.mean += weight * (waiting - q.mean)
+	q.meanAt = now
+	return q.mean
 }
 
-// oldestFirst gives the tickets in the order the customer's own go: quick ones
-// first, or strictly by arrival in the baseline.
-func (q *queue) oldestFirst(order settings.OrderPolicy) []*Ticket {
-	all := make([]*Ticket, 0, q.length())
-	all = append(all, q.quick...)
-	all = append(all, q.slow...)
-	if order == settings.ArrivalOrder {
-		slices.SortStableFunc(all, func(a, b *Ticket) int { return a.Arrived.Compare(b.Arrived) })
-	}
+// byArrival gives all tickets in order of arrival, for the baseline.
+func (q *queue) byArrival() []*Ticket {
+	all := slices.Concat(q.quick, q.slow)
+	slices.SortStableFunc(all, func(a, b *Ticket) int { return a.Arrived.Compare(b.Arrived) })
 	return all
 }
 
--- a/pkg/pool/schedule.go
+++ b/pkg/pool/schedule.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,7 +28,10 @@
 	rules     settings.Pool
 	customers map[string]settings.Customer
 	endpoints map[string]*Endpoint
-	queues    map[string]*queue
+	// inOrder are the endpoints by name, so that decisions do not depend on the
+	// order of a map.
+	inOrder []*Endpoint
+	queues  map[string]*queue
 	// waiting and running count this router's tickets in the pool.
 	waiting int
 	running int
@@ -35,6 +39,8 @@
 	liveRouters int
 	// peerDemand is what the live peers together have waiting and running.
 	peerDemand int
+	// notedAt is when the mean numbers of waiting requests were brought up to date.
+	notedAt time.Time
 	// retries is the number of retries the budget allows now.
 	retries float64
 }
@@ -47,7 +53,7 @@
 func (s *Schedule) Configure(rules settings.Pool, customers map[string]settings.Customer) {
 	s.rules = rules
 	s.customers = customers
-	s.Ledger.Bound = rules.MergeBound
+	s.Ledger.Bound = boundOf(&rules)
 	for name, customer := range customers {
 		s.Ledger.SetShare(name, customer.Share)
 	}
@@ -61,6 +67,9 @@
 		endpoint.Endpoint = declared
 		s.endpoints[name] = endpoint
 	}
+	s.inOrder = slices.SortedFunc(maps.Values(s.endpoints), func(a, b *Endpoint) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
 	if s.queues == nil {
 		s.queues = map[string]*queue{}
 		s.retries = retryBurst
@@ -68,6 +77,23 @@
 	}
 }
 
+// typicalBatchTokens stand for the answer in each slot where MergeBound is
+// derived.
+const typicalBatchTokens = 256
+
+// boundOf is the pool's MergeBound, or what it is when none is set: twice the
+// gap that a single queue would guarantee for these slots.
+func boundOf(rules *settings.Pool) float64 {
+	if rules.MergeBound > 0 {
+		return rules.MergeBound
+	}
+	slots := 0
+	for _, endpoint := range rules.Endpoints {
+		slots += endpoint.Slots
+	}
+	return 4 * rules.OutputWeight * float64(slots) * typicalBatchTokens
+}
+
 // Rules returns the pool's settings in force.
 func (s *Schedule) Rules() settings.Pool {
 	return s.rules
@@ -98,14 +124,10 @@
 		return false
 	}
 	s.queue(t.Customer).remove(t)
-	s.leaveLine(t)
-	t.phase = finished
-	return true
-}
-
-func (s *Schedule) leaveLine(t *Ticket) {
 	s.waiting--
 	s.Ledger.Depart(t.Customer)
+	t.phase = finished
+	return true
 }
 
 // Next chooses the ticket to go next and its endpoint, and books it as running.
@@ -114,7 +136,7 @@
 	if s.waiting == 0 {
 		return nil
 	}
-	s.noteBacklogs(now)
+	s.noteWaiting(now)
 	lines := s.order()
 	for _, line := range lines {
 		if !s.withinShare(line) {
@@ -125,21 +147,24 @@
 		}
 	}
 	for _, line := range lines {
-		if t := s.take(line.oldestFirst(s.rules.Order), now); t != nil {
+		if t := s.takeAny(line, now); t != nil {
 			return t
 		}
 	}
 	return nil
 }
 
-// backlogAge is how long a customer's first request must have waited for it to
-// count as backlogged. Requests that start as soon as a slot is free wait less.
-const backlogAge = 500 * time.Millisecond
+// noteInterval is the least time between two updates of the means.
+const noteInterval = 20 * time.Millisecond
 
-// noteBacklogs tells the ledger which customers are backlogged here.
-func (s *Schedule) noteBacklogs(now time.Time) {
+// noteWaiting brings the mean numbers of waiting requests up to date.
+func (s *Schedule) noteWaiting(now time.Time) {
+	if now.Sub(s.notedAt) < noteInterval {
+		return
+	}
+	s.notedAt = now
 	for customer, line := range s.queues {
-		s.Ledger.SetBacklogged(customer, line.waitsSince(now.Add(-backlogAge)))
+		s.Ledger.SetMeanWaiting(customer, line.meanWaiting(now))
 	}
 }
 
@@ -160,7 +185,10 @@
 		if order := cmp.Compare(a.key, b.key); order != 0 {
 			return order
 		}
-		return a.first().Compare(b.first())
+		if order := a.first().Compare(b.first()); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.customer, b.customer)
 	})
 	return lines
 }
@@ -173,18 +201,35 @@
 	return s.Ledger.Counter(line.customer).Pending >= s.customers[line.customer].Unsettled
 }
 
+// quickPart is the part of the bound that a customer may lead by and still have
+// its quick requests go first.
+const quickPart = 4
+
 // withinShare tells whether quick requests of the customer go before others: a
 // customer far ahead of its share may not flood the pool by the quick class.
 func (s *Schedule) withinShare(line *queue) bool {
 	if s.rules.Order == settings.ArrivalOrder {
 		return false
 	}
-	return s.Ledger.Lead(line.customer) <= s.rules.MergeBound/4
+	return s.Ledger.Lead(line.customer) <= s.Ledger.Bound/quickPart
+}
+
+// takeAny grants a customer's request: quick ones first, or strictly by arrival
+// in the baseline.
+func (s *Schedule) takeAny(line *queue, now time.Time) *Ticket {
+	if s.rules.Order == settings.ArrivalOrder {
+		return s.take(line.byArrival(), now)
+	}
+	if t := s.take(line.quick, now); t != nil {
+		return t
+	}
+	return s.take(line.slow, now)
 }
 
 // take grants the first ticket for which an endpoint has room.
 func (s *Schedule) take(tickets []*Ticket, now time.Time) *Ticket {
 	for i, t := range tickets {
+		// Tickets alike find no room where the one before found none.
 		if i > 0 && t.Quick == tickets[i-1].Quick && len(t.tried) == 0 {
 			continue
 		}
@@ -199,7 +244,7 @@
 func (s *Schedule) start(t *Ticket, endpoint *Endpoint, now time.Time) {
 	line := s.queue(t.Customer)
 	line.remove(t)
-	s.leaveLine(t)
+	s.waiting--
 	t.Priority = s.priority(t)
 	t.Endpoint = endpoint
 	t.phase = running
@@ -226,6 +271,12 @@
 // slowPriority puts requests of no quick class behind those of a quick one.
 const slowPriority = 1 << 24
 
+// priorityPart is the part of the bound beyond which leads have one priority. A
+// request keeps its priority while it waits at an engine, however its customer
+// falls behind meanwhile; below the bound, others come to stand level with it,
+// and an engine takes the older of two that stand level.
+const priorityPart = 2
+
 // priority is the customer's lead at the moment of sending, so that an engine
 // with requests of several routers serves the one furthest behind.
 func (s *Schedule) priority(t *Ticket) int {
@@ -233,8 +284,9 @@
 		return 0
 	}
 	lead := s.Ledger.Lead(t.Customer)
-	priority := int(min(max(lead, 0), slowPriority-1))
-	if !t.Quick || lead > s.rules.MergeBound/4 {
+	worst := min(s.Ledger.Bound/priorityPart, slowPriority-1)
+	priority := int(min(max(lead, 0), worst))
+	if !t.Quick || lead > s.Ledger.Bound/quickPart {
 		priority += slowPriority
 	}
 	return priority
@@ -265,6 +317,7 @@
 
 func (s *Schedule) begun(t *Ticket) {
 	t.started = true
+	s.Ledger.Depart(t.Customer)
 	t.Endpoint.unstarted--
 	delete(t.Endpoint.unstartedSince, t)
 	delete(s.queue(t.Customer).unstarted, t)
@@ -381,7 +434,7 @@
 // ListLeaving applies the box list's word. The list lags, so it can only take
 // work away: an endpoint that says itself that it leaves stays without.
 func (s *Schedule) ListLeaving(leaving map[string]bool) {
-	for _, endpoint := range s.endpoints {
+	for _, endpoint := range s.inOrder {
 		endpoint.listedLeaving = leaving[endpoint.Address]
 	}
 }
@@ -389,7 +442,7 @@
 // NoneAvailable tells that every endpoint is leaving or ejected, and how long
 // until the first ejected one is tried again.
 func (s *Schedule) NoneAvailable(now time.Time) (wait time.Duration, none bool) {
-	for _, endpoint := range s.endpoints {
+	for _, endpoint := range s.inOrder {
 		if endpoint.available(now) || endpoint.probing {
 			return 0, false
 		}
@@ -424,3 +477,8 @@
 	}
 	return line
 }
+
+// Waiting is the number of a customer's requests that wait here.
+func (s *Schedule) Waiting(customer string) int {
+	return s.queue(customer).length()
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -160,7 +160,7 @@
 	c.require(policies[pool.SlotPolicy], path+".SlotPolicy", "%q is none of fixed, backlog, slack", pool.SlotPolicy)
 	c.require(pool.InputWeight >= 0, path+".InputWeight", "must not be negative")
 	c.require(pool.OutputWeight > 0, path+".OutputWeight", "must be above 0")
-	c.require(pool.MergeBound > 0, path+".MergeBound", "must be above 0")
+	c.require(pool.MergeBound >= 0, path+".MergeBound", "must not be negative")
 	c.atLeast(path+".Slack", pool.Slack, 1)
 	c.atLeast(path+".QuickSlots", pool.QuickSlots, 0)
 	c.atLeast(path+".EjectAfter", pool.EjectAfter, 1)
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -94,8 +94,10 @@
 	Slack int
 	// QuickSlots are the slots of each endpoint that only quick classes use.
 	QuickSlots int
-	// MergeBound is the furthest, in weighted tokens for a share of 1, that
-	// news from peers may put a customer ahead of the one furthest behind.
+	// MergeBound is the furthest, in weighted tokens for a share of 1, that the
+	// news of a router that was out of reach may put a customer ahead of the one
+	// furthest behind, and the furthest that credit reaches. 0 means that it is
+	// derived from the pool's slots.
 	MergeBound float64
 	// ReportPath is asked for an endpoint's load; empty means never.
 	ReportPath string
@@ -166,7 +168,6 @@
 			Order:            ShareOrder,
 			SlotPolicy:       SlackSlots,
 			Slack:            1,
-			MergeBound:       20000,
 			ReportPath:       "/load",
 			ReportInterval:   Duration{500 * time.Millisecond},
 			ConnectTimeout:   Duration{500 * time.Millisecond},
--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -9,9 +9,12 @@
 // counts in weighted tokens, divided by the customer's share. Methods are not
 // safe for concurrent use; the pool's lock guards them.
 type Ledger struct {
-	// Bound is the furthest, in weighted tokens for a share of 1, that news
-	// from peers may put a customer ahead of the one furthest behind. It keeps
-	// a customer that was served elsewhere for hours from being starved here.
+	// Bound is the furthest, in weighted tokens for a share of 1, that the news
+	// of a peer that was out of reach may put a customer ahead of the one
+	// furthest behind, and the furthest that anyone may fall behind the customer
+	// that is served. It keeps a customer that was served elsewhere for hours
+	// from being starved here. It is above the gap that slots and late news
+	// bring about by themselves.
 	Bound float64
 
 	counters map[string]*Counter
@@ -32,12 +35,12 @@
 	// Pending is what local requests in flight were charged in advance and is
 	// not yet part of Virtual; never negative.
 	Pending float64
-	// Waiting is the number of requests waiting at this router.
+	// Waiting is the number of requests waiting at this router, or in the queue
+	// of an endpoint that this router sent them to.
 	Waiting int
-	// Backlogged tells that requests have waited here for long. A customer whose
-	// requests start as soon as a slot is free is not backlogged, although one
-	// may be waiting at any moment.
-	Backlogged bool
+	// MeanWaiting is a moving mean of Waiting, and is what peers are told: what
+	// waits at one moment would be stale news when it arrives.
+	MeanWaiting float64
 	// Served is the service given by this router since it started, not divided
 	// by Share. It never falls, and is what peers are told.
 	Served float64
@@ -50,9 +53,9 @@
 
 // peerCounter is what one incarnation of a peer last said of the customer.
 type peerCounter struct {
-	served     float64
-	pending    float64
-	backlogged bool
+	served  float64
+	pending float64
+	waiting float64
 }
 
 // PeerService is what a peer's incarnation says of one customer.
@@ -61,8 +64,8 @@
 	Served float64
 	// Pending is charged in advance there and not yet settled.
 	Pending float64
-	// Backlogged tells that requests have waited there for long.
-	Backlogged bool
+	// MeanWaiting is the mean number of requests waiting there.
+	MeanWaiting float64
 }
 
 // Counter returns the customer's account, opened at the floor if it is new.
@@ -87,27 +90,33 @@
 // begins level with the others.
 func (l *Ledger) Arrive(customer string) {
 	counter := l.Counter(customer)
-	if counter.Waiting == 0 && !counter.backlogged() {
+	if !counter.backlogged() {
 		l.lift(counter)
 	}
 	counter.Waiting++
 }
 
-// SetBacklogged says whether the customer's requests have waited here for long.
-func (l *Ledger) SetBacklogged(customer string, backlogged bool) {
-	l.Counter(customer).Backlogged = backlogged
+// SetMeanWaiting says how many of the customer's requests wait here on average.
+func (l *Ledger) SetMeanWaiting(customer string, mean float64) {
+	l.Counter(customer).MeanWaiting = mean
 }
 
-// Depart notes that a waiting request started or was given up.
+// Depart notes that a waiting request has begun at an endpoint or was given up.
 func (l *Ledger) Depart(customer string) {
 	l.Counter(customer).Waiting--
 }
 
-// Charge books an estimate in advance when a request starts.
+// Charge books an estimate in advance when a request starts. Nobody is left
+// further than Bound behind the customer that is served: news of a backlog that
+// is wrong, or that no router can work off, earns no more credit than that.
 func (l *Ledger) Charge(customer string, estimate float64) {
 	counter := l.Counter(customer)
+	key := counter.key()
 	if _, any := l.lowestBacklogged(); !any {
-		l.floor = math.Max(l.floor, counter.key())
+		l.floor = math.Max(l.floor, key)
+	}
+	for _, other := range l.counters {
+		other.Virtual = math.Max(other.Virtual, key-l.Bound)
 	}
 	counter.Pending += estimate
 }
@@ -143,25 +152,27 @@
 }
 
 // Merge applies what a peer's incarnation says. Only what exceeds its earlier
-// word counts, so a repeated or late message is harmless. The customer is put
-// at most Bound ahead of the one furthest behind.
-func (l *Ledger) Merge(incarnation uint64, customer string, news PeerService) {
+// word counts, so a repeated or late message is harmless. News of a peer that
+// was heard all along counts in full; rejoined marks the first word after a
+// silence, which puts the customer at most Bound ahead of the one furthest
+// behind.
+func (l *Ledger) Merge(incarnation uint64, customer string, news PeerService, rejoined bool) {
 	counter := l.Counter(customer)
 	known := counter.peers[incarnation]
 	if known == nil {
 		known = &peerCounter{}
 		counter.peers[incarnation] = known
 	}
-	if news.Backlogged && !counter.backlogged() {
+	wasBacklogged := counter.backlogged()
+	known.waiting, known.pending = news.MeanWaiting, news.Pending
+	if !wasBacklogged && counter.backlogged() {
 		l.lift(counter)
 	}
 	increment := news.Served - known.served
 	if increment > 0 {
 		known.served = news.Served
-		l.advance(counter, increment/counter.Share)
+		l.advance(counter, increment/counter.Share, rejoined)
 	}
-	known.pending = news.Pending
-	known.backlogged = news.Backlogged
 }
 
 // Adopt takes over how far ahead customers stand elsewhere. A router that
@@ -170,9 +181,9 @@
 func (l *Ledger) Adopt(incarnation uint64, customer string, news PeerService, lead float64) {
 	counter := l.Counter(customer)
 	counter.peers[incarnation] = &peerCounter{
-		served:     news.Served,
-		pending:    news.Pending,
-		backlogged: news.Backlogged,
+		served:  news.Served,
+		pending: news.Pending,
+		waiting: news.MeanWaiting,
 	}
 	lead = math.Min(math.Max(lead, 0), l.Bound)
 	counter.Virtual = math.Max(counter.Virtual, l.floor+lead)
@@ -184,7 +195,7 @@
 	for _, counter := range l.counters {
 		if known := counter.peers[incarnation]; known != nil {
 			known.pending = 0
-			known.backlogged = false
+			known.waiting = 0
 		}
 	}
 }
@@ -202,14 +213,12 @@
 	counter.Virtual = math.Max(counter.Virtual, l.floor)
 }
 
-// stepPart is the part of Bound that news may always move a counter by, so that
-// ordinary service counts in full however far ahead the customer already is.
-const stepPart = 0.125
-
-// advance moves a counter by news from a peer. News of a long time apart is
-// clipped to Bound over the lowest backlogged counter.
-func (l *Ledger) advance(counter *Counter, step float64) {
-	limit := math.Max(l.lowest()+l.Bound, counter.Virtual+stepPart*l.Bound)
+// advance moves a counter by news from a peer, clipped if it rejoined.
+func (l *Ledger) advance(counter *Counter, step float64, rejoined bool) {
+	limit := math.Inf(1)
+	if rejoined {
+		limit = math.Max(l.lowest()+l.Bound, counter.Virtual)
+	}
 	counter.Virtual = math.Min(counter.Virtual+step, limit)
 }
 
@@ -235,17 +244,22 @@
 	return lowest, any
 }
 
-// backlogged tells whether the customer is backlogged anywhere in the fleet.
+// backlogMean is the mean number of requests waiting in the whole fleet from
+// which a customer counts as backlogged. Below it there are moments at which
+// nothing of the customer waits.
+const backlogMean = 1.5
+
+// backlogged tells whether the customer is backlogged: something waits here at
+// this moment, or enough in the whole fleet on average.
 func (c *Counter) backlogged() bool {
-	if c.Backlogged {
+	if c.Waiting > 0 {
 		return true
 	}
+	mean := c.MeanWaiting
 	for _, peer := range c.peers {
-		if peer.backlogged {
-			return true
-		}
+		mean += peer.waiting
 	}
-	return false
+	return mean >= backlogMean
 }
 
 // key is settled service plus what is charged in advance anywhere.
