pkg/share: after a silence, routers agree on leads instead of adding service

After a rejoin each side added the other's service, clipped, to its own counters. The two sides clip differently, so they disagreed for ever, by tens of thousands of tokens, and each partition could add to it.

Ruled out: the queue of the engines (priorities were level, at the cap).

Change: the first word of a session, known incarnation or not, carries leads, and a ledger takes the larger of its own and the peer's, at most MergeBound. Both sides then agree, and adopting twice changes nothing. Merge is for service told within a session and is never clipped.

--- a/pkg/pool/conversions.go
+++ b/pkg/pool/conversions.go
@@ -35,8 +35,8 @@
 	return state
 }
 
-// Hear applies a peer's account. The first word of an incarnation tells where
-// customers stand; the later ones tell of service given since.
+// Hear applies a peer's account. The first word after a start or a silence tells
+// where customers stand; the later ones tell of service given since.
 func (s *Schedule) Hear(incarnation uint64, news peer.PoolState, first bool) {
 	for customer, said := range news.Customers {
 		service := share.PeerService{
@@ -44,11 +44,11 @@
 			Pending:     float64(said.Pending),
 			MeanWaiting: float64(said.Waiting) / waitingScale,
 		}
-		if first && !s.Ledger.Knows(incarnation, customer) {
+		if first {
 			s.Ledger.Adopt(incarnation, customer, service, float64(said.Lead))
 			continue
 		}
-		s.Ledger.Merge(incarnation, customer, service, first)
+		s.Ledger.Merge(incarnation, customer, service)
 	}
 }
 
--- a/pkg/pool/fairness_test.go
+++ b/pkg/pool/fairness_test.go
@@ -1,10 +1,12 @@
 package pool_test
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -209,10 +211,11 @@
 	for from, teller := range f.schedules {
 		state := teller.State(f.now)
 		for to, listener := range f.schedules {
+			pair := [2]int{from, to}
 			if from == to || f.cut[from] != f.cut[to] {
+				delete(f.known, pair)
 				continue
 			}
-			pair := [2]int{from, to}
 			listener.Hear(f.incarnations[from], state, !f.known[pair])
 			f.known[pair] = true
 		}
@@ -290,6 +293,16 @@
 	})
 }
 
+// TestMain fixes the seed of the properties, so that a run gives the same verdict
+// each time; -rapid.seed on the command line searches elsewhere.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 // TestNobodyStarvesAfterARejoin cuts a router off for long, lets it rejoin, and
 // has routers restart empty. After the rejoin the gap stays within the fleet's
 // bound plus MergeBound, and every customer is served.
--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -151,42 +151,34 @@
 	return l.Counter(customer).key()
 }
 
-// Merge applies what a peer's incarnation says. Only what exceeds its earlier
-// word counts, so a repeated or late message is harmless. News of a peer that
-// was heard all along counts in full; rejoined marks the first word after a
-// silence, which puts the customer at most Bound ahead of the one furthest
-// behind.
-func (l *Ledger) Merge(incarnation uint64, customer string, news PeerService, rejoined bool) {
+// Merge applies what a peer's incarnation says after its first word. Only what
+// exceeds its earlier word counts, so a repeated or late message is harmless.
+func (l *Ledger) Merge(incarnation uint64, customer string, news PeerService) {
 	counter := l.Counter(customer)
-	known := counter.peers[incarnation]
-	if known == nil {
-		known = &peerCounter{}
-		counter.peers[incarnation] = known
-	}
+	known := counter.peer(incarnation)
 	wasBacklogged := counter.backlogged()
 	known.waiting, known.pending = news.MeanWaiting, news.Pending
 	if !wasBacklogged && counter.backlogged() {
 		l.lift(counter)
 	}
-	increment := news.Served - known.served
-	if increment > 0 {
+	if increment := news.Served - known.served; increment > 0 {
 		known.served = news.Served
-		l.advance(counter, increment/counter.Share, rejoined)
+		counter.Virtual += increment / counter.Share
 	}
 }
 
-// Adopt takes over how far ahead customers stand elsewhere. A router that
-// starts empty calls it with the first word of a peer, in place of counting
-// that peer's whole history as new service.
+// Adopt applies the first word of a peer after a start or a silence: how far
+// ahead the customer stands there, at most Bound, in place of the service that
+// was given meanwhile. Two ledgers that adopt from each other agree after it,
+// each customer as far ahead as it was in either; adopting twice changes
+// nothing. So views do not drift apart over many partitions.
 func (l *Ledger) Adopt(incarnation uint64, customer string, news PeerService, lead float64) {
 	counter := l.Counter(customer)
-	counter.peers[incarnation] = &peerCounter{
-		served:  news.Served,
-		pending: news.Pending,
-		waiting: news.MeanWaiting,
-	}
+	known := counter.peer(incarnation)
+	known.served = math.Max(known.served, news.Served)
+	known.waiting, known.pending = news.MeanWaiting, news.Pending
 	lead = math.Min(math.Max(lead, 0), l.Bound)
-	counter.Virtual = math.Max(counter.Virtual, l.floor+lead)
+	counter.Virtual = math.Max(counter.Virtual, l.lowest()+lead)
 }
 
 // Forget drops the gauges of an incarnation that is no longer alive. What it
@@ -213,15 +205,6 @@
 	counter.Virtual = math.Max(counter.Virtual, l.floor)
 }
 
-// advance moves a counter by news from a peer, clipped if it rejoined.
-func (l *Ledger) advance(counter *Counter, step float64, rejoined bool) {
-	limit := math.Inf(1)
-	if rejoined {
-		limit = math.Max(l.lowest()+l.Bound, counter.Virtual)
-	}
-	counter.Virtual = math.Min(counter.Virtual+step, limit)
-}
-
 // lowest returns the lowest counter of a backlogged customer and raises the
 // floor to it; without any it returns the floor.
 func (l *Ledger) lowest() float64 {
@@ -271,8 +254,12 @@
 	return c.Virtual + pending/c.Share
 }
 
-// Knows tells whether an incarnation has spoken of the customer before.
-func (l *Ledger) Knows(incarnation uint64, customer string) bool {
-	counter := l.counters[customer]
-	return counter != nil && counter.peers[incarnation] != nil
+// peer returns what an incarnation last said, opened empty if it is new.
+func (c *Counter) peer(incarnation uint64) *peerCounter {
+	known := c.peers[incarnation]
+	if known == nil {
+		known = &peerCounter{}
+		c.peers[incarnation] = known
+	}
+	return known
 }
