pkg/share: what waits at an engine counts only at the router that sent it

Change: a sent request's estimate is reserved at its router, where it orders what is sent next, and is charged, and told, when it begins.

What is left is the age of counters, 1 s at this control budget.

--- a/pkg/pool/schedule.go
+++ b/pkg/pool/schedule.go
@@ -198,7 +198,8 @@
 	if line.running == 0 || s.rules.Order == settings.ArrivalOrder {
 		return false
 	}
-	return s.Ledger.Counter(line.customer).Pending >= s.customers[line.customer].Unsettled
+	counter := s.Ledger.Counter(line.customer)
+	return counter.Pending+counter.Reserved >= s.customers[line.customer].Unsettled
 }
 
 // quickPart is the part of the bound that a customer may lead by and still have
@@ -253,7 +254,7 @@
 	t.served = 0
 	t.estimate = s.estimate(t)
 	t.uncovered = t.estimate
-	s.Ledger.Charge(t.Customer, t.estimate)
+	s.Ledger.Reserve(t.Customer, t.estimate)
 	s.running++
 	line.start(now)
 	endpoint.running++
@@ -283,7 +284,7 @@
 	if s.rules.Order == settings.ArrivalOrder {
 		return 0
 	}
-	lead := s.Ledger.Lead(t.Customer)
+	lead := s.Ledger.LeadOfNext(t.Customer)
 	worst := min(s.Ledger.Bound/priorityPart, slowPriority-1)
 	priority := int(min(max(lead, 0), worst))
 	if !t.Quick || lead > s.Ledger.Bound/quickPart {
@@ -318,6 +319,7 @@
 func (s *Schedule) begun(t *Ticket) {
 	t.started = true
 	s.Ledger.Depart(t.Customer)
+	s.Ledger.Charge(t.Customer, t.estimate)
 	t.Endpoint.unstarted--
 	delete(t.Endpoint.unstartedSince, t)
 	delete(s.queue(t.Customer).unstarted, t)
@@ -343,10 +345,10 @@
 		return
 	}
 	endpoint := t.Endpoint
-	s.settle(t, how)
 	if !t.started {
 		s.begun(t)
 	}
+	s.settle(t, how)
 	endpoint.running--
 	if !t.Quick {
 		endpoint.slow--
--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -32,9 +32,13 @@
 	// Virtual is the settled service known of, divided by Share, and lifted on
 	// return from idle. It never falls.
 	Virtual float64
-	// Pending is what local requests in flight were charged in advance and is
-	// not yet part of Virtual; never negative.
+	// Pending is what local requests that have begun were charged in advance and
+	// is not yet part of Virtual; never negative.
 	Pending float64
+	// Reserved is the estimated cost of local requests that were sent and have
+	// not begun; never negative. It orders this router's own requests and is not
+	// told to peers: what waits in an engine's queue has had no service.
+	Reserved float64
 	// Waiting is the number of requests waiting at this router, or in the queue
 	// of an endpoint that this router sent them to.
 	Waiting int
@@ -106,7 +110,12 @@
 	l.Counter(customer).Waiting--
 }
 
-// Charge books an estimate in advance when a request starts. Nobody is left
+// Reserve notes the estimated cost of a request that is sent to an endpoint.
+func (l *Ledger) Reserve(customer string, estimate float64) {
+	l.Counter(customer).Reserved += estimate
+}
+
+// Charge books a reserved estimate in advance when the request begins. Nobody is left
 // further than Bound behind the customer that is served: news of a backlog that
 // is wrong, or that no router can work off, earns no more credit than that.
 func (l *Ledger) Charge(customer string, estimate float64) {
@@ -118,6 +127,7 @@
 	for _, other := range l.counters {
 		other.Virtual = math.Max(other.Virtual, key-l.Bound)
 	}
+	counter.Reserved = math.Max(0, counter.Reserved-estimate)
 	counter.Pending += estimate
 }
 
@@ -146,9 +156,16 @@
 	return l.Counter(customer).key() - l.lowest()
 }
 
-// Key orders customers: the lowest is served next.
+// Key orders the customers that wait at this router: the lowest is served next.
 func (l *Ledger) Key(customer string) float64 {
-	return l.Counter(customer).key()
+	counter := l.Counter(customer)
+	return counter.key() + counter.Reserved/counter.Share
+}
+
+// LeadOfNext is the lead of the request that this router sends next: what it has
+// sent before goes before it.
+func (l *Ledger) LeadOfNext(customer string) float64 {
+	return l.Key(customer) - l.lowest()
 }
 
 // Merge applies what a peer's incarnation says after its first word. Only what
