--- a/pkg/settings/difference.go
+++ b/pkg/settings/difference.go
@@ -66,11 +66,7 @@
 		return nil
 	}
 	for key, inner := range nested {
-		innerPath := key
-		if path != "" {
-			innerPath = path + "." + key
-		}
-		if err := flattenInto(values, innerPath, inner); err != nil {
+		if err := flattenInto(values, joinPath(path, key), inner); err != nil {
 			return err
 		}
 	}
--- a/pkg/settings/duration.go
+++ b/pkg/settings/duration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"time"
 )
 
@@ -9,22 +10,61 @@
 // "250ms" or "2m". A bare number is refused, since its unit would be a guess.
 type Duration struct {
 	time.Duration
+	// fault says what is wrong with the text that was read. The decoder gives no
+	// position for an error of UnmarshalText, so it is reported by the check.
+	fault string
 }
 
 // UnmarshalText reads a duration with its unit. Negative durations are refused
-// here because no setting has a use for one.
+// because no setting has a use for one. What is wrong is reported by the check
+// of the settings, with its place.
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no duration: write a number with a unit, such as \"250ms\"", text)
-	}
-	if parsed < 0 {
-		return fmt.Errorf("%q is negative", text)
+	switch {
+	case err != nil:
+		d.fault = fmt.Sprintf("%q is no duration: write a number with a unit, such as \"250ms\"", text)
+	case parsed < 0:
+		d.fault = fmt.Sprintf("%q is negative", text)
 	}
 	d.Duration = parsed
 	return nil
 }
 
+// durationFaults finds the durations that were read wrongly, by key path.
+func durationFaults(value reflect.Value, path string) (problems []*Problem) {
+	if duration, ok := value.Interface().(Duration); ok {
+		if duration.fault == "" {
+			return nil
+		}
+		return []*Problem{{Path: path, Message: duration.fault}}
+	}
+	switch value.Kind() {
+	case reflect.Pointer:
+		return durationFaults(value.Elem(), path)
+	case reflect.Struct:
+		for i := range value.NumField() {
+			field := value.Type().Field(i)
+			inner := joinPath(path, field.Name)
+			if field.Anonymous {
+				inner = path
+			}
+			problems = append(problems, durationFaults(value.Field(i), inner)...)
+		}
+	case reflect.Map:
+		for _, key := range value.MapKeys() {
+			problems = append(problems, durationFaults(value.MapIndex(key), joinPath(path, key.String()))...)
+		}
+	}
+	return problems
+}
+
+func joinPath(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
 // MarshalText writes the duration in the form that UnmarshalText reads.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(d.String()), nil
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -43,7 +44,12 @@
 	if err := decoder.Decode(into); err != nil {
 		return &InvalidError{Problems: decodeProblems(file, err)}
 	}
-	return nil
+	problems := durationFaults(reflect.ValueOf(into), "")
+	if len(problems) == 0 {
+		return nil
+	}
+	locate(problems, []source{{file: file, lines: keyLines(text)}})
+	return &InvalidError{Problems: problems}
 }
 
 // applyOverride decodes KEY=VALUE as one more line of TOML. A value that is no
@@ -90,7 +96,8 @@
 	if err := decoder.Decode(fleet); err != nil {
 		return nil, err
 	}
-	if problems := checkFleet(fleet); len(problems) > 0 {
+	problems := append(durationFaults(reflect.ValueOf(fleet), ""), checkFleet(fleet)...)
+	if len(problems) > 0 {
 		return nil, &InvalidError{Problems: problems}
 	}
 	return fleet, nil
