pkg/peer: send differences in packed fields

Change: a stream sends growth and changes, in parallel packed fields; what is charged in advance goes in units of 64 tokens.

--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -1,6 +1,14 @@
 package peer
 
-import "github.com/quaylead/quaylead/pkg/peer/peerpb"
+import (
+	"slices"
+
+	"github.com/quaylead/quaylead/pkg/peer/peerpb"
+)
+
+// PendingUnit is the grain, in weighted tokens, in which peers are told what is
+// charged in advance. It is small beside the cost of one request.
+const PendingUnit = 64
 
 // encoder turns states into updates that hold only what changed since the last.
 type encoder struct {
@@ -32,19 +40,16 @@
 	result := &peerpb.PoolUpdate{Demand: uint32(pool.Demand)}
 	for customer, now := range pool.Customers {
 		before, had := last.Customers[customer]
-		if had && sameCustomer(before, now) {
+		if had && sameAccount(before, now) {
 			continue
 		}
-		entry := &peerpb.CustomerUpdate{
-			Customer: e.number(update, customer),
-			Served:   now.Served,
-			Pending:  now.Pending,
-			Waiting:  now.Waiting,
-		}
+		result.Customers = append(result.Customers, e.number(update, customer))
+		result.Served = append(result.Served, now.Served-before.Served)
+		result.Pending = append(result.Pending, pendingUnits(now)-pendingUnits(before))
+		result.Waiting = append(result.Waiting, int32(now.Waiting)-int32(before.Waiting))
 		if e.first {
-			entry.Lead = now.Lead
+			result.Leads = append(result.Leads, now.Lead)
 		}
-		result.Customers = append(result.Customers, entry)
 	}
 	if known && last.Demand == pool.Demand && len(result.Customers) == 0 {
 		return nil
@@ -53,8 +58,12 @@
 	return result
 }
 
-func sameCustomer(a, b CustomerState) bool {
-	return a.Served == b.Served && a.Pending == b.Pending && a.Waiting == b.Waiting
+func pendingUnits(customer CustomerState) int64 {
+	return int64(customer.Pending / PendingUnit)
+}
+
+func sameAccount(a, b CustomerState) bool {
+	return a.Served == b.Served && pendingUnits(a) == pendingUnits(b) && a.Waiting == b.Waiting
 }
 
 // number gives a name its number, announcing it on first use.
@@ -68,27 +77,66 @@
 	return number
 }
 
+// account names one customer in one pool.
+type account struct {
+	pool, customer uint32
+}
+
 // decoder turns the updates of one stream back into states.
 type decoder struct {
 	names map[uint32]string
+	// accounts are what the sender has said so far.
+	accounts map[account]CustomerState
+}
+
+// UnevenUpdateError reports an update whose parallel fields do not match.
+type UnevenUpdateError struct {
+	Customers, Served, Pending, Waiting, Leads int
 }
 
-func (d *decoder) decode(update *peerpb.Update) State {
+// Error says that the update is malformed.
+func (e *UnevenUpdateError) Error() string {
+	return "an update's fields have different lengths"
+}
+
+func (d *decoder) decode(update *peerpb.Update) (state State, err error) {
 	if d.names == nil {
 		d.names = map[uint32]string{}
+		d.accounts = map[account]CustomerState{}
 	}
 	for _, name := range update.Names {
 		d.names[name.Number] = name.Text
 	}
-	state := State{
+	state = State{
 		Revision: update.Revision,
 		Leaving:  update.Leaving,
 		Pools:    make(map[string]PoolState, len(update.Pools)),
 	}
 	for _, pool := range update.Pools {
+		if err := checkEven(pool); err != nil {
+			return state, err
+		}
 		state.Pools[d.names[pool.Pool]] = d.decodePool(pool)
 	}
-	return state
+	return state, nil
+}
+
+func checkEven(pool *peerpb.PoolUpdate) error {
+	lengths := []int{len(pool.Served), len(pool.Pending), len(pool.Waiting)}
+	if leads := len(pool.Leads); leads > 0 {
+		lengths = append(lengths, leads)
+	}
+	uneven := slices.ContainsFunc(lengths, func(length int) bool { return length != len(pool.Customers) })
+	if !uneven {
+		return nil
+	}
+	return &UnevenUpdateError{
+		Customers: len(pool.Customers),
+		Served:    len(pool.Served),
+		Pending:   len(pool.Pending),
+		Waiting:   len(pool.Waiting),
+		Leads:     len(pool.Leads),
+	}
 }
 
 func (d *decoder) decodePool(pool *peerpb.PoolUpdate) PoolState {
@@ -96,13 +144,17 @@
 		Demand:    int(pool.Demand),
 		Customers: make(map[string]CustomerState, len(pool.Customers)),
 	}
-	for _, entry := range pool.Customers {
-		result.Customers[d.names[entry.Customer]] = CustomerState{
-			Served:  entry.Served,
-			Pending: entry.Pending,
-			Waiting: entry.Waiting,
-			Lead:    entry.Lead,
+	for i, customer := range pool.Customers {
+		key := account{pool: pool.Pool, customer: customer}
+		now := d.accounts[key]
+		now.Served += pool.Served[i]
+		now.Pending = uint64(max(0, int64(now.Pending)+pool.Pending[i]*PendingUnit))
+		now.Waiting = uint32(max(0, int32(now.Waiting)+pool.Waiting[i]))
+		if len(pool.Leads) > 0 {
+			now.Lead = pool.Leads[i]
 		}
+		d.accounts[key] = now
+		result.Customers[d.names[customer]] = now
 	}
 	return result
 }
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -344,7 +344,11 @@
 		if err := receive(reader, update); err != nil {
 			return err
 		}
-		e.Listener.Heard(from, decoder.decode(update), first)
+		state, err := decoder.decode(update)
+		if err != nil {
+			return err
+		}
+		e.Listener.Heard(from, state, first)
 	}
 }
 
