pkg/share: forget incarnations that are no longer heard

Change: an ended session deletes the entries; what was served stays counted, and the first word of a new session is adopted. A peer whose new session opens before the old one lapses is not silent (streams are counted), or the old one's end would have deleted what the new one said.

--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -100,6 +100,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*link
+	// heard counts the open streams of each sender. A peer that opens a new one
+	// before the old one lapses is not silent.
+	heard map[uint64]int
 	group *errgroup.Group
 	ctx   context.Context
 }
@@ -126,6 +129,7 @@
 	e.group = group
 	e.ctx = ctx
 	e.peers = map[string]*link{}
+	e.heard = map[uint64]int{}
 	e.mu.Unlock()
 	e.SetPeers(e.Box.Peers)
 	group.Go(func() error {
@@ -334,7 +338,8 @@
 	if from.Incarnation == e.Incarnation {
 		return nil
 	}
-	defer e.Listener.Silent(from)
+	e.countHeard(from, 1)
+	defer e.countHeard(from, -1)
 	decoder := decoder{}
 	for first := true; ; first = false {
 		if err := e.expect(stream); err != nil {
@@ -352,6 +357,21 @@
 	}
 }
 
+// countHeard counts the open streams of a sender, and reports its silence when
+// the last one ends.
+func (e *Exchange) countHeard(from Sender, change int) {
+	e.mu.Lock()
+	e.heard[from.Incarnation] += change
+	silent := e.heard[from.Incarnation] == 0
+	if silent {
+		delete(e.heard, from.Incarnation)
+	}
+	e.mu.Unlock()
+	if silent {
+		e.Listener.Silent(from)
+	}
+}
+
 // expect bounds the wait for the peer's next message.
 func (e *Exchange) expect(stream net.Conn) error {
 	return stream.SetReadDeadline(time.Now().Add(e.Box.Exchange.Lapse.Duration))
--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -198,14 +198,11 @@
 	counter.Virtual = math.Max(counter.Virtual, l.lowest()+lead)
 }
 
-// Forget drops the gauges of an incarnation that is no longer alive. What it
-// served stays counted, and so does its total: it may come back.
+// Forget drops what an incarnation said that is no longer heard. What it served
+// stays counted in Virtual; if it comes back, its first word is adopted.
 func (l *Ledger) Forget(incarnation uint64) {
 	for _, counter := range l.counters {
-		if known := counter.peers[incarnation]; known != nil {
-			known.pending = 0
-			known.waiting = 0
-		}
+		delete(counter.peers, incarnation)
 	}
 }
 
