--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # The race detector needs a C compiler; without one the tests run without it.
 RACE := $(if $(shell command -v gcc),-race)
 
-.PHONY: build demo test check generate experiments
+.PHONY: build demo up test check generate experiments bench
 
 build:
 	@mkdir -p bin
@@ -13,6 +13,13 @@
 demo: build
 	bin/quaybench demo
 
+up: build
+	bin/quaybench up
+
+# Ratios of two variants run in turn.
+bench:
+	cd pkg && go test -run XXX -bench . -benchtime 2000x ./router ./endpoint
+
 # Tests start real processes, built with the race detector too.
 test:
 	@mkdir -p bin/test
