--- /dev/null
+++ b/pkg/request/state_test.go
@@ -0,0 +1,51 @@
+package request_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/quaylead/quaylead/pkg/request"
+)
+
+// TestRefusalsNeverClaimTooMuch drives a life by random steps and holds it
+// against what happened: it says not-run only if every attempt is proved.
+func TestRefusalsNeverClaimTooMuch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var life request.Life
+		repeatable := rapid.Bool().Draw(t, "repeatable")
+		attempts, proved := 0, 0
+		latestProved := false
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			before := life.State()
+			switch step := rapid.IntRange(0, 8).Draw(t, "step"); step {
+			case 7:
+				if attempts > 0 && !latestProved && before >= request.Sending {
+					latestProved = true
+					proved++
+				}
+				if before >= request.Sending {
+					life.Prove()
+				}
+			case 8:
+				err := life.Return(repeatable)
+				if err == nil && !repeatable && proved < attempts {
+					t.Fatal("a request that may have run was put back in line")
+				}
+			default:
+				to := request.State(step)
+				err := life.Advance(to)
+				if err == nil && to <= before {
+					t.Fatalf("went back from %s to %s", before, to)
+				}
+				if err == nil && to == request.Sending {
+					attempts++
+					latestProved = false
+				}
+			}
+			if (life.Run() == request.NotRun) != (attempts == proved) {
+				t.Fatalf("says %s after %d attempts, %d proved", life.Run(), attempts, proved)
+			}
+		}
+	})
+}
