--- a/cmd/quaybench/experiment/experiment.go
+++ b/cmd/quaybench/experiment/experiment.go
@@ -118,6 +118,10 @@
 		return result, err
 	}
 	defer f.Stop()
+	overheadP50, overheadP99, err := overhead(ctx, f, r.Experiment.Sources[0].Customer)
+	if err != nil {
+		return result, err
+	}
 	control := controlMeter{fleet: f}
 	if err := control.begin(); err != nil {
 		return result, err
@@ -135,8 +139,13 @@
 	if err != nil {
 		return result, err
 	}
-	result = measure.Compute(r.input(began, records, events))
+	input := r.input(began, records, events)
+	result = measure.Compute(input)
 	result.ControlBytesPerSecond = perSecond
+	result.OverheadP50, result.OverheadP99 = overheadP50, overheadP99
+	if err := measure.Plot(input, filepath.Join(r.Dir, "service.svg")); err != nil {
+		return result, err
+	}
 	return result, r.write(result)
 }
 
--- a/cmd/quaybench/measure/measure.go
+++ b/cmd/quaybench/measure/measure.go
@@ -49,6 +49,9 @@
 	WaitingSeconds float64
 	// ControlBytesPerSecond is the mean for one box, sent and received.
 	ControlBytesPerSecond float64
+	// OverheadP50 and OverheadP99 are what a router adds to a call to a plain
+	// service, in milliseconds; 0 when the fleet has no plain service.
+	OverheadP50, OverheadP99 float64
 	// FirstToken and BetweenTokens are in milliseconds, by class.
 	FirstToken    map[string]Latency
 	BetweenTokens map[string]Latency
--- a/cmd/quaybench/measure/print.go
+++ b/cmd/quaybench/measure/print.go
@@ -18,6 +18,7 @@
 	row("FairnessBound", "%.0f weighted tokens", r.FairnessBound)
 	row("Utilisation", "%.3f over %.1f s with work waiting", r.Utilisation, r.WaitingSeconds)
 	row("ControlBytesPerSecond", "%.0f for each box", r.ControlBytesPerSecond)
+	row("Overhead", "p50 %.3f ms, p99 %.3f ms", r.OverheadP50, r.OverheadP99)
 	for _, class := range sortedNames(r.FirstToken) {
 		first, between := r.FirstToken[class], r.BetweenTokens[class]
 		row("FirstToken "+class, "p50 %.1f ms, p95 %.1f ms, p99 %.1f ms of %d", first.P50, first.P95, first.P99, first.Count)
