pkg/certificate: TLS towards callers and between boxes

Cause: the settings named key files that nothing used.

Change: callers are served by TLS when keys are set; boxes show each other certificates for one name that the authority signed, since addresses change. A caller that has closed is found also when TLS left its last word to read.

No test on processes yet.

--- a/pkg/endpoint/open_linux.go
+++ b/pkg/endpoint/open_linux.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // IsOpen tells whether the other side of a connection still holds it open, as
@@ -33,5 +35,15 @@
 	if err == syscall.EAGAIN || err == syscall.EINTR {
 		return true
 	}
-	return err == nil && n > 0
+	return err == nil && n > 0 && !closing(fd)
+}
+
+// closeWait is the state of a connection whose other side has closed it.
+const closeWait = 8
+
+// closing tells whether the other side has closed although something is left to
+// read, such as the last word of TLS.
+func closing(fd int) bool {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.State == closeWait
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quaylead/quaylead/pkg/box"
+	"github.com/quaylead/quaylead/pkg/certificate"
 	"github.com/quaylead/quaylead/pkg/claim"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/logflags"
@@ -124,6 +126,9 @@
 		Listener:    r,
 		Log:         r.logs.For(logflags.Peer),
 	}
+	if err := r.preparePeerTLS(); err != nil {
+		return err
+	}
 	if r.Initial == nil {
 		return nil
 	}
@@ -141,8 +146,32 @@
 	if sockets.operator, err = net.Listen("tcp", r.Box.OperatorAddress); err != nil {
 		return sockets, err
 	}
-	sockets.peer, err = net.Listen("tcp", r.Box.PeerAddress)
-	return sockets, err
+	if sockets.peer, err = net.Listen("tcp", r.Box.PeerAddress); err != nil {
+		return sockets, err
+	}
+	if r.Box.TLS.CertificateFile == "" {
+		return sockets, nil
+	}
+	config, err := certificate.CallerConfig(&certificate.Pair{
+		CertificateFile: r.Box.TLS.CertificateFile,
+		KeyFile:         r.Box.TLS.KeyFile,
+	})
+	if err != nil {
+		return sockets, err
+	}
+	sockets.caller = tls.NewListener(sockets.caller, config)
+	return sockets, nil
+}
+
+// preparePeerTLS secures the sessions between boxes if keys are set.
+func (r *Router) preparePeerTLS() (err error) {
+	files := r.Box.TLS
+	if files.PeerCertificateFile == "" {
+		return nil
+	}
+	pair := &certificate.Pair{CertificateFile: files.PeerCertificateFile, KeyFile: files.PeerKeyFile}
+	r.exchange.TLS, err = certificate.PeerConfig(pair, files.PeerAuthorityFile)
+	return err
 }
 
 // callerServer is the library's server with every bound of the settings.
