cmd/quaybench: a fault matrix on real processes

Cause: faults were tested one by one, at moments chosen by hand.

A stream that ends cleanly without its end mark now counts as cut and passed as whole, which is stricter than before.

Found on the way: in the first form cells met endpoints still ejected by the cell before (0 of 9 whole in most); a cell now waits until every router serves.

--- /dev/null
+++ b/cmd/quaybench/cmds/matrix.go
@@ -0,0 +1,41 @@
+package cmds
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/matrix"
+)
+
+func matrixCommand() *cobra.Command {
+	opts := &runOptions{}
+	var names []string
+	command := &cobra.Command{
+		Use:   "matrix",
+		Short: "Cross every fault with the moments of a request's life",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, args []string) error {
+			bin, err := binDir()
+			if err != nil {
+				return err
+			}
+			dir, clean, err := opts.folder()
+			if err != nil {
+				return err
+			}
+			defer clean()
+			m := &matrix.Matrix{Bin: bin, Dir: dir, Faults: matrix.Named(names), Progress: command.ErrOrStderr()}
+			cells, err := m.Run(command.Context())
+			if err != nil {
+				return err
+			}
+			passed, err := matrix.Print(command.OutOrStdout(), cells)
+			if err == nil && !passed {
+				err = errNotZero
+			}
+			return err
+		},
+	}
+	command.Flags().StringVar(&opts.out, "out", "", "the folder for logs; a temporary one if empty")
+	command.Flags().StringArrayVar(&names, "fault", nil, "only the fault of this name; may be repeated")
+	return command
+}
--- a/cmd/quaybench/fleet/process.go
+++ b/cmd/quaybench/fleet/process.go
@@ -70,6 +70,12 @@
 	_ = p.command.Wait()
 }
 
+// Terminated ends the process at once, as Kill does, in the form of a step.
+func (p *Process) Terminated() error {
+	p.Kill()
+	return nil
+}
+
 // Wait waits for the process to end and returns its exit status.
 func (p *Process) Wait() int {
 	// The status tells what the error would.
--- a/cmd/quaybench/load/caller.go
+++ b/cmd/quaybench/load/caller.go
@@ -150,7 +150,7 @@
 		r.Fault = err.Error()
 		return
 	}
-	r.Clean = done
+	r.Clean = true
 	r.Whole = done && r.Tokens == r.Output && !r.Crossed
 }
 
--- a/cmd/quaybench/load/load.go
+++ b/cmd/quaybench/load/load.go
@@ -134,7 +134,8 @@
 	Code string
 	// Tokens were received.
 	Tokens int
-	// Clean tells that the answer ended as its protocol promises.
+	// Clean tells that the connection showed no break before the answer's end. A
+	// clean answer that is not whole was passed off as whole.
 	Clean bool
 	// Whole tells that it held everything that this request asked for.
 	Whole bool
--- /dev/null
+++ b/cmd/quaybench/matrix/matrix.go
@@ -0,0 +1,305 @@
+// Package matrix crosses faults with moments of a request's life, on real
+// processes, and judges each cell by callers' records and ground truth.
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/fleet"
+	"github.com/quaylead/quaylead/cmd/quaybench/load"
+	"github.com/quaylead/quaylead/cmd/quaybench/measure"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// Moment is when the fault strikes.
+type Moment string
+
+// The moments.
+const (
+	// Before: the fault is there when the requests are sent.
+	Before Moment = "before"
+	// During: the requests are being answered when the fault strikes.
+	During Moment = "during"
+)
+
+// Fault is a row of the matrix.
+type Fault struct {
+	Name string
+	// Strike begins the fault, and Heal ends it.
+	Strike func(f *fleet.Fleet) error
+	Heal   func(f *fleet.Fleet) error
+	// CallersLeave makes the callers go away in place of a fault of the fleet.
+	CallersLeave bool
+}
+
+// Cell is the verdict on one fault at one moment.
+type Cell struct {
+	Fault    string
+	Moment   Moment
+	Requests int
+	Whole    int
+	Refused  int
+	Cut      int
+	// Failures says what went wrong; empty is a pass.
+	Failures []string
+}
+
+// Matrix runs cells against one fleet.
+type Matrix struct {
+	// Bin holds the programs, Dir takes settings, logs and ground truth.
+	Bin string
+	Dir string
+	// Faults are the rows.
+	Faults []Fault
+	// Progress takes a line for each cell.
+	Progress io.Writer
+
+	fleet *fleet.Fleet
+	// sent numbers requests and keys, which never repeat.
+	sent int
+}
+
+const (
+	// deadline is stated to the routers with each request.
+	deadline = 3 * time.Second
+	// patience is how long a caller waits in all, generous for a busy machine.
+	patience = 20 * time.Second
+	// strikeAfter is the time from sending to a fault during the answer. It
+	// lies within the answer's length.
+	strikeAfter = 150 * time.Millisecond
+	// healAfter is how long a fault lasts: past the deadline of the requests.
+	healAfter = deadline + 500*time.Millisecond
+)
+
+// Plan is the fleet of the matrix.
+func Plan() fleet.Plan {
+	return fleet.Plan{
+		Routers:        3,
+		Engines:        2,
+		Services:       1,
+		Slots:          8,
+		DecodeInterval: settings.Duration{Duration: 10 * time.Millisecond},
+		PrefillRate:    20000,
+		ServiceLatency: settings.Duration{Duration: 300 * time.Millisecond},
+		Customers:      map[string]settings.Customer{"ward": {}},
+		Proxied:        true,
+		Box:            []string{"Platform.Timeout=500ms"},
+	}
+}
+
+// Run runs every cell and returns the verdicts.
+func (m *Matrix) Run(ctx context.Context) (cells []Cell, err error) {
+	defer func() { err = trace.Wrap(err, "running the fault matrix") }()
+	m.fleet = &fleet.Fleet{Plan: Plan(), Bin: m.Bin, Dir: m.Dir}
+	if err := m.fleet.Start(ctx); err != nil {
+		return nil, err
+	}
+	defer m.fleet.Stop()
+	for _, fault := range m.Faults {
+		for _, moment := range []Moment{Before, During} {
+			cell, err := m.cell(ctx, fault, moment)
+			if err != nil {
+				return cells, trace.Wrap(err, "%s, %s", fault.Name, moment)
+			}
+			cells = append(cells, cell)
+			if m.Progress != nil {
+				fmt.Fprintln(m.Progress, fault.Name, moment, cell.Failures)
+			}
+		}
+	}
+	return cells, nil
+}
+
+func (m *Matrix) cell(ctx context.Context, fault Fault, moment Moment) (cell Cell, err error) {
+	cell = Cell{Fault: fault.Name, Moment: moment}
+	if err := m.awaitServing(ctx); err != nil {
+		return cell, err
+	}
+	callers, leave := context.WithCancel(ctx)
+	defer leave()
+	strike := func() error {
+		if fault.CallersLeave {
+			leave()
+			return nil
+		}
+		return fault.Strike(m.fleet)
+	}
+	if moment == Before && !fault.CallersLeave {
+		if err := strike(); err != nil {
+			return cell, err
+		}
+	}
+	group, records := m.send(callers)
+	struck := time.Now()
+	if moment == During || fault.CallersLeave {
+		if err := pause(ctx, strikeAfter); err != nil {
+			return cell, err
+		}
+		if err := strike(); err != nil {
+			return cell, err
+		}
+	}
+	if !fault.CallersLeave {
+		if err := pause(ctx, healAfter-time.Since(struck)); err != nil {
+			return cell, err
+		}
+		if err := fault.Heal(m.fleet); err != nil {
+			return cell, err
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return cell, err
+	}
+	return cell, m.judge(ctx, &cell, records, fault)
+}
+
+// send makes calls of every kind through every router: streams, and keyed
+// bookings of which each key goes through two routers at once.
+func (m *Matrix) send(ctx context.Context) (*errgroup.Group, []load.Record) {
+	caller := m.fleet.Caller(patience)
+	model := &load.Source{Customer: "ward"}
+	booking := &load.Source{Customer: "ward", Plain: true, Keyed: true}
+	var arrivals []load.Arrival
+	for router := range m.fleet.Routers {
+		m.sent++
+		key := fmt.Sprintf("key-%d", m.sent)
+		for _, arrival := range []load.Arrival{
+			{Source: model, Input: 20, Output: 40},
+			{Source: booking, Key: key},
+			{Source: booking, Key: key, Router: 1},
+		} {
+			arrival.Router = (arrival.Router + router) % len(m.fleet.Routers)
+			arrival.ID = fmt.Sprintf("request-%d-%d", m.sent, len(arrivals))
+			arrival.Timeout = deadline
+			arrivals = append(arrivals, arrival)
+		}
+	}
+	group := &errgroup.Group{}
+	records := make([]load.Record, len(arrivals))
+	for i, arrival := range arrivals {
+		group.Go(func() error {
+			records[i] = caller.Call(ctx, arrival)
+			return nil
+		})
+	}
+	return group, records
+}
+
+// judge holds the cell's records against the ground truth, and waits for all
+// work to have ended.
+func (m *Matrix) judge(ctx context.Context, cell *Cell, records []load.Record, fault Fault) error {
+	if err := m.awaitIdle(ctx); err != nil {
+		cell.Failures = append(cell.Failures, "work left over: "+err.Error())
+	}
+	events, err := m.fleet.Truth()
+	if err != nil {
+		return err
+	}
+	result := measure.Compute(measure.Input{Records: records, Truth: events, Slots: 1})
+	cell.Requests = result.Requests
+	cell.Whole = result.Whole
+	cell.Cut = result.VisiblyCut
+	cell.Refused = result.Requests - result.Whole - result.VisiblyCut
+	for _, count := range []struct {
+		name  string
+		value int
+	}{
+		{"double runs", result.DoubleRuns},
+		{"false not-run", result.FalseNotRun},
+		{"cut answers passed as whole", result.CutAnswers},
+		{"crossed answers", result.CrossedAnswers},
+		{"requests without an answer in time", late(records, fault)},
+	} {
+		if count.value > 0 {
+			cell.Failures = append(cell.Failures, fmt.Sprintf("%d %s", count.value, count.name))
+		}
+	}
+	return nil
+}
+
+// late counts requests that only the caller's own patience ended.
+func late(records []load.Record, fault Fault) (count int) {
+	for _, record := range records {
+		if !fault.CallersLeave && record.End.Sub(record.Sent) >= patience {
+			count++
+		}
+	}
+	return count
+}
+
+// awaitServing waits until every router gets whole answers of both kinds, so
+// that a cell meets its own fault and not what the one before it left.
+func (m *Matrix) awaitServing(ctx context.Context) error {
+	caller := m.fleet.Caller(patience)
+	sources := []*load.Source{{Customer: "ward"}, {Customer: "ward", Plain: true}}
+	err := fleet.Poll(ctx, func() (bool, error) {
+		for router := range m.fleet.Routers {
+			for _, source := range sources {
+				m.sent++
+				record := caller.Call(ctx, load.Arrival{
+					ID:      fmt.Sprintf("probe-%d", m.sent),
+					Input:   1,
+					Output:  1,
+					Router:  router,
+					Source:  source,
+					Timeout: deadline,
+				})
+				if !record.Whole {
+					return false, nil
+				}
+			}
+		}
+		return true, nil
+	})
+	return trace.Wrap(err, "waiting for the fleet to serve")
+}
+
+// awaitIdle waits until no router has anything in flight.
+func (m *Matrix) awaitIdle(ctx context.Context) error {
+	return fleet.Poll(ctx, func() (bool, error) {
+		for _, router := range m.fleet.Routers {
+			status, err := router.Status()
+			if err != nil || status.InFlight != 0 {
+				return false, nil
+			}
+		}
+		return true, nil
+	})
+}
+
+func pause(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(max(0, length))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Print writes the verdicts as a table and tells whether all cells passed.
+func Print(out io.Writer, cells []Cell) (passed bool, err error) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "Fault\tMoment\tRequests\tWhole\tRefused\tCut\tVerdict")
+	failed, requests := 0, 0
+	for _, cell := range cells {
+		verdict := "pass"
+		if len(cell.Failures) > 0 {
+			verdict = fmt.Sprint(cell.Failures)
+			failed++
+		}
+		requests += cell.Requests
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", cell.Fault, cell.Moment,
+			cell.Requests, cell.Whole, cell.Refused, cell.Cut, verdict)
+	}
+	fmt.Fprintf(table, "%d cells, %d requests, %d cells failed\n", len(cells), requests, failed)
+	return failed == 0, table.Flush()
+}
