pkg/pool: take a waiting request back when another endpoint is free

Ruled out: choice of endpoint (the slow engine looked no emptier than others) and tickets at routers (none waited in that time).

Change: a streamed request that has waited a second at an engine while another has a free slot is taken back and goes there, at most three endpoints in all. Only requests that may be repeated are; it costs no retry budget.

Answers in one piece stay where they are.

--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -67,6 +67,12 @@
 	return ok
 }
 
+// Stranded tells that a request should be taken back from its endpoint's queue.
+func (p *Pool) Stranded(t *Ticket) (stranded bool) {
+	p.Look(func(s *Schedule, now time.Time) { stranded = s.Stranded(t, now) })
+	return stranded
+}
+
 // NoneAvailable tells that no endpoint can be given work, and how long until
 // one will be tried again.
 func (p *Pool) NoneAvailable() (wait time.Duration, none bool) {
--- a/pkg/pool/schedule.go
+++ b/pkg/pool/schedule.go
@@ -369,7 +369,7 @@
 	case Declined:
 		endpoint.probing = false
 		endpoint.saysLeaving = endpoint.saysLeaving || how.Leaving
-	case Abandoned:
+	case Moved, Abandoned:
 		endpoint.probing = false
 	}
 }
@@ -391,6 +391,27 @@
 	t.uncovered = 0
 }
 
+// strandedAfter is how long a request waits in an endpoint's queue before it may
+// be taken back. It is longer than load reports lag.
+const strandedAfter = time.Second
+
+// Stranded tells that a request waits in its endpoint's queue although another
+// endpoint has a free slot, as when its own became slow.
+func (s *Schedule) Stranded(t *Ticket, now time.Time) bool {
+	if t.phase != running || t.started || !t.Streamed || now.Sub(t.sentAt) < strandedAfter {
+		return false
+	}
+	for _, other := range s.inOrder {
+		if other == t.Endpoint || t.tried[other.Name] || !other.available(now) {
+			continue
+		}
+		if other.load(now) < 1 && s.hasRoom(t, other, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeRetry tells whether the retry budget allows another attempt, and books it.
 func (s *Schedule) TakeRetry() bool {
 	if s.retries < 1 {
--- a/pkg/pool/ticket.go
+++ b/pkg/pool/ticket.go
@@ -52,7 +52,7 @@
 )
 
 // Outcome is how an attempt at an endpoint ended: one of Answered, Failed,
-// Declined and Abandoned.
+// Declined, Moved and Abandoned.
 type Outcome interface {
 	outcome()
 }
@@ -76,10 +76,15 @@
 	Leaving bool
 }
 
+// Moved means that the request waited in the endpoint's queue while another
+// endpoint had a free slot, and was taken back to go there.
+type Moved struct{}
+
 // Abandoned means that the caller went away or its deadline passed.
 type Abandoned struct{}
 
 func (Answered) outcome()  {}
 func (Failed) outcome()    {}
 func (Declined) outcome()  {}
+func (Moved) outcome()     {}
 func (Abandoned) outcome() {}
--- a/pkg/router/job.go
+++ b/pkg/router/job.go
@@ -56,7 +56,21 @@
 // Error says why the wait ended.
 func (lateError) Error() string { return "the deadline passed" }
 
-// check is asked while an endpoint's answer is awaited.
+// strandedError ends waiting in the queue of an endpoint while another is free.
+type strandedError struct{}
+
+// Error says why the wait ended.
+func (strandedError) Error() string { return "another endpoint has a free slot" }
+
+// checkAnswer is asked while an endpoint's answer is awaited.
+func (j *job) checkAnswer() error {
+	if j.repeatable && j.life.Attempts() < maxAttempts && j.pool.Stranded(j.ticket) {
+		return strandedError{}
+	}
+	return j.check()
+}
+
+// check tells whether the request is still wanted.
 func (j *job) check() error {
 	if time.Now().After(j.deadline) {
 		return lateError{}
@@ -206,7 +220,7 @@
 	client := j.router.client(j.ticket.Endpoint.Address, &j.rules)
 	sending := func() error { return j.life.Advance(request.Sending) }
 	sent := func() error { return j.life.Advance(request.Sent) }
-	answer, err := client.Send(call, !j.repeatable, j.check, sending, sent)
+	answer, err := client.Send(call, !j.repeatable, j.checkAnswer, sending, sent)
 	if err != nil {
 		return nil, err
 	}
@@ -254,6 +268,7 @@
 func (j *job) afterFailure(err error) *request.Refusal {
 	var declined *declinedError
 	var dial *endpoint.DialError
+	stranded := errors.Is(err, strandedError{})
 	ended := errors.Is(err, goneError{}) || errors.Is(err, lateError{})
 	switch {
 	case errors.As(err, &declined):
@@ -262,11 +277,13 @@
 	case ended:
 		j.pool.Finish(j.ticket, pool.Abandoned{})
 		return j.givenUp(err)
+	case stranded:
+		j.pool.Finish(j.ticket, pool.Moved{})
 	default:
 		j.pool.Finish(j.ticket, pool.Failed{})
 	}
-	proven := declined != nil || errors.As(err, &dial)
-	if j.backInLine(proven) {
+	free := declined != nil || stranded || errors.As(err, &dial)
+	if j.backInLine(free) {
 		return nil
 	}
 	return &request.Refusal{
@@ -277,9 +294,10 @@
 	}
 }
 
-// backInLine queues the request for another attempt. An endpoint that ran
-// nothing costs no budget; any other failure does.
-func (j *job) backInLine(proven bool) bool {
+// backInLine queues the request for another attempt. It is free of the budget if
+// the endpoint ran nothing or was left while the request waited there; any
+// other failure costs.
+func (j *job) backInLine(free bool) bool {
 	if j.life.Attempts() >= maxAttempts || j.tries >= maxTries {
 		return false
 	}
@@ -287,7 +305,7 @@
 		return false
 	}
 	j.router.Metrics.Retries.Add(j.poolName, 1)
-	if proven {
+	if free {
 		return j.pool.Requeue(j.ticket)
 	}
 	return j.pool.Retry(j.ticket)
