pkg: split large files, one way to wait, and retried requests go first

Cause: read as a newcomer would. exchange.go, schedule.go and fleet.go held several concepts each; five packages had a wait of their own; an endpoint kept a set and its size, under a name that said neither; time-outs of an endpoint's connections did not follow new settings; a request that came back from an endpoint went to the end of its customer's line.

Change: files by concept (listening, framing, traffic; order, news; tree, address); pkg/interval; the set alone, with its fields' meanings written down; connections begin anew when their time-outs change; a returned request goes first.

--- a/cmd/quaybench/fleet/fleet.go
+++ b/cmd/quaybench/fleet/fleet.go
@@ -7,10 +7,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -303,110 +301,6 @@
 	return f.Grid.Add(link, address)
 }
 
-// tree is the settings tree of a test fleet.
-type tree struct {
-	Classes   map[string]settings.Class
-	Customers map[string]customerTree
-	Pools     map[string]poolTree
-}
-
-type customerTree struct {
-	Share       float64  `toml:",omitempty"`
-	KeyHashes   []string `toml:",omitempty"`
-	QueueLength int      `toml:",omitempty"`
-	Unsettled   float64  `toml:",omitempty"`
-}
-
-type poolTree struct {
-	Kind          settings.PoolKind
-	Models        []string             `toml:",omitempty"`
-	Paths         []string             `toml:",omitempty"`
-	Order         settings.OrderPolicy `toml:",omitempty"`
-	SlotPolicy    settings.SlotPolicy  `toml:",omitempty"`
-	Slack         int                  `toml:",omitempty"`
-	QuickSlots    int                  `toml:",omitempty"`
-	MergeBound    float64              `toml:",omitempty"`
-	NotRepeatable []string             `toml:",omitempty"`
-	Endpoints     map[string]endpointTree
-}
-
-type endpointTree struct {
-	Address string
-	Zone    string
-	Slots   int `toml:",omitempty"`
-}
-
-func (f *Fleet) writeTree() (path string, err error) {
-	defer func() { err = trace.Wrap(err, "writing the settings tree") }()
-	engines, err := f.endpoints(f.Engines, f.Plan.Slots)
-	if err != nil {
-		return "", err
-	}
-	services, err := f.endpoints(f.Services, serviceSlots)
-	if err != nil {
-		return "", err
-	}
-	rules := f.Plan.Pool
-	content := tree{
-		Classes:   f.Plan.Classes,
-		Customers: map[string]customerTree{},
-		Pools: map[string]poolTree{
-			ModelPool: {
-				Kind:       settings.ModelPool,
-				Models:     []string{Model},
-				Order:      rules.Order,
-				SlotPolicy: rules.SlotPolicy,
-				Slack:      rules.Slack,
-				QuickSlots: rules.QuickSlots,
-				MergeBound: rules.MergeBound,
-				Endpoints:  engines,
-			},
-			PlainPool: {
-				Kind:          settings.PlainPool,
-				Paths:         []string{"/"},
-				NotRepeatable: []string{"POST " + BookingPath},
-				Endpoints:     services,
-			},
-		},
-	}
-	for name, customer := range f.Plan.Customers {
-		content.Customers[name] = customerTree{
-			Share:       customer.Share,
-			KeyHashes:   []string{KeyHash(name)},
-			QueueLength: customer.QueueLength,
-			Unsettled:   customer.Unsettled,
-		}
-	}
-	text, err := toml.Marshal(content)
-	if err != nil {
-		return "", err
-	}
-	path = f.TreeFile()
-	return path, os.WriteFile(path, text, 0o644)
-}
-
-// treeName is the file of the settings tree in the fleet's folder.
-const treeName = "fleet.toml"
-
-// serviceSlots is the number of calls a plain service takes at once.
-const serviceSlots = 64
-
-func (f *Fleet) endpoints(processes []*Process, slots int) (map[string]endpointTree, error) {
-	endpoints := map[string]endpointTree{}
-	for i, process := range processes {
-		address, err := f.through(EndpointLink(process.Name), process.Address)
-		if err != nil {
-			return nil, err
-		}
-		endpoints[process.Name] = endpointTree{
-			Address: address,
-			Zone:    zones[i%len(zones)],
-			Slots:   slots,
-		}
-	}
-	return endpoints, nil
-}
-
 // listBoxes tells the platform which boxes there are.
 func (f *Fleet) listBoxes() error {
 	var boxes []platform.ListedBox
@@ -454,32 +348,6 @@
 	}
 }
 
-// given are the addresses that were handed out in this process. The kernel may
-// choose a port again before the process that it is meant for has started.
-var given sync.Map
-
-// freeAddress lets the kernel choose a free port. It is chosen on a loopback
-// address that only this harness uses: on 127.0.0.1 the port of an outgoing
-// connection could take it before the process that it is meant for starts.
-func freeAddress() (address string, err error) {
-	defer func() { err = trace.Wrap(err, "choosing a port") }()
-	pid := os.Getpid()
-	host := net.IPv4(127, byte(1+pid>>8&0x7f), byte(pid), 1)
-	for {
-		listener, err := net.Listen("tcp", net.JoinHostPort(host.String(), "0"))
-		if err != nil {
-			return "", err
-		}
-		address = listener.Addr().String()
-		if err := listener.Close(); err != nil {
-			return "", err
-		}
-		if _, taken := given.LoadOrStore(address, true); !taken {
-			return address, nil
-		}
-	}
-}
-
 // awaitReady waits until a router takes callers.
 func awaitReady(ctx context.Context, router *Router) error {
 	err := Poll(ctx, func() (bool, error) {
--- a/cmd/quaybench/load/load.go
+++ b/cmd/quaybench/load/load.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/settings"
 )
 
@@ -183,7 +184,7 @@
 	began := time.Now()
 	lastProgress := began
 	for i, arrival := range trace {
-		if err := sleepUntil(ctx, began.Add(arrival.At)); err != nil {
+		if err := interval.Wait(ctx, time.Until(began.Add(arrival.At))); err != nil {
 			break
 		}
 		group.Go(func() error {
@@ -210,14 +211,3 @@
 	defer r.mu.Unlock()
 	return len(r.records)
 }
-
-func sleepUntil(ctx context.Context, at time.Time) error {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/cmd/quaybench/matrix/matrix.go
+++ b/cmd/quaybench/matrix/matrix.go
@@ -15,6 +15,7 @@
 	"github.com/quaylead/quaylead/cmd/quaybench/fleet"
 	"github.com/quaylead/quaylead/cmd/quaybench/load"
 	"github.com/quaylead/quaylead/cmd/quaybench/measure"
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/settings"
 )
 
@@ -139,7 +140,7 @@
 	group, records := m.send(callers)
 	struck := time.Now()
 	if moment == During || fault.CallersLeave {
-		if err := pause(ctx, strikeAfter); err != nil {
+		if err := interval.Wait(ctx, strikeAfter); err != nil {
 			return cell, err
 		}
 		if err := strike(); err != nil {
@@ -147,7 +148,7 @@
 		}
 	}
 	if !fault.CallersLeave {
-		if err := pause(ctx, healAfter-time.Since(struck)); err != nil {
+		if err := interval.Wait(ctx, healAfter-time.Since(struck)); err != nil {
 			return cell, err
 		}
 		if err := fault.Heal(m.fleet); err != nil {
@@ -274,17 +275,6 @@
 	})
 }
 
-func pause(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(max(0, length))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Print writes the verdicts as a table and tells whether all cells passed.
 func Print(out io.Writer, cells []Cell) (passed bool, err error) {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/cmd/quaybench/slopes/slopes.go
+++ b/cmd/quaybench/slopes/slopes.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/pool"
 	"github.com/quaylead/quaylead/pkg/settings"
@@ -123,11 +124,11 @@
 	if err != nil {
 		return sample, err
 	}
-	if err := wait(ctx, settle); err != nil {
+	if err := interval.Wait(ctx, settle); err != nil {
 		return sample, err
 	}
 	bytesBefore, cpuBefore, began := traffic(exchanges), processorTime(), time.Now()
-	if err := wait(ctx, length); err != nil {
+	if err := interval.Wait(ctx, length); err != nil {
 		return sample, err
 	}
 	elapsed := time.Since(began)
@@ -215,17 +216,6 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-func wait(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // fit draws the least-squares line through points.
 func fit(xs, ys []float64) Line {
 	n := float64(len(xs))
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -15,6 +15,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/platform"
 )
 
@@ -156,7 +157,7 @@
 		if err == nil || !unavailable(err) {
 			return result, err
 		}
-		if pause(ctx, retryPause) != nil {
+		if interval.Wait(ctx, retryPause) != nil {
 			if uncertain {
 				r.postpone(claim, nil)
 			}
@@ -264,7 +265,7 @@
 
 // Run finishes postponed writes until the context ends.
 func (r *Registry) Run(ctx context.Context) error {
-	for pause(ctx, finishInterval) == nil {
+	for interval.Wait(ctx, finishInterval) == nil {
 		r.mu.Lock()
 		batch := r.unfinished
 		r.unfinished = nil
@@ -321,14 +322,3 @@
 	}
 	return &platform.UnavailableError{Path: Table, Err: err}
 }
-
-func pause(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/tls"
 	"io"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -18,9 +17,8 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
 
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 	"github.com/quaylead/quaylead/pkg/settings"
 )
@@ -79,12 +77,6 @@
 	Lead uint64
 }
 
-// Traffic counts the bytes between boxes.
-type Traffic struct {
-	Sent     atomic.Int64
-	Received atomic.Int64
-}
-
 // Exchange runs the sessions of one box.
 type Exchange struct {
 	// Box and Incarnation introduce this process.
@@ -117,9 +109,6 @@
 	session atomic.Pointer[yamux.Session]
 }
 
-// maxMessageBytes bounds a message between boxes; a snapshot is the largest.
-const maxMessageBytes = 16 << 20
-
 // Run serves peers on the listener and keeps a session to each known peer,
 // until the context ends.
 func (e *Exchange) Run(ctx context.Context, listener net.Listener) (err error) {
@@ -181,7 +170,9 @@
 			return
 		}
 		e.Log.Debug("session to peer ended", zap.String("Peer", l.name), zap.Error(err))
-		sleep(ctx, jitter(e.Box.Exchange.Heartbeat.Duration))
+		if interval.Wait(ctx, interval.Jittered(e.Box.Exchange.Heartbeat.Duration)) != nil {
+			return
+		}
 	}
 }
 
@@ -254,129 +245,12 @@
 			}
 			lastSent = time.Now()
 		}
-		if err := sleepOr(ctx, jitter(timing.Interval.Duration), wake); err != nil {
-			return err
-		}
-	}
-}
-
-func (e *Exchange) accept(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
-	for {
-		raw, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
+		if err := interval.WaitOr(ctx, interval.Jittered(timing.Interval.Duration), wake); err != nil {
 			return err
 		}
-		group.Go(func() error {
-			if err := e.serve(ctx, raw); err != nil {
-				e.Log.Debug("session from peer ended", zap.Error(err))
-			}
-			return nil
-		})
 	}
 }
 
-// serve answers one peer's session.
-func (e *Exchange) serve(ctx context.Context, raw net.Conn) error {
-	defer raw.Close()
-	if e.TLS != nil {
-		raw = tls.Server(raw, e.TLS)
-	}
-	session, err := yamux.Server(&countedConn{Conn: raw, traffic: &e.Traffic}, e.sessionConfig())
-	if err != nil {
-		return err
-	}
-	defer session.Close()
-	stop := context.AfterFunc(ctx, func() { session.Close() })
-	defer stop()
-	group := errgroup.Group{}
-	for {
-		stream, err := session.Accept()
-		if err != nil {
-			session.Close()
-			return trace.NewAggregate(err, group.Wait())
-		}
-		group.Go(func() error {
-			defer stream.Close()
-			return e.serveStream(stream, session)
-		})
-	}
-}
-
-func (e *Exchange) serveStream(stream net.Conn, session *yamux.Session) error {
-	reader := bufio.NewReader(stream)
-	if err := e.expect(stream); err != nil {
-		return err
-	}
-	opening := &peerpb.Opening{}
-	if err := receive(reader, opening); err != nil {
-		return err
-	}
-	switch purpose := opening.Purpose.(type) {
-	case *peerpb.Opening_Hello:
-		defer session.Close()
-		return e.listen(stream, reader, purpose.Hello)
-	case *peerpb.Opening_SnapshotRequest:
-		revision, content := e.Teller.Snapshot()
-		reply := &peerpb.Snapshot{Revision: revision, Content: content}
-		return send(stream, reply, e.Box.Exchange.Lapse.Duration)
-	}
-	return trace.BadParameter("stream without a purpose")
-}
-
-// listen passes on a peer's updates until it is silent for too long. The
-// session is then closed, so that the peer starts again with everything.
-func (e *Exchange) listen(stream net.Conn, reader *bufio.Reader, hello *peerpb.Hello) error {
-	from := Sender{
-		Box:             hello.Box,
-		Zone:            hello.Zone,
-		Incarnation:     hello.Incarnation,
-		OperatorAddress: hello.OperatorAddress,
-	}
-	if from.Incarnation == e.Incarnation {
-		return nil
-	}
-	e.countHeard(from, 1)
-	defer e.countHeard(from, -1)
-	decoder := decoder{}
-	for first := true; ; first = false {
-		if err := e.expect(stream); err != nil {
-			return err
-		}
-		update := &peerpb.Update{}
-		if err := receive(reader, update); err != nil {
-			return err
-		}
-		state, err := decoder.decode(update)
-		if err != nil {
-			return err
-		}
-		e.Listener.Heard(from, state, first)
-	}
-}
-
-// countHeard counts the open streams of a sender, and reports its silence when
-// the last one ends.
-func (e *Exchange) countHeard(from Sender, change int) {
-	e.mu.Lock()
-	e.heard[from.Incarnation] += change
-	silent := e.heard[from.Incarnation] == 0
-	if silent {
-		delete(e.heard, from.Incarnation)
-	}
-	e.mu.Unlock()
-	if silent {
-		e.Listener.Silent(from)
-	}
-}
-
-// expect bounds the wait for the peer's next message.
-func (e *Exchange) expect(stream net.Conn) error {
-	return stream.SetReadDeadline(time.Now().Add(e.Box.Exchange.Lapse.Duration))
-}
-
 // Fetch asks peers for settings of at least a revision, one after the other,
 // the named one first, and returns the first that has them.
 func (e *Exchange) Fetch(first string, revision uint64) (found uint64, content []byte, err error) {
@@ -437,62 +311,3 @@
 	config.LogOutput = io.Discard
 	return config
 }
-
-func send(stream net.Conn, message proto.Message, timeout time.Duration) error {
-	if err := stream.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
-		return err
-	}
-	buffered := bufio.NewWriter(stream)
-	if _, err := protodelim.MarshalTo(buffered, message); err != nil {
-		return err
-	}
-	return buffered.Flush()
-}
-
-func receive(reader *bufio.Reader, message proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	return options.UnmarshalFrom(reader, message)
-}
-
-// jitter spreads periodic work of many boxes: between 0.75 and 1.25 of the mean.
-func jitter(mean time.Duration) time.Duration {
-	return time.Duration(float64(mean) * (0.75 + rand.Float64()/2))
-}
-
-func sleep(ctx context.Context, length time.Duration) error {
-	return sleepOr(ctx, length, nil)
-}
-
-// sleepOr sleeps until the time has passed or it is woken.
-func sleepOr(ctx context.Context, length time.Duration, wake <-chan struct{}) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-wake:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// countedConn counts the bytes of a session, with the library's framing.
-type countedConn struct {
-	net.Conn
-	traffic *Traffic
-}
-
-// Read reads and counts.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.traffic.Received.Add(int64(n))
-	return n, err
-}
-
-// Write writes and counts.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.traffic.Sent.Add(int64(n))
-	return n, err
-}
--- /dev/null
+++ b/pkg/peer/listening.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/peer/peerpb"
+)
+
+// accept takes the sessions that peers open.
+func (e *Exchange) accept(ctx context.Context, group *errgroup.Group, listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		group.Go(func() error {
+			if err := e.serve(ctx, raw); err != nil {
+				e.Log.Debug("session from peer ended", zap.Error(err))
+			}
+			return nil
+		})
+	}
+}
+
+// serve answers one peer's session.
+func (e *Exchange) serve(ctx context.Context, raw net.Conn) error {
+	defer raw.Close()
+	if e.TLS != nil {
+		raw = tls.Server(raw, e.TLS)
+	}
+	session, err := yamux.Server(&countedConn{Conn: raw, traffic: &e.Traffic}, e.sessionConfig())
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	group := errgroup.Group{}
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			session.Close()
+			return trace.NewAggregate(err, group.Wait())
+		}
+		group.Go(func() error {
+			defer stream.Close()
+			return e.serveStream(stream, session)
+		})
+	}
+}
+
+// serveStream does what a stream was opened for.
+func (e *Exchange) serveStream(stream net.Conn, session *yamux.Session) error {
+	reader := bufio.NewReader(stream)
+	if err := e.expect(stream); err != nil {
+		return err
+	}
+	opening := &peerpb.Opening{}
+	if err := receive(reader, opening); err != nil {
+		return err
+	}
+	switch purpose := opening.Purpose.(type) {
+	case *peerpb.Opening_Hello:
+		defer session.Close()
+		return e.listen(stream, reader, purpose.Hello)
+	case *peerpb.Opening_SnapshotRequest:
+		revision, content := e.Teller.Snapshot()
+		reply := &peerpb.Snapshot{Revision: revision, Content: content}
+		return send(stream, reply, e.Box.Exchange.Lapse.Duration)
+	}
+	return trace.BadParameter("stream without a purpose")
+}
+
+// listen passes on a peer's updates until it is silent for too long. The
+// session is then closed, so that the peer starts again with everything.
+func (e *Exchange) listen(stream net.Conn, reader *bufio.Reader, hello *peerpb.Hello) error {
+	from := Sender{
+		Box:             hello.Box,
+		Zone:            hello.Zone,
+		Incarnation:     hello.Incarnation,
+		OperatorAddress: hello.OperatorAddress,
+	}
+	if from.Incarnation == e.Incarnation {
+		return nil
+	}
+	e.countHeard(from, 1)
+	defer e.countHeard(from, -1)
+	decoder := decoder{}
+	for first := true; ; first = false {
+		if err := e.expect(stream); err != nil {
+			return err
+		}
+		update := &peerpb.Update{}
+		if err := receive(reader, update); err != nil {
+			return err
+		}
+		state, err := decoder.decode(update)
+		if err != nil {
+			return err
+		}
+		e.Listener.Heard(from, state, first)
+	}
+}
+
+// countHeard counts the open streams of a sender, and reports its silence when
+// the last one ends.
+func (e *Exchange) countHeard(from Sender, change int) {
+	e.mu.Lock()
+	e.heard[from.Incarnation] += change
+	silent := e.heard[from.Incarnation] == 0
+	if silent {
+		delete(e.heard, from.Incarnation)
+	}
+	e.mu.Unlock()
+	if silent {
+		e.Listener.Silent(from)
+	}
+}
+
+// expect bounds the wait for the peer's next message.
+func (e *Exchange) expect(stream net.Conn) error {
+	return stream.SetReadDeadline(time.Now().Add(e.Box.Exchange.Lapse.Duration))
+}
--- /dev/null
+++ b/pkg/peer/traffic.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes between boxes.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// countedConn counts the bytes of a session, with the library's framing.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -105,7 +105,7 @@
 	}
 	free := max(0, endpoint.Slots-endpoint.running-endpoint.others(now))
 	allowed := s.rules.Slack + free/s.liveRouters
-	return endpoint.unstarted < allowed
+	return len(endpoint.unstarted) < allowed
 }
 
 // affinityRank is the rendezvous hash of a prompt's beginning and an endpoint.
--- a/pkg/pool/endpoint.go
+++ b/pkg/pool/endpoint.go
@@ -23,23 +23,29 @@
 	Name string
 	settings.Endpoint
 
-	// running are this router's requests there, unstarted those of them that
-	// have shown no sign of having begun, and slow those of no quick class.
-	// 0 <= unstarted, slow <= running.
-	running   int
-	unstarted int
-	slow      int
+	// running are this router's requests there, and slow those of them that are
+	// of no quick class. 0 <= slow <= running.
+	running int
+	slow    int
+	// unstarted are the requests that have shown no sign of having begun; they
+	// may wait in the endpoint's own queue. Each of them is running.
+	unstarted map[*Ticket]struct{}
 
-	report         Report
-	reportedAt     time.Time
-	runningAtWord  int
-	saysLeaving    bool
-	listedLeaving  bool
-	failures       int
-	ejections      int
-	ejectedUntil   time.Time
-	probing        bool
-	unstartedSince map[*Ticket]struct{}
+	// report is the endpoint's last word on its load, reportedAt when it came,
+	// and runningAtWord what this router had running there then.
+	report        Report
+	reportedAt    time.Time
+	runningAtWord int
+	// saysLeaving is the endpoint's own word, listedLeaving the box list's.
+	saysLeaving   bool
+	listedLeaving bool
+	// failures counts those in a row; ejections is 0 while the endpoint is in use
+	// and counts the ejections in a row otherwise.
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	// probing is set while one request tries an endpoint that was ejected.
+	probing bool
 }
 
 // maxEjectDoublings bounds how long an endpoint that keeps failing stays out.
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -43,12 +43,18 @@
 	return len(q.quick) + len(q.slow)
 }
 
+// push puts a ticket in line; one that comes back from an endpoint goes first,
+// since it has waited its turn.
 func (q *queue) push(t *Ticket) {
+	line := &q.slow
 	if t.Quick {
-		q.quick = append(q.quick, t)
+		line = &q.quick
+	}
+	if len(t.tried) > 0 {
+		*line = slices.Insert(*line, 0, t)
 		return
 	}
-	q.slow = append(q.slow, t)
+	*line = append(*line, t)
 }
 
 func (q *queue) remove(t *Ticket) {
--- a/pkg/pool/schedule.go
+++ b/pkg/pool/schedule.go
@@ -62,7 +62,7 @@
 	for name, declared := range rules.Endpoints {
 		endpoint := known[name]
 		if endpoint == nil || endpoint.Address != declared.Address {
-			endpoint = &Endpoint{Name: name, unstartedSince: map[*Ticket]struct{}{}}
+			endpoint = &Endpoint{Name: name, unstarted: map[*Ticket]struct{}{}}
 		}
 		endpoint.Endpoint = declared
 		s.endpoints[name] = endpoint
@@ -154,79 +154,6 @@
 	return nil
 }
 
-// noteInterval is the least time between two updates of the means.
-const noteInterval = 20 * time.Millisecond
-
-// noteWaiting brings the mean numbers of waiting requests up to date.
-func (s *Schedule) noteWaiting(now time.Time) {
-	if now.Sub(s.notedAt) < noteInterval {
-		return
-	}
-	s.notedAt = now
-	for customer, line := range s.queues {
-		s.Ledger.SetMeanWaiting(customer, line.meanWaiting(now))
-	}
-}
-
-// order sorts the customers that wait here: furthest behind first, or by the
-// arrival of their first request in the baseline.
-func (s *Schedule) order() []*queue {
-	lines := make([]*queue, 0, len(s.queues))
-	for _, line := range s.queues {
-		if line.length() > 0 && !s.overdrawn(line) {
-			line.key = s.Ledger.Key(line.customer)
-			lines = append(lines, line)
-		}
-	}
-	slices.SortFunc(lines, func(a, b *queue) int {
-		if s.rules.Order == settings.ArrivalOrder {
-			return a.first().Compare(b.first())
-		}
-		if order := cmp.Compare(a.key, b.key); order != 0 {
-			return order
-		}
-		if order := a.first().Compare(b.first()); order != 0 {
-			return order
-		}
-		return cmp.Compare(a.customer, b.customer)
-	})
-	return lines
-}
-
-// overdrawn tells that what runs unsettled for the customer is at its bound.
-func (s *Schedule) overdrawn(line *queue) bool {
-	if line.running == 0 || s.rules.Order == settings.ArrivalOrder {
-		return false
-	}
-	counter := s.Ledger.Counter(line.customer)
-	return counter.Pending+counter.Reserved >= s.customers[line.customer].Unsettled
-}
-
-// quickPart is the part of the bound that a customer may lead by and still have
-// its quick requests go first.
-const quickPart = 4
-
-// withinShare tells whether quick requests of the customer go before others: a
-// customer far ahead of its share may not flood the pool by the quick class.
-func (s *Schedule) withinShare(line *queue) bool {
-	if s.rules.Order == settings.ArrivalOrder {
-		return false
-	}
-	return s.Ledger.Lead(line.customer) <= s.Ledger.Bound/quickPart
-}
-
-// takeAny grants a customer's request: quick ones first, or strictly by arrival
-// in the baseline.
-func (s *Schedule) takeAny(line *queue, now time.Time) *Ticket {
-	if s.rules.Order == settings.ArrivalOrder {
-		return s.take(line.byArrival(), now)
-	}
-	if t := s.take(line.quick, now); t != nil {
-		return t
-	}
-	return s.take(line.slow, now)
-}
-
 // take grants the first ticket for which an endpoint has room.
 func (s *Schedule) take(tickets []*Ticket, now time.Time) *Ticket {
 	for i, t := range tickets {
@@ -258,8 +185,7 @@
 	s.running++
 	line.start(now)
 	endpoint.running++
-	endpoint.unstarted++
-	endpoint.unstartedSince[t] = struct{}{}
+	endpoint.unstarted[t] = struct{}{}
 	line.unstarted[t] = struct{}{}
 	if !t.Quick {
 		endpoint.slow++
@@ -269,30 +195,6 @@
 	}
 }
 
-// slowPriority puts requests of no quick class behind those of a quick one.
-const slowPriority = 1 << 24
-
-// priorityPart is the part of the bound beyond which leads have one priority. A
-// request keeps its priority while it waits at an engine, however its customer
-// falls behind meanwhile; below the bound, others come to stand level with it,
-// and an engine takes the older of two that stand level.
-const priorityPart = 2
-
-// priority is the customer's lead at the moment of sending, so that an engine
-// with requests of several routers serves the one furthest behind.
-func (s *Schedule) priority(t *Ticket) int {
-	if s.rules.Order == settings.ArrivalOrder {
-		return 0
-	}
-	lead := s.Ledger.LeadOfNext(t.Customer)
-	worst := min(s.Ledger.Bound/priorityPart, slowPriority-1)
-	priority := int(min(max(lead, 0), worst))
-	if !t.Quick || lead > s.Ledger.Bound/quickPart {
-		priority += slowPriority
-	}
-	return priority
-}
-
 // estimate is what a request is charged before its cost is known.
 func (s *Schedule) estimate(t *Ticket) float64 {
 	if s.rules.Kind == settings.PlainPool {
@@ -320,8 +222,7 @@
 	t.started = true
 	s.Ledger.Depart(t.Customer)
 	s.Ledger.Charge(t.Customer, t.estimate)
-	t.Endpoint.unstarted--
-	delete(t.Endpoint.unstartedSince, t)
+	delete(t.Endpoint.unstarted, t)
 	delete(s.queue(t.Customer).unstarted, t)
 }
 
@@ -421,68 +322,6 @@
 	return true
 }
 
-// Report applies an endpoint's word on its load. A report that shows an empty
-// queue proves that what was sent well before it has begun.
-func (s *Schedule) Report(name string, report Report, now time.Time) {
-	endpoint := s.endpoints[name]
-	if endpoint == nil {
-		return
-	}
-	endpoint.report = report
-	endpoint.reportedAt = now
-	endpoint.runningAtWord = endpoint.running
-	endpoint.saysLeaving = report.Leaving
-	if now.After(endpoint.ejectedUntil) {
-		endpoint.succeed()
-	}
-	if report.Waiting > 0 {
-		return
-	}
-	for t := range endpoint.unstartedSince {
-		if !t.Streamed && now.Sub(t.sentAt) > s.rules.ReportInterval.Duration {
-			s.begun(t)
-		}
-	}
-}
-
-// ReportFailed notes that an endpoint did not answer when asked for its load.
-func (s *Schedule) ReportFailed(name string, now time.Time) {
-	endpoint := s.endpoints[name]
-	if endpoint == nil || now.Before(endpoint.ejectedUntil) {
-		return
-	}
-	endpoint.fail(now, &s.rules)
-}
-
-// ListLeaving applies the box list's word. The list lags, so it can only take
-// work away: an endpoint that says itself that it leaves stays without.
-func (s *Schedule) ListLeaving(leaving map[string]bool) {
-	for _, endpoint := range s.inOrder {
-		endpoint.listedLeaving = leaving[endpoint.Address]
-	}
-}
-
-// NoneAvailable tells that every endpoint is leaving or ejected, and how long
-// until the first ejected one is tried again.
-func (s *Schedule) NoneAvailable(now time.Time) (wait time.Duration, none bool) {
-	for _, endpoint := range s.inOrder {
-		if endpoint.available(now) || endpoint.probing {
-			return 0, false
-		}
-		if left := endpoint.ejectedUntil.Sub(now); !endpoint.leaving() && (wait == 0 || left < wait) {
-			wait = left
-		}
-	}
-	return wait, true
-}
-
-// SetPeers says how many routers live, this one included, and what the others
-// together have waiting and running in the pool.
-func (s *Schedule) SetPeers(liveRouters, peerDemand int) {
-	s.liveRouters = max(1, liveRouters)
-	s.peerDemand = peerDemand
-}
-
 // Demand is what this router has waiting and running in the pool.
 func (s *Schedule) Demand() int {
 	return s.waiting + s.running
--- a/pkg/router/follow.go
+++ b/pkg/router/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/platform"
@@ -19,33 +19,18 @@
 	"github.com/quaylead/quaylead/pkg/settings"
 )
 
-// every calls work now and then again after about the interval, until the
-// context ends. The interval is jittered, so that boxes do not keep step.
-func every(ctx context.Context, interval time.Duration, work func()) error {
-	for {
-		work()
-		wait := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
-		timer := time.NewTimer(wait)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		}
-	}
-}
-
 // followHead looks for accepted settings in the store.
 func (r *Router) followHead(ctx context.Context) error {
 	if r.Box.Platform.Address == "" {
 		return nil
 	}
 	log := r.logs.For(logflags.Settings)
-	return every(ctx, r.Box.Platform.HeadInterval.Duration, func() {
+	interval.Every(ctx, r.Box.Platform.HeadInterval.Duration, func() {
 		if err := r.checkHead(); err != nil {
 			log.Debug("looking for accepted settings failed", zap.Error(err))
 		}
 	})
+	return nil
 }
 
 // checkHead reads the head row and, when it is newer, the snapshot it names.
@@ -75,7 +60,7 @@
 		return nil
 	}
 	log := r.logs.For(logflags.Platform)
-	return every(ctx, r.Box.Platform.BoxListInterval.Duration, func() {
+	interval.Every(ctx, r.Box.Platform.BoxListInterval.Duration, func() {
 		boxes, err := r.store.Boxes()
 		if err != nil {
 			log.Debug("reading the box list failed", zap.Error(err))
@@ -83,6 +68,7 @@
 		}
 		r.applyBoxList(boxes)
 	})
+	return nil
 }
 
 // applyBoxList adds peers and takes work from endpoints that are leaving. A
@@ -113,12 +99,13 @@
 
 // followPeers tells each pool how many routers live and what they demand.
 func (r *Router) followPeers(ctx context.Context) error {
-	return every(ctx, r.Box.Exchange.Interval.Duration, func() {
+	interval.Every(ctx, r.Box.Exchange.Interval.Duration, func() {
 		for name, p := range r.poolsNow() {
 			liveRouters, demand := r.members.Demand(name)
 			p.Do(func(s *pool.Schedule, now time.Time) { s.SetPeers(liveRouters, demand) })
 		}
 	})
+	return nil
 }
 
 // State gives peers this router's account of every pool.
@@ -184,7 +171,7 @@
 // followReports asks endpoints for their load.
 func (r *Router) followReports(ctx context.Context) error {
 	ticks := map[string]time.Time{}
-	return every(ctx, reportTick, func() {
+	interval.Every(ctx, reportTick, func() {
 		for name, p := range r.poolsNow() {
 			rules, addresses := endpointsOf(p)
 			due := time.Since(ticks[name]) >= rules.ReportInterval.Duration
@@ -195,6 +182,7 @@
 			r.askReports(p, &rules, addresses)
 		}
 	})
+	return nil
 }
 
 // reportTick is the finest grain of report intervals.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -241,20 +241,26 @@
 	return pools
 }
 
-// client returns the connections to an endpoint's address.
+// client returns the connections to an endpoint's address. When the settings
+// change its time-outs, it begins anew; calls in flight keep the old one.
 func (r *Router) client(address string, rules *settings.Pool) *endpoint.Client {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	client := r.clients[address]
-	if client == nil {
-		client = &endpoint.Client{
-			Address:        address,
-			ConnectTimeout: rules.ConnectTimeout.Duration,
-			StallTimeout:   rules.StallTimeout.Duration,
-			HeaderBytes:    r.Box.Limits.HeaderBytes,
-		}
-		r.clients[address] = client
+	if client != nil && client.ConnectTimeout == rules.ConnectTimeout.Duration &&
+		client.StallTimeout == rules.StallTimeout.Duration {
+		return client
+	}
+	if client != nil {
+		client.Close()
+	}
+	client = &endpoint.Client{
+		Address:        address,
+		ConnectTimeout: rules.ConnectTimeout.Duration,
+		StallTimeout:   rules.StallTimeout.Duration,
+		HeaderBytes:    r.Box.Limits.HeaderBytes,
 	}
+	r.clients[address] = client
 	return client
 }
 
--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -59,6 +59,7 @@
 type peerCounter struct {
 	served  float64
 	pending float64
+	// waiting is the mean number of requests waiting there.
 	waiting float64
 }
 
@@ -115,9 +116,9 @@
 	l.Counter(customer).Reserved += estimate
 }
 
-// Charge books a reserved estimate in advance when the request begins. Nobody is left
-// further than Bound behind the customer that is served: news of a backlog that
-// is wrong, or that no router can work off, earns no more credit than that.
+// Charge books a reserved estimate in advance when the request begins. Nobody
+// is left further than Bound behind the customer that is served: news of a
+// backlog that is wrong, or that no router can work off, earns no more credit.
 func (l *Ledger) Charge(customer string, estimate float64) {
 	counter := l.Counter(customer)
 	key := counter.key()
