cmd/quaybench: operators who race under faults; pkg/box: a crash they found

Cause: settings were tested by a few changes.

Members.Live gives copies with maps of their own; members_test.go brings the crash about (fails under the race detector before, passes after).

Ruled out: the planned stop and the store's client; the trace names the encoder of /status.

--- a/cmd/quaybench/experiment/experiment.go
+++ b/cmd/quaybench/experiment/experiment.go
@@ -34,6 +34,8 @@
 	Fleet   fleet.Plan
 	Sources []load.Source
 	Faults  []Step
+	// Operators change the settings meanwhile.
+	Operators Operators
 	// JudgeFrom and JudgeUntil bound the time that the measures look at;
 	// JudgeUntil 0 means to the end.
 	JudgeFrom  settings.Duration
@@ -127,7 +129,11 @@
 		return result, err
 	}
 	began := time.Now()
-	records, err := r.drive(ctx, f)
+	operators, err := newRace(f, r.Experiment.Operators)
+	if err != nil {
+		return result, err
+	}
+	records, err := r.drive(ctx, f, operators)
 	if err != nil {
 		return result, err
 	}
@@ -142,6 +148,13 @@
 	input := r.input(began, records, events)
 	result = measure.Compute(input)
 	result.ControlBytesPerSecond = perSecond
+	if r.Experiment.Operators.Count > 0 {
+		verdict, err := operators.judge()
+		if err != nil {
+			return result, err
+		}
+		result.Settings = &verdict
+	}
 	result.OverheadP50, result.OverheadP99 = overheadP50, overheadP99
 	if err := measure.Plot(input, filepath.Join(r.Dir, "service.svg")); err != nil {
 		return result, err
@@ -149,13 +162,21 @@
 	return result, r.write(result)
 }
 
-// drive sends the trace while the faults follow their timetable.
-func (r *Run) drive(ctx context.Context, f *fleet.Fleet) (records []load.Record, err error) {
+// drive sends the trace while the faults follow their timetable and operators
+// change the settings.
+func (r *Run) drive(ctx context.Context, f *fleet.Fleet, operators *race) (records []load.Record, err error) {
 	runner := f.Caller(r.Experiment.Timeout.Duration)
 	runner.Progress = r.progress
 	arrivals := load.Trace(r.Experiment.Sources, len(f.Routers), r.Experiment.Length.Duration, r.Seed)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return follow(ctx, f, r.Experiment.Faults) })
+	if operators.plan.Count > 0 {
+		group.Go(func() error {
+			changing, stop := context.WithTimeout(ctx, r.Experiment.Length.Duration)
+			defer stop()
+			return operators.run(changing, r.Seed)
+		})
+	}
 	group.Go(func() (err error) {
 		records, err = runner.Run(ctx, arrivals)
 		return err
--- /dev/null
+++ b/cmd/quaybench/experiment/operators.go
@@ -0,0 +1,250 @@
+package experiment
+
+import (
+	"context"
+	crand "crypto/rand"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/fleet"
+	"github.com/quaylead/quaylead/cmd/quaybench/measure"
+	"github.com/quaylead/quaylead/pkg/interval"
+	"github.com/quaylead/quaylead/pkg/platform"
+	"github.com/quaylead/quaylead/pkg/revision"
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// Operators race each other to change the settings while an experiment runs.
+type Operators struct {
+	// Count is the number of operators; 0 means none.
+	Count int
+	// Pause is the mean time between two changes of one operator.
+	Pause settings.Duration
+}
+
+// acceptance is a change that an operator was told is accepted.
+type acceptance struct {
+	revision uint64
+	nonce    string
+	at       time.Time
+}
+
+// sighting is the revision that a router had in force at a time.
+type sighting struct {
+	at          time.Time
+	incarnation uint64
+	revision    uint64
+}
+
+// race is one run of the operators.
+type race struct {
+	fleet *fleet.Fleet
+	plan  Operators
+	tree  *settings.Fleet
+	store *platform.Store
+
+	mu        sync.Mutex
+	accepted  []acceptance
+	conflicts int
+	unknown   int
+	// sightings are by router, in order of time.
+	sightings map[string][]sighting
+}
+
+// watchInterval is the time between two looks at a router's revision, and so
+// the grain of the times until settings are in force.
+const watchInterval = 20 * time.Millisecond
+
+// proposalTimeout bounds an operator's tries at a failing store.
+const proposalTimeout = 5 * time.Second
+
+func newRace(f *fleet.Fleet, plan Operators) (r *race, err error) {
+	defer func() { err = trace.Wrap(err, "preparing the operators") }()
+	tree, err := settings.LoadFleet(f.TreeFile())
+	if err != nil {
+		return nil, err
+	}
+	reach := settings.DefaultBox().Platform
+	reach.Address = f.Platform.Address
+	return &race{
+		fleet:     f,
+		plan:      plan,
+		tree:      tree,
+		store:     &platform.Store{Settings: reach},
+		sightings: map[string][]sighting{},
+	}, nil
+}
+
+// run lets operators change settings until the context ends, and watches all
+// routers a little longer.
+func (r *race) run(ctx context.Context, seed uint64) error {
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	watchers := errgroup.Group{}
+	for _, router := range r.fleet.Routers {
+		watchers.Go(func() error {
+			r.watch(watching, router)
+			return nil
+		})
+	}
+	operators := errgroup.Group{}
+	for i := range r.plan.Count {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		operators.Go(func() error {
+			r.operate(ctx, fmt.Sprintf("operator-%d", i), random)
+			return nil
+		})
+	}
+	err := operators.Wait()
+	// The last changes get their time to be in force.
+	time.Sleep(2 * time.Second)
+	stop()
+	return trace.NewAggregate(err, watchers.Wait())
+}
+
+// operate changes one value after the other, as quayctl does.
+func (r *race) operate(ctx context.Context, name string, random *rand.Rand) {
+	repository := revision.Repository{Store: r.store}
+	for interval.Wait(ctx, interval.Jittered(r.plan.Pause.Duration)) == nil {
+		head, _, err := repository.Head()
+		if err != nil {
+			continue
+		}
+		proposal := revision.Proposal{
+			Fleet:  r.change(random),
+			Expect: head.Revision,
+			Author: name,
+			Nonce:  crand.Text(),
+			Until:  time.Now().Add(proposalTimeout),
+		}
+		accepted, err := repository.Accept(proposal)
+		r.note(accepted, proposal.Nonce, err)
+		if err == nil {
+			router := r.fleet.Routers[random.IntN(len(r.fleet.Routers))]
+			// A router that does not answer finds the settings by itself.
+			_, _, _ = fasthttp.GetTimeout(nil, "http://"+router.OperatorAddress+"/look", time.Second)
+		}
+	}
+}
+
+// change gives settings with one value changed.
+func (r *race) change(random *rand.Rand) *settings.Fleet {
+	changed := *r.tree
+	changed.Customers = map[string]settings.Customer{}
+	for name, customer := range r.tree.Customers {
+		customer.QueueLength = 100 + random.IntN(1000)
+		changed.Customers[name] = customer
+	}
+	return &changed
+}
+
+func (r *race) note(head revision.Head, nonce string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var conflict *revision.ConflictError
+	switch {
+	case err == nil:
+		r.accepted = append(r.accepted, acceptance{revision: head.Revision, nonce: nonce, at: time.Now()})
+	case errors.As(err, &conflict):
+		r.conflicts++
+	default:
+		r.unknown++
+	}
+}
+
+// watch records a router's revision again and again.
+func (r *race) watch(ctx context.Context, router *fleet.Router) {
+	for interval.Wait(ctx, watchInterval) == nil {
+		status, err := router.Status()
+		if err != nil {
+			continue
+		}
+		r.mu.Lock()
+		r.sightings[router.Name] = append(r.sightings[router.Name], sighting{
+			at:          time.Now(),
+			incarnation: status.Incarnation,
+			revision:    status.Revision,
+		})
+		r.mu.Unlock()
+	}
+}
+
+// judge holds what operators were told against the store's history, and the
+// routers' revisions against both.
+func (r *race) judge() (verdict measure.Settings, err error) {
+	defer func() { err = trace.Wrap(err, "judging the operators' race") }()
+	repository := revision.Repository{Store: r.store}
+	verdict = measure.Settings{
+		Acceptances: len(r.accepted),
+		Conflicts:   r.conflicts,
+		Unknown:     r.unknown,
+	}
+	told := map[uint64]bool{}
+	for _, one := range r.accepted {
+		if told[one.revision] {
+			verdict.DoubleAcceptances++
+		}
+		told[one.revision] = true
+		entry, err := repository.Entry(one.revision)
+		if err != nil {
+			return verdict, err
+		}
+		if entry.Nonce != one.nonce {
+			verdict.LostAcceptances++
+		}
+	}
+	var delays []time.Duration
+	for _, seen := range r.sightings {
+		verdict.Reverts += reverts(seen)
+		for _, one := range r.accepted {
+			delays = append(delays, inForceAfter(seen, one)...)
+		}
+	}
+	quantiles := measure.Quantiles(delays)
+	verdict.InForceP50, verdict.InForceP99 = quantiles.P50, quantiles.P99
+	return verdict, nil
+}
+
+// reverts counts the times at which a router went back to a lower revision
+// without having started anew.
+func reverts(seen []sighting) (count int) {
+	for i := 1; i < len(seen); i++ {
+		if seen[i].incarnation == seen[i-1].incarnation && seen[i].revision < seen[i-1].revision {
+			count++
+		}
+	}
+	return count
+}
+
+// reachGap is the time without a sighting from which a router counts as not
+// reachable, as when it is killed or paused.
+const reachGap = 500 * time.Millisecond
+
+// inForceAfter is the time from an acceptance, or from when the router was
+// reachable again, to the revision or a later one being in force there. A
+// router that never had it while it was watched gives the whole time.
+func inForceAfter(seen []sighting, one acceptance) []time.Duration {
+	from := one.at
+	first := slices.IndexFunc(seen, func(s sighting) bool { return s.at.After(one.at) })
+	if first < 0 {
+		return nil
+	}
+	last := one.at
+	for _, s := range seen[first:] {
+		if s.at.Sub(last) > reachGap {
+			from = s.at
+		}
+		last = s.at
+		if s.revision >= one.revision {
+			return []time.Duration{max(0, s.at.Sub(from))}
+		}
+	}
+	return []time.Duration{last.Sub(from)}
+}
--- a/cmd/quaybench/measure/measure.go
+++ b/cmd/quaybench/measure/measure.go
@@ -64,6 +64,8 @@
 	VisiblyCut int
 	// TokensPerSecond is the output of all engines.
 	TokensPerSecond float64
+	// Settings judges operators who raced; nil when there were none.
+	Settings *Settings `json:",omitempty"`
 	// Service is weighted tokens by customer.
 	Service map[string]float64
 
@@ -82,6 +84,27 @@
 	StarvedCustomers int
 }
 
+// Settings is the verdict on operators who race to change the settings.
+type Settings struct {
+	// Acceptances, Conflicts and Unknown count what operators were told.
+	Acceptances int
+	Conflicts   int
+	Unknown     int
+	// InForceP50 and InForceP99 are the times from acceptance, or from when a
+	// router could be reached again, to being in force there, in milliseconds.
+	InForceP50, InForceP99 float64
+
+	// The counts that must be zero.
+
+	// LostAcceptances counts changes that an operator was told are accepted and
+	// that the history does not hold.
+	LostAcceptances int
+	// DoubleAcceptances counts revisions that two operators were told they have.
+	DoubleAcceptances int
+	// Reverts counts routers going back to a lower revision.
+	Reverts int
+}
+
 // StarvedAfter is the wait without any service that counts as starving.
 const StarvedAfter = 10 * time.Second
 
@@ -90,7 +113,11 @@
 
 // Zero tells whether every count that must be zero is.
 func (r *Result) Zero() bool {
-	return r.DoubleRuns+r.FalseNotRun+r.CutAnswers+r.CrossedAnswers+r.StarvedCustomers == 0
+	count := r.DoubleRuns + r.FalseNotRun + r.CutAnswers + r.CrossedAnswers + r.StarvedCustomers
+	if r.Settings != nil {
+		count += r.Settings.LostAcceptances + r.Settings.DoubleAcceptances + r.Settings.Reverts
+	}
+	return count == 0
 }
 
 // run is one request's time at an engine, from the ground truth.
--- a/cmd/quaybench/measure/print.go
+++ b/cmd/quaybench/measure/print.go
@@ -38,6 +38,13 @@
 	row("CutAnswers", "%d", r.CutAnswers)
 	row("CrossedAnswers", "%d", r.CrossedAnswers)
 	row("StarvedCustomers", "%d", r.StarvedCustomers)
+	if s := r.Settings; s != nil {
+		row("Acceptances", "%d, %d conflicts, %d unknown", s.Acceptances, s.Conflicts, s.Unknown)
+		row("InForce", "p50 %.0f ms, p99 %.0f ms", s.InForceP50, s.InForceP99)
+		row("LostAcceptances", "%d", s.LostAcceptances)
+		row("DoubleAcceptances", "%d", s.DoubleAcceptances)
+		row("Reverts", "%d", s.Reverts)
+	}
 	return table.Flush()
 }
 
--- a/pkg/box/members.go
+++ b/pkg/box/members.go
@@ -3,6 +3,7 @@
 package box
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -78,9 +79,12 @@
 	defer m.mu.Unlock()
 	live := make([]Member, 0, len(m.members))
 	for _, member := range m.members {
-		if !member.Silent && !member.Leaving {
-			live = append(live, *member)
+		if member.Silent || member.Leaving {
+			continue
 		}
+		own := *member
+		own.Demand = maps.Clone(member.Demand)
+		live = append(live, own)
 	}
 	return live
 }
--- /dev/null
+++ b/pkg/box/members_test.go
@@ -0,0 +1,38 @@
+package box_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/box"
+	"github.com/quaylead/quaylead/pkg/peer"
+)
+
+// TestLiveIsNotSharedWithNews reads members, as an operator's call does, while
+// news of them comes in. The runtime ends a process that iterates over a map
+// which another goroutine writes.
+func TestLiveIsNotSharedWithNews(t *testing.T) {
+	var members box.Members
+	from := peer.Sender{Box: "box-1", Incarnation: 1}
+	group := errgroup.Group{}
+	group.Go(func() error {
+		for i := range 20000 {
+			members.Heard(from, peer.State{Pools: map[string]peer.PoolState{"a": {Demand: i}}}, false, time.Now())
+		}
+		return nil
+	})
+	group.Go(func() error {
+		for range 5000 {
+			if _, err := json.Marshal(members.Live()); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
