cmd/quaybench: a planned stop that passes its limit, on processes

Cause: docs/internal/proofs.md listed it as not proved; it had been tried by hand only.

Change: a test with a stream longer than DrainTimeout: the process ends with status 1, logs one request left in flight, and the caller sees the cut.

The limit works as documented; nothing in the router changed.

--- a/cmd/quaybench/fleet/fleet_test.go
+++ b/cmd/quaybench/fleet/fleet_test.go
@@ -289,6 +289,25 @@
 	})
 }
 
+func TestPlannedStopEndsAtItsLimit(t *testing.T) {
+	Convey("Given a fleet whose planned stops may take half a second, and a longer stream", t, func() {
+		plan := smallPlan()
+		plan.Box = append(plan.Box, "Limits.DrainTimeout=500ms")
+		withFleet(t, plan, func(f *fleet.Fleet) {
+			wait := inBackground(t.Context(), f.Caller(20*time.Second),
+				load.Arrival{ID: "long", Input: 20, Output: 500, Source: modelSource})
+			awaitEvent(t, f, truth.First, ofRequest("long"))
+
+			Convey("the process ends, says what was left, and the stream is visibly cut", func() {
+				So(f.Routers[0].Terminate(), ShouldBeNil)
+				So(f.Routers[0].Wait(), ShouldEqual, 1)
+				So(f.Routers[0].Printed(), ShouldContainSubstring, "planned stop passed its limit\" InFlight=1")
+				So(wait().Clean, ShouldBeFalse)
+			})
+		})
+	})
+}
+
 func TestAcceptedSettingsAreInForceEverywhere(t *testing.T) {
 	Convey("Given a fleet", t, func() {
 		withFleet(t, smallPlan(), func(f *fleet.Fleet) {
