--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -57,6 +58,10 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// idleSince is when its last answer had been read.
+	idleSince time.Time
+	// keepAlive is how long the endpoint keeps it idle; 0 means unknown.
+	keepAlive time.Duration
 }
 
 // Client holds the connections to one address.
@@ -76,7 +81,12 @@
 
 // dial opens a connection.
 func (c *Client) dial() (*conn, error) {
-	raw, err := net.DialTimeout("tcp", c.Address, c.ConnectTimeout)
+	return c.dialContext(context.Background())
+}
+
+func (c *Client) dialContext(ctx context.Context) (*conn, error) {
+	dialer := net.Dialer{Timeout: c.ConnectTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
 		return nil, &DialError{Address: c.Address, Err: err}
 	}
@@ -117,6 +127,7 @@
 func (c *Client) give(open *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	open.idleSince = time.Now()
 	if len(c.idle) >= maxIdleConns {
 		open.Close()
 		return
--- a/pkg/endpoint/open_linux.go
+++ b/pkg/endpoint/open_linux.go
@@ -29,6 +29,51 @@
 	return open && err == nil
 }
 
+// IsQuiet tells whether a connection is open and nothing is left to read on it.
+// On a connection without a request, anything to read is a surplus.
+func IsQuiet(c net.Conn) bool {
+	holder, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return quiet && err == nil
+}
+
+// AwaitClose waits until the other side of a connection has closed it, or has
+// sent something. It reads nothing. A read deadline in the past ends the wait.
+// It reports whether the connection was closed.
+func AwaitClose(c net.Conn) (closed bool) {
+	holder, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	// An error means that the wait was ended from this side.
+	_ = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err == syscall.EAGAIN || err == syscall.EINTR {
+			return false
+		}
+		closed = err != nil || n == 0
+		return true
+	})
+	return closed
+}
+
 func peek(fd int) bool {
 	var one [1]byte
 	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/pkg/endpoint/open_other.go
+++ b/pkg/endpoint/open_other.go
@@ -9,3 +9,9 @@
 func IsOpen(c net.Conn) bool {
 	return true
 }
+
+// IsQuiet is only known on Linux; elsewhere the answer's id shows a surplus.
+func IsQuiet(net.Conn) bool { return true }
+
+// AwaitClose is only known on Linux; elsewhere a write shows that a caller left.
+func AwaitClose(net.Conn) bool { return false }
--- a/pkg/request/refusal.go
+++ b/pkg/request/refusal.go
@@ -28,6 +28,12 @@
 	KeyReused        Code = "idempotency_key_reused"
 	OutcomeUnknown   Code = "outcome_unknown"
 	CallerGone       Code = "caller_gone"
+	// Overloaded requests found no room in time; they may come again.
+	Overloaded Code = "overloaded"
+	// NotInTime requests ran out of time before they were sent.
+	NotInTime Code = "not_in_time"
+	// TooLarge requests have a body beyond the limit.
+	TooLarge Code = "too_large"
 )
 
 var codeStatus = map[Code]int{
@@ -45,6 +51,9 @@
 	KeyReused:        fasthttp.StatusUnprocessableEntity,
 	OutcomeUnknown:   fasthttp.StatusConflict,
 	CallerGone:       499,
+	Overloaded:       fasthttp.StatusServiceUnavailable,
+	TooLarge:         fasthttp.StatusRequestEntityTooLarge,
+	NotInTime:        fasthttp.StatusServiceUnavailable,
 }
 
 // The headers that every answer of quaylead itself carries.
