pkg/registry: follow the catalog and the endpoints in the platform's store

Cause: what must last lives in the platform's store; boxes have to follow it through outages, lost history and answers for some boxes only. Change: pkg/route holds the accepted routes, services, customers and endpoints; pkg/registry follows them, keeps the last good state, merges accounts of endpoints by version, and spreads the looks at the endpoints over the boxes.

--- /dev/null
+++ b/pkg/registry/registry.go
@@ -0,0 +1,293 @@
+// Package registry follows what must last and stands in the platform's store:
+// the accepted catalog, the endpoints, and which boxes there are. It keeps the
+// last good state through outages, and takes newer states from other boxes.
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/interval"
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// ErrHistoryLost is in the chain of an error when a table's changes since a
+// version are no longer known; the table has to be read whole.
+var ErrHistoryLost = errors.New("the store has forgotten the history")
+
+// Entry is what the store says of one endpoint. Problem is set, and nothing
+// else but the ID and Version, when it can not be read.
+type Entry struct {
+	route.Endpoint
+	// Version is the store's counter at the entry's last change.
+	Version uint64
+	// Gone entries were removed.
+	Gone    bool
+	Problem error
+}
+
+// Box is what a box writes of itself, for the others to find it.
+type Box struct {
+	Name        string
+	Zone        string
+	PeerAddress string
+}
+
+// Store is the part of the platform that the registry needs. Versions are of
+// the store's one counter.
+type Store interface {
+	// Catalog reads the accepted configuration; nil content means none yet.
+	Catalog(ctx context.Context) (content []byte, version uint64, err error)
+	// CatalogSince waits for a configuration newer than the version; nil
+	// content means that there is none.
+	CatalogSince(ctx context.Context, version uint64, wait time.Duration) (content []byte, now uint64, err error)
+	// DecodeCatalog reads a configuration's content.
+	DecodeCatalog(content []byte) (*route.Catalog, error)
+	// Endpoints reads all entries.
+	Endpoints(ctx context.Context) (entries []Entry, version uint64, err error)
+	// EndpointsSince reads what changed since the version, without waiting.
+	EndpointsSince(ctx context.Context, version uint64) (entries []Entry, now uint64, err error)
+	// Announce writes this box's entry.
+	Announce(ctx context.Context, box Box) error
+	// Boxes reads the entries of all boxes.
+	Boxes(ctx context.Context) ([]Box, error)
+}
+
+// Registry follows the store. Its exported fields are set before Run.
+type Registry struct {
+	Store Store
+	// Self is written to the store at the start.
+	Self Box
+	Log  *zap.Logger
+	// Changed is called after a new catalog or directory is in force.
+	Changed func()
+	// FoundBoxes is called with the boxes that the store lists.
+	FoundBoxes func([]Box)
+	// Peers is the number of other live boxes; the work of looking at the
+	// endpoints is spread over all.
+	Peers func() int
+
+	catalog   atomic.Pointer[route.Catalog]
+	directory atomic.Pointer[route.Directory]
+
+	mu sync.Mutex
+	// content is the catalog's, as it was accepted.
+	content []byte
+	entries map[string]Entry
+	// lapsed are entries that went while the store was unwell; they are used
+	// until the time given, unless they come back.
+	lapsed map[string]time.Time
+	// unwellAt is when a call about the endpoints last failed.
+	unwellAt time.Time
+}
+
+const (
+	// catalogWait is how long one call waits for a new configuration. It is
+	// shorter than the shortest history that the store may keep.
+	catalogWait = 8 * time.Second
+	// lookInterval is the mean time between two looks at the endpoints by any
+	// of the boxes. Leaving endpoints have to be known within 2 s.
+	lookInterval = 400 * time.Millisecond
+	// longestLook bounds the time between two looks of one box.
+	longestLook = 4 * time.Second
+	// aloneLook is the time between two looks when no peer tells news.
+	aloneLook = 600 * time.Millisecond
+	// retryLeast and retryMost bound the wait after a failed call; it doubles.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// lapseGrace is how long an entry that went during an outage is still used;
+	// the users' pages say that a live server is back within two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// unwellFor is how long after a failed call a lost entry is put down to the
+	// outage.
+	unwellFor = 4 * time.Second
+	// boxesInterval is the mean time between two looks at the list of boxes.
+	boxesInterval = 10 * time.Second
+)
+
+// Run follows the store until the context ends.
+func (r *Registry) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.followCatalog(ctx) })
+	group.Go(func() error { return r.followEndpoints(ctx) })
+	group.Go(func() error { return r.followBoxes(ctx) })
+	return group.Wait()
+}
+
+// Catalog is the configuration in force; nil means none.
+func (r *Registry) Catalog() *route.Catalog { return r.catalog.Load() }
+
+// Directory is what is known of the endpoints; nil means nothing.
+func (r *Registry) Directory() *route.Directory { return r.directory.Load() }
+
+// Content is the configuration in force as it was accepted.
+func (r *Registry) Content() (version uint64, content []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := r.catalog.Load(); now != nil {
+		return now.Version, r.content
+	}
+	return 0, nil
+}
+
+// backoff doubles the wait between failed calls.
+type backoff struct {
+	failures int
+}
+
+func (b *backoff) wait(ctx context.Context) error {
+	length := min(retryLeast<<min(b.failures, 6), retryMost)
+	b.failures++
+	return interval.Wait(ctx, interval.Jittered(length))
+}
+
+func (b *backoff) reset() { b.failures = 0 }
+
+func (r *Registry) followCatalog(ctx context.Context) error {
+	again := backoff{}
+	since, known := uint64(0), false
+	for ctx.Err() == nil {
+		content, version, err := r.nextCatalog(ctx, since, known)
+		if err != nil {
+			known = known && !errors.Is(err, ErrHistoryLost)
+			r.Log.Warn("catalog not read", zap.Uint64("Since", since), zap.Error(err))
+			if again.wait(ctx) != nil {
+				return nil
+			}
+			continue
+		}
+		if again.failures > 0 {
+			r.Log.Info("catalog is read again", zap.Int("Failures", again.failures))
+		}
+		again.reset()
+		since, known = version, true
+		if content != nil {
+			r.OfferCatalog(content, "store")
+		}
+	}
+	return nil
+}
+
+func (r *Registry) nextCatalog(ctx context.Context, since uint64, known bool) ([]byte, uint64, error) {
+	if known {
+		return r.Store.CatalogSince(ctx, since, catalogWait)
+	}
+	return r.Store.Catalog(ctx)
+}
+
+// OfferCatalog puts a configuration in force if it is newer. One that can not
+// be read changes nothing.
+func (r *Registry) OfferCatalog(content []byte, from string) {
+	catalog, err := r.Store.DecodeCatalog(content)
+	if err != nil {
+		r.Log.Error("configuration not taken", zap.String("From", from), zap.Error(err))
+		return
+	}
+	r.mu.Lock()
+	now := r.catalog.Load()
+	newer := now == nil || catalog.Version > now.Version
+	if newer {
+		r.content = content
+		r.catalog.Store(catalog)
+	}
+	r.mu.Unlock()
+	if !newer {
+		return
+	}
+	r.Log.Info("configuration in force",
+		zap.Uint64("Version", catalog.Version),
+		zap.String("From", from),
+		zap.Int("Routes", len(catalog.Routes)),
+		zap.Int("Customers", len(catalog.Customers)))
+	r.Changed()
+}
+
+func (r *Registry) followEndpoints(ctx context.Context) error {
+	again := backoff{}
+	since, known := uint64(0), false
+	for ctx.Err() == nil {
+		entries, version, err := r.nextEndpoints(ctx, since, known)
+		if err != nil {
+			known = known && !errors.Is(err, ErrHistoryLost)
+			r.endpointsFailed()
+			r.Log.Warn("endpoints not read", zap.Uint64("Since", since), zap.Error(err))
+			if again.wait(ctx) != nil {
+				return nil
+			}
+			continue
+		}
+		if again.failures > 0 {
+			r.Log.Info("endpoints are read again", zap.Int("Failures", again.failures))
+		}
+		again.reset()
+		r.take(entries, !known, "store", time.Now())
+		since, known = version, true
+		if interval.Wait(ctx, interval.Jittered(r.untilLook())) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (r *Registry) nextEndpoints(ctx context.Context, since uint64, known bool) ([]Entry, uint64, error) {
+	if known {
+		return r.Store.EndpointsSince(ctx, since)
+	}
+	return r.Store.Endpoints(ctx)
+}
+
+// untilLook spreads the looks over all live boxes.
+func (r *Registry) untilLook() time.Duration {
+	peers := r.Peers()
+	if peers == 0 {
+		return aloneLook
+	}
+	return min(lookInterval*time.Duration(peers+1), longestLook)
+}
+
+func (r *Registry) endpointsFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unwellAt = time.Now()
+}
+
+func (r *Registry) followBoxes(ctx context.Context) error {
+	again := backoff{}
+	announced := false
+	for ctx.Err() == nil {
+		err := r.lookAtBoxes(ctx, &announced)
+		if err == nil {
+			again.reset()
+			if interval.Wait(ctx, interval.Jittered(boxesInterval)) != nil {
+				return nil
+			}
+			continue
+		}
+		r.Log.Warn("boxes not read", zap.Error(err))
+		if again.wait(ctx) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (r *Registry) lookAtBoxes(ctx context.Context, announced *bool) error {
+	if !*announced {
+		if err := r.Store.Announce(ctx, r.Self); err != nil {
+			return err
+		}
+		*announced = true
+	}
+	boxes, err := r.Store.Boxes(ctx)
+	if err != nil {
+		return err
+	}
+	r.FoundBoxes(boxes)
+	return nil
+}
