pkg/dispatch: decide who goes to which engine, and when

Cause: engines admit in order and know no priorities, so the only fair queue is ours; a prompt whose shared part is not kept costs four times as much. Change: a pure pool with one queue by customer (max-min over the window), homes of shared parts by rendezvous hash, and predicted waits from what was granted and what began.

--- /dev/null
+++ b/pkg/dispatch/ask.go
@@ -0,0 +1,140 @@
+// Package dispatch decides, for one pool of model engines, which waiting
+// request goes to which engine and when, and which is told to come back. It is
+// pure: events in, decisions out, with the time as an argument.
+package dispatch
+
+import "time"
+
+// Part is a piece of a prompt. Parts are shared between requests; the last one
+// of a prompt belongs to its request or session.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Prompt is what is known beforehand of the work of a request.
+type Prompt struct {
+	// Parts are in order; an engine that keeps a part can use it only if it
+	// keeps every part before it as well.
+	Parts []Part
+	// MaxOutput is the most tokens that may be made.
+	MaxOutput int
+	// HintOutput is the caller's estimate of them; 0 means none.
+	HintOutput int
+}
+
+// Tokens is the length of the prompt.
+func (p *Prompt) Tokens() int {
+	total := 0
+	for _, part := range p.Parts {
+		total += part.Tokens
+	}
+	return total
+}
+
+// Shared are the parts that other requests may have too.
+func (p *Prompt) Shared() []Part {
+	if len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
+// Last is the part of the request itself.
+func (p *Prompt) Last() Part {
+	if len(p.Parts) == 0 {
+		return Part{}
+	}
+	return p.Parts[len(p.Parts)-1]
+}
+
+// Output is the number of tokens that the answer is expected to have.
+func (p *Prompt) Output() int {
+	if p.HintOutput > 0 {
+		return min(p.HintOutput, max(p.MaxOutput, 1))
+	}
+	return max(1, p.MaxOutput/hintlessPart)
+}
+
+// hintlessPart of the largest answer is expected where the caller gives no
+// estimate; answers are seldom as long as they may be.
+const hintlessPart = 2
+
+// Cost is the service of the request: a token read counts once, a token made
+// twice, as the pool's rate is stated.
+func (p *Prompt) Cost() float64 {
+	return float64(p.Tokens()) + 2*float64(p.Output())
+}
+
+// Ask is a request that waits for an engine.
+type Ask struct {
+	ID       string
+	Customer string
+	Prompt
+	// Router is the incarnation of the router that holds the request.
+	Router uint64
+	// Arrived is when the router took it.
+	Arrived time.Time
+	// Aim is the time, from Arrived, within which its first event should come.
+	Aim time.Duration
+	// Expires is when nobody waits for it any more.
+	Expires time.Time
+	// Excluded are the endpoints that it must not go to again.
+	Excluded []string
+
+	// cost is Prompt.Cost, once.
+	cost float64
+}
+
+// Decision is one of Grant and Turn.
+type Decision interface {
+	decision()
+}
+
+// Grant sends a request to an engine.
+type Grant struct {
+	Ask      *Ask
+	Endpoint string
+	// Wait is the predicted time until the engine begins to read the prompt.
+	Wait time.Duration
+	// Read is the predicted time for reading it.
+	Read time.Duration
+	// Missing are the tokens of shared parts that the engine has to read again.
+	Missing int
+}
+
+// Turn gives a request up: it is to come back later.
+type Turn struct {
+	Ask        *Ask
+	RetryAfter time.Duration
+	// Over tells that the customer already has its share.
+	Over bool
+	// Queued is how many requests waited in the pool.
+	Queued int
+}
+
+func (Grant) decision() {}
+func (Turn) decision()  {}
+
+// Outcome is how a granted request ended: one of Done, NotRun, Unreachable and
+// Broken.
+type Outcome interface {
+	outcome()
+}
+
+// Done requests were answered, or their caller went away.
+type Done struct{}
+
+// NotRun requests were refused by the engine, which ran nothing of them.
+type NotRun struct{}
+
+// Unreachable engines took no connection.
+type Unreachable struct{}
+
+// Broken answers ended before their time.
+type Broken struct{}
+
+func (Done) outcome()        {}
+func (NotRun) outcome()      {}
+func (Unreachable) outcome() {}
+func (Broken) outcome()      {}
--- /dev/null
+++ b/pkg/dispatch/engine.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// engine is what the pool believes of one engine, from what it granted and what
+// routers told of it.
+type engine struct {
+	route.Endpoint
+	capacity int
+
+	// unread are the granted requests whose first token has not come, in the
+	// order in which the engine takes them.
+	unread []*grant
+	// running counts the requests that are granted and not ended.
+	running int
+	// own are the tokens of running requests that can not be shared.
+	own int
+	// progressAt is when the engine last began a request, or when its first
+	// unread one was granted.
+	progressAt time.Time
+	// rate is in prompt tokens a second, with the steps between them.
+	rate float64
+	// read and busy are the tokens and the time of the current sample of rate.
+	read float64
+	busy time.Duration
+
+	// kept are the parts believed in the engine's memory, the latest used first.
+	kept   *list.List
+	byPart map[uint64]*list.Element
+	// keptTokens is their sum.
+	keptTokens int
+
+	// suspectUntil is the end of a time without new work, after failures.
+	suspectUntil time.Time
+	// failures in a row lengthen that time.
+	failures int
+}
+
+type keptPart struct {
+	Part
+}
+
+// grant is a request at an engine.
+type grant struct {
+	ask    *Ask
+	engine *engine
+	// tokens have to be read there.
+	tokens int
+	at     time.Time
+	begun  bool
+}
+
+const (
+	// firstRate is believed of an engine before it was measured, in tokens a
+	// second. It is of the order of what current engines read.
+	firstRate = 45000
+	// rateSample is the busy time after which the rate is brought up to date:
+	// several prompts long.
+	rateSample = 300 * time.Millisecond
+	// rateGain is the weight of a new sample.
+	rateGain = 0.25
+	// slowestRate and fastestRate bound what a sample may say.
+	slowestRate = 4000
+	fastestRate = 400000
+	// base is the time from an idle engine's taking a request to its first
+	// token, beside the reading: connection, steps, and the way back. Measured
+	// at 50 to 70 ms.
+	base = 60 * time.Millisecond
+	// keptReserve is the part of an engine's memory that running requests may
+	// take for themselves.
+	keptReserve = 0.7
+	// suspectFor is the time without new work after a failure; it doubles with
+	// each failure in a row, up to suspectLongest.
+	suspectFor     = 500 * time.Millisecond
+	suspectLongest = 4 * time.Second
+	// stallAfter is the time beyond the predicted first token after which an
+	// engine that began nothing since is taken for hanging.
+	stallAfter = 800 * time.Millisecond
+)
+
+func newEngine(endpoint route.Endpoint, capacity int) *engine {
+	return &engine{
+		Endpoint: endpoint,
+		capacity: capacity,
+		rate:     firstRate,
+		kept:     list.New(),
+		byPart:   map[uint64]*list.Element{},
+	}
+}
+
+// missing is the number of tokens of a prompt that the engine has to read, and
+// how many of them are of shared parts.
+func (e *engine) missing(p *Prompt) (tokens, shared int) {
+	whole := true
+	for i, part := range p.Parts {
+		whole = whole && e.byPart[part.ID] != nil
+		if whole {
+			continue
+		}
+		tokens += part.Tokens
+		if i < len(p.Parts)-1 {
+			shared += part.Tokens
+		}
+	}
+	return tokens, shared
+}
+
+// wait is the predicted time until the engine begins to read a new prompt.
+func (e *engine) wait(now time.Time) time.Duration {
+	tokens := 0
+	for _, g := range e.unread {
+		tokens += g.tokens
+	}
+	if tokens == 0 {
+		return 0
+	}
+	reading := e.readTime(tokens)
+	// The first one is being read; it is not done before its first token.
+	progress := min(max(0, now.Sub(e.progressAt)), e.readTime(e.unread[0].tokens))
+	return reading - progress
+}
+
+func (e *engine) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / e.rate * float64(time.Second))
+}
+
+// stalled tells that the engine began nothing for far longer than predicted.
+func (e *engine) stalled(now time.Time) bool {
+	if len(e.unread) == 0 {
+		return false
+	}
+	first := e.unread[0]
+	since := first.at
+	if e.progressAt.After(since) {
+		since = e.progressAt
+	}
+	return now.Sub(since) > base+e.readTime(first.tokens)+stallAfter
+}
+
+// usable tells whether the engine may get new work.
+func (e *engine) usable(now time.Time) bool {
+	return !e.Leaving && now.After(e.suspectUntil) && !e.stalled(now)
+}
+
+// fits tells whether the engine has a slot and memory for a prompt.
+func (e *engine) fits(p *Prompt) bool {
+	if e.running >= e.Slots {
+		return false
+	}
+	need := p.Last().Tokens + p.Output()
+	return e.running == 0 || e.own+need <= int(keptReserve*float64(e.capacity))
+}
+
+// take books a request.
+func (e *engine) take(g *grant, now time.Time) {
+	if len(e.unread) == 0 {
+		e.progressAt = now.Add(base)
+	}
+	e.unread = append(e.unread, g)
+	e.running++
+	e.own += g.ask.Last().Tokens + g.ask.Output()
+	for _, part := range g.ask.Parts {
+		e.keep(part)
+	}
+}
+
+// keep notes that a part is in the engine's memory; those unused for longest
+// give way.
+func (e *engine) keep(part Part) {
+	if at := e.byPart[part.ID]; at != nil {
+		e.kept.MoveToFront(at)
+		return
+	}
+	e.byPart[part.ID] = e.kept.PushFront(keptPart{part})
+	e.keptTokens += part.Tokens
+	for e.keptTokens > e.capacity && e.kept.Len() > 1 {
+		e.drop(e.kept.Back())
+	}
+}
+
+func (e *engine) drop(at *list.Element) {
+	part := at.Value.(keptPart)
+	e.kept.Remove(at)
+	delete(e.byPart, part.ID)
+	e.keptTokens -= part.Tokens
+}
+
+// begin notes the first token of a request.
+func (e *engine) begin(g *grant, now time.Time) {
+	if g.begun {
+		return
+	}
+	g.begun = true
+	e.succeed()
+	e.remove(g)
+	if spent := now.Sub(e.progressAt); spent > 0 {
+		e.busy += spent
+	}
+	e.read += float64(g.tokens)
+	if e.busy >= rateSample {
+		sample := e.read / e.busy.Seconds()
+		sample = min(max(sample, slowestRate), fastestRate)
+		e.rate += rateGain * (sample - e.rate)
+		e.read, e.busy = 0, 0
+	}
+	e.progressAt = now
+}
+
+func (e *engine) remove(g *grant) {
+	for i, other := range e.unread {
+		if other == g {
+			e.unread = append(e.unread[:i], e.unread[i+1:]...)
+			return
+		}
+	}
+}
+
+// finish takes a request off the books.
+func (e *engine) finish(g *grant, how Outcome, now time.Time) {
+	if !g.begun {
+		e.remove(g)
+	}
+	e.running--
+	e.own -= g.ask.Last().Tokens + g.ask.Output()
+	switch how.(type) {
+	case Done:
+	case NotRun:
+		// It is full, or its entry is stale: a short rest, without doubt.
+		e.suspectUntil = now.Add(suspectFor / 5)
+	case Unreachable, Broken:
+		e.fail(now)
+	}
+}
+
+func (e *engine) fail(now time.Time) {
+	rest := min(suspectFor<<min(e.failures, 8), suspectLongest)
+	e.failures++
+	e.suspectUntil = now.Add(rest)
+}
+
+func (e *engine) succeed() {
+	e.failures = 0
+	e.suspectUntil = time.Time{}
+}
--- /dev/null
+++ b/pkg/dispatch/place.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// partDemand is the traffic of a shared part, and where it is kept.
+type partDemand struct {
+	// ranked are the engines by rendezvous hash. It stays put when others come
+	// and go.
+	ranked []*engine
+	// load is a mean of the engine time that its requests take.
+	load float64
+	at   time.Time
+}
+
+// demandMemory is the time over which a part's load is averaged.
+const demandMemory = 3 * time.Second
+
+// homeKey is the part that decides where a prompt is kept: its last shared one,
+// which is kept only together with those before it.
+func homeKey(p *Prompt) uint64 {
+	shared := p.Shared()
+	if len(shared) == 0 {
+		return p.Last().ID
+	}
+	return shared[len(shared)-1].ID
+}
+
+func sharedTokens(p *Prompt) int {
+	total := 0
+	for _, part := range p.Shared() {
+		total += part.Tokens
+	}
+	return total
+}
+
+// demand notes a request for a part.
+func (p *Pool) demand(prompt *Prompt, now time.Time) {
+	if sharedTokens(prompt) <= p.Rules.SmallShared {
+		return
+	}
+	key := homeKey(prompt)
+	part := p.parts[key]
+	if part == nil {
+		part = &partDemand{at: now}
+		p.parts[key] = part
+	}
+	part.decay(now)
+	part.load += float64(prompt.Last().Tokens) / firstRate / demandMemory.Seconds()
+	p.forgetParts(now)
+}
+
+func (d *partDemand) decay(now time.Time) {
+	d.load *= math.Exp(-now.Sub(d.at).Seconds() / demandMemory.Seconds())
+	d.at = now
+}
+
+// mostParts bounds the memory for parts; beyond it, those unused for a minute
+// are forgotten.
+const mostParts = 20000
+
+func (p *Pool) forgetParts(now time.Time) {
+	if len(p.parts) < mostParts {
+		return
+	}
+	for key, part := range p.parts {
+		if now.Sub(part.at) > time.Minute {
+			delete(p.parts, key)
+		}
+	}
+}
+
+// homes are the engines that a part should be kept at.
+func (p *Pool) homes(prompt *Prompt, now time.Time) []*engine {
+	key := homeKey(prompt)
+	part := p.parts[key]
+	if part == nil {
+		part = &partDemand{at: now}
+		p.parts[key] = part
+	}
+	if part.ranked == nil {
+		part.ranked = rank(key, p.inOrder)
+	}
+	part.decay(now)
+	most := p.Rules.Homes + int(part.load/p.Rules.HomeLoad)
+	homes := make([]*engine, 0, most)
+	for _, e := range part.ranked {
+		if e.usable(now) {
+			homes = append(homes, e)
+		}
+		if len(homes) == most {
+			break
+		}
+	}
+	return homes
+}
+
+func rank(key uint64, engines []*engine) []*engine {
+	type weighed struct {
+		engine *engine
+		weight uint64
+	}
+	all := make([]weighed, 0, len(engines))
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], key)
+	for _, e := range engines {
+		digest := xxhash.New()
+		digest.Write(seed[:])
+		digest.WriteString(e.ID)
+		all = append(all, weighed{engine: e, weight: digest.Sum64()})
+	}
+	slices.SortFunc(all, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
+	ranked := make([]*engine, len(all))
+	for i := range all {
+		ranked[i] = all[i].engine
+	}
+	return ranked
+}
+
+// wait is an engine's predicted wait, with what other routers are likely to
+// have sent.
+func (p *Pool) wait(e *engine, now time.Time) time.Duration {
+	return e.wait(now) * time.Duration(max(1, p.Routers))
+}
+
+// place chooses the engine for a request; nil means that it has to wait. A
+// prompt whose shared parts are long goes to their homes, or to an engine that
+// keeps them: reading them again elsewhere would take from all.
+func (p *Pool) place(ask *Ask, bound time.Duration, now time.Time) *engine {
+	if sharedTokens(&ask.Prompt) <= p.Rules.SmallShared {
+		best, _ := p.best(p.inOrder, ask, bound, now)
+		return best
+	}
+	best, cost := p.best(p.homes(&ask.Prompt, now), ask, bound, now)
+	for _, e := range p.inOrder {
+		if _, shared := e.missing(&ask.Prompt); shared > 0 {
+			continue
+		}
+		if here, ok := p.costAt(e, ask, bound, now); ok && (best == nil || here < cost) {
+			best, cost = e, here
+		}
+	}
+	return best
+}
+
+func (p *Pool) best(among []*engine, ask *Ask, bound time.Duration, now time.Time) (best *engine, cost time.Duration) {
+	for _, e := range among {
+		here, ok := p.costAt(e, ask, bound, now)
+		if ok && (best == nil || here < cost) {
+			best, cost = e, here
+		}
+	}
+	return best, cost
+}
+
+// costAt is the predicted time until a request's first token at an engine; ok
+// is false where it can not go now.
+func (p *Pool) costAt(e *engine, ask *Ask, bound time.Duration, now time.Time) (cost time.Duration, ok bool) {
+	if !e.usable(now) || !e.fits(&ask.Prompt) || slices.Contains(ask.Excluded, e.ID) {
+		return 0, false
+	}
+	wait := p.wait(e, now)
+	if wait > bound {
+		return 0, false
+	}
+	tokens, _ := e.missing(&ask.Prompt)
+	return wait + e.readTime(tokens), true
+}
--- /dev/null
+++ b/pkg/dispatch/pool.go
@@ -0,0 +1,356 @@
+package dispatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// Rules are the settings of a pool. Each has a default in DefaultRules.
+type Rules struct {
+	// Backlog is the longest predicted wait at an engine that gets new work.
+	Backlog time.Duration
+	// IdleBacklog is the same for customers beyond their share.
+	IdleBacklog time.Duration
+	// Hold is the part of its aim for which a request may wait here.
+	Hold float64
+	// Homes is the least number of engines that a shared part is kept at.
+	Homes int
+	// HomeLoad is the part of an engine's time that the requests of a shared
+	// part may take before it gets one more home.
+	HomeLoad float64
+	// SmallShared is the number of shared tokens up to which a prompt may go
+	// anywhere: reading them again costs less than waiting.
+	SmallShared int
+	// Window is the time over which customers' shares are counted.
+	Window time.Duration
+}
+
+// DefaultRules are from trials on the users' bench; docs/design/dispatch.md
+// tells which.
+func DefaultRules() Rules {
+	return Rules{
+		Backlog:     300 * time.Millisecond,
+		IdleBacklog: 100 * time.Millisecond,
+		Hold:        0.24,
+		Homes:       2,
+		HomeLoad:    0.25,
+		SmallShared: 1000,
+		Window:      4 * time.Second,
+	}
+}
+
+// Pool is the state of one pool of engines at one dispatcher.
+type Pool struct {
+	// Rules are set before the first event.
+	Rules Rules
+	// Rand spreads the times at which refused requests come back.
+	Rand *rand.Rand
+	// Routers is how many routers are believed to grant at once, each seeing
+	// only its own requests; 1 where all ask the same dispatcher.
+	Routers int
+
+	service         route.Service
+	tokensPerSecond float64
+	engines         map[string]*engine
+	// inOrder are the engines by ID, so that decisions do not depend on the
+	// order of a map.
+	inOrder  []*engine
+	accounts map[string]*account
+	asks     map[string]*Ask
+	grants   map[string]*grant
+	parts    map[uint64]*partDemand
+	queued   int
+
+	// share is what each customer may have in a window, brought up to date at
+	// shareAt.
+	share   float64
+	shareAt time.Time
+}
+
+// Configure sets what the pool serves. Capacity 0 means that it is not known.
+func (p *Pool) Configure(service route.Service, tokensPerSecond float64) {
+	if p.engines == nil {
+		p.engines = map[string]*engine{}
+		p.accounts = map[string]*account{}
+		p.asks = map[string]*Ask{}
+		p.grants = map[string]*grant{}
+		p.parts = map[uint64]*partDemand{}
+	}
+	p.service = service
+	p.tokensPerSecond = tokensPerSecond
+}
+
+// SetEndpoints says which engines there are. Those that are gone get nothing
+// new; what runs there ends as its router says.
+func (p *Pool) SetEndpoints(endpoints []route.Endpoint) {
+	now := map[string]*engine{}
+	for _, endpoint := range endpoints {
+		e := p.engines[endpoint.ID]
+		if e == nil {
+			e = newEngine(endpoint, p.service.Engine.CacheTokens)
+		}
+		e.Endpoint = endpoint
+		if e.Slots == 0 {
+			e.Slots = p.service.Engine.Slots
+		}
+		now[endpoint.ID] = e
+	}
+	if sameKeys(p.engines, now) {
+		return
+	}
+	p.engines = now
+	p.inOrder = p.inOrder[:0]
+	for _, e := range now {
+		p.inOrder = append(p.inOrder, e)
+	}
+	slices.SortFunc(p.inOrder, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	for _, part := range p.parts {
+		part.ranked = nil
+	}
+}
+
+func sameKeys(a, b map[string]*engine) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for key := range a {
+		if b[key] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Submit puts a request in line.
+func (p *Pool) Submit(ask *Ask, now time.Time) {
+	if p.asks[ask.ID] != nil || p.grants[ask.ID] != nil {
+		return
+	}
+	ask.cost = ask.Cost()
+	a := p.account(ask.Customer)
+	a.asked.add(ask.cost, now, p.Rules.Window)
+	a.queue = append(a.queue, ask)
+	p.asks[ask.ID] = ask
+	p.queued++
+	p.demand(&ask.Prompt, now)
+}
+
+// Adopt books a request that another dispatcher granted.
+func (p *Pool) Adopt(ask *Ask, endpoint string, begun bool, now time.Time) {
+	e := p.engines[endpoint]
+	if e == nil || p.grants[ask.ID] != nil {
+		return
+	}
+	ask.cost = ask.Cost()
+	a := p.account(ask.Customer)
+	a.asked.add(ask.cost, now, p.Rules.Window)
+	g := p.book(ask, e, now)
+	if begun {
+		g.begun = true
+		e.remove(g)
+	}
+}
+
+// Withdraw takes a request out of line. It reports whether it still waited.
+func (p *Pool) Withdraw(id string) bool {
+	ask := p.asks[id]
+	if ask == nil {
+		return false
+	}
+	a := p.account(ask.Customer)
+	a.queue = slices.DeleteFunc(a.queue, func(other *Ask) bool { return other == ask })
+	delete(p.asks, id)
+	p.queued--
+	return true
+}
+
+// Begin notes that the first event of a granted request came.
+func (p *Pool) Begin(id string, now time.Time) {
+	if g := p.grants[id]; g != nil {
+		g.engine.begin(g, now)
+	}
+}
+
+// End settles a granted request.
+func (p *Pool) End(id string, how Outcome, now time.Time) {
+	g := p.grants[id]
+	if g == nil {
+		return
+	}
+	delete(p.grants, id)
+	g.engine.finish(g, how, now)
+	switch how.(type) {
+	case NotRun, Unreachable:
+		// It got nothing: the customer is not charged.
+		p.account(g.ask.Customer).granted.add(-g.ask.cost, now, p.Rules.Window)
+	case Done, Broken:
+	}
+}
+
+// Forget drops all that one router has waiting and running, when it is gone.
+func (p *Pool) Forget(router uint64, now time.Time) {
+	for id, ask := range p.asks {
+		if ask.Router == router {
+			p.Withdraw(id)
+		}
+	}
+	for id, g := range p.grants {
+		if g.ask.Router == router {
+			p.End(id, Done{}, now)
+		}
+	}
+}
+
+// Waits tells whether a request is in line.
+func (p *Pool) Waits(id string) bool { return p.asks[id] != nil }
+
+// Waiting is the number of requests in line.
+func (p *Pool) Waiting() int { return p.queued }
+
+// Running is the number of requests at engines.
+func (p *Pool) Running() int { return len(p.grants) }
+
+// Decide grants what can go now and turns away what can no longer wait. It is
+// called after each event, and from time to time while requests wait.
+func (p *Pool) Decide(now time.Time) (decisions []Decision) {
+	if p.queued == 0 {
+		return nil
+	}
+	p.updateShare(now)
+	for granted := true; granted; {
+		granted = false
+		for _, a := range p.inTurn(now) {
+			if d := p.grantOne(a, now); d != nil {
+				decisions = append(decisions, *d)
+				granted = true
+				break
+			}
+		}
+	}
+	return p.turnAway(decisions, now)
+}
+
+// updateShare brings the even share of the window up to date.
+func (p *Pool) updateShare(now time.Time) {
+	const step = 50 * time.Millisecond
+	if now.Sub(p.shareAt) < step {
+		return
+	}
+	p.shareAt = now
+	asked := make([]float64, 0, len(p.accounts))
+	for name, a := range p.accounts {
+		a.asked.advance(now, p.Rules.Window)
+		a.granted.advance(now, p.Rules.Window)
+		if a.asked.sum < 1 && len(a.queue) == 0 {
+			delete(p.accounts, name)
+			continue
+		}
+		asked = append(asked, a.asked.sum)
+	}
+	p.share = evenShare(asked, p.tokensPerSecond*p.Rules.Window.Seconds()/float64(max(1, p.Routers)))
+}
+
+// over tells whether a request is beyond its customer's share.
+func (p *Pool) over(a *account, ask *Ask) bool {
+	return p.tokensPerSecond > 0 && a.granted.sum+ask.cost/2 > p.share
+}
+
+// inTurn are the customers with waiting requests, the one served least first.
+func (p *Pool) inTurn(now time.Time) []*account {
+	var waiting []*account
+	for _, a := range p.accounts {
+		if len(a.queue) > 0 {
+			a.granted.advance(now, p.Rules.Window)
+			waiting = append(waiting, a)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *account) int {
+		return cmp.Or(cmp.Compare(a.granted.sum, b.granted.sum), cmp.Compare(a.name, b.name))
+	})
+	return waiting
+}
+
+// grantOne grants the first of a customer's requests for which there is room.
+func (p *Pool) grantOne(a *account, now time.Time) *Grant {
+	for i, ask := range a.queue {
+		bound := p.Rules.Backlog
+		if p.over(a, ask) {
+			bound = p.Rules.IdleBacklog
+		}
+		at := p.place(ask, bound, now)
+		if at == nil {
+			continue
+		}
+		a.queue = slices.Delete(a.queue, i, i+1)
+		delete(p.asks, ask.ID)
+		p.queued--
+		wait := p.wait(at, now)
+		tokens, shared := at.missing(&ask.Prompt)
+		p.book(ask, at, now)
+		return &Grant{Ask: ask, Endpoint: at.ID, Wait: wait, Read: at.readTime(tokens), Missing: shared}
+	}
+	return nil
+}
+
+func (p *Pool) book(ask *Ask, e *engine, now time.Time) *grant {
+	tokens, _ := e.missing(&ask.Prompt)
+	g := &grant{ask: ask, engine: e, tokens: tokens, at: now}
+	p.grants[ask.ID] = g
+	e.take(g, now)
+	p.account(ask.Customer).granted.add(ask.cost, now, p.Rules.Window)
+	return g
+}
+
+// turnAway gives up what waited for its part of the aim.
+func (p *Pool) turnAway(decisions []Decision, now time.Time) []Decision {
+	for _, a := range p.accounts {
+		for i := 0; i < len(a.queue); {
+			ask := a.queue[i]
+			hold := time.Duration(p.Rules.Hold * float64(ask.Aim))
+			if now.Before(ask.Arrived.Add(hold)) && now.Before(ask.Expires) {
+				i++
+				continue
+			}
+			over := p.over(a, ask)
+			decisions = append(decisions, Turn{
+				Ask:        ask,
+				RetryAfter: p.comeBack(over),
+				Over:       over,
+				Queued:     p.queued,
+			})
+			a.queue = slices.Delete(a.queue, i, i+1)
+			delete(p.asks, ask.ID)
+			p.queued--
+		}
+	}
+	return decisions
+}
+
+// The times after which refused requests come back, spread so that they do not
+// return together. Those within their share come when the engines have read
+// what waits there; those beyond it when the window has moved on.
+const (
+	comeBackSoon  = 500 * time.Millisecond
+	comeBackLater = 1500 * time.Millisecond
+)
+
+func (p *Pool) comeBack(over bool) time.Duration {
+	least := comeBackSoon
+	if over {
+		least = comeBackLater
+	}
+	return least + time.Duration(p.Rand.Float64()*float64(least))
+}
+
+func (p *Pool) account(customer string) *account {
+	a := p.accounts[customer]
+	if a == nil {
+		a = &account{name: customer}
+		p.accounts[customer] = a
+	}
+	return a
+}
