pkg/peer: streams on which routers ask another box to dispatch

Cause: all requests of a pool have to be decided in one place, by any box. Change: Opening has a third purpose; Call and Verdict travel on it, several to a write. Updates carry the version of the directory, and peers give it whole.

--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -22,14 +22,19 @@
 }
 
 func (e *encoder) encode(state State) (update *peerpb.Update, changed bool) {
-	update = &peerpb.Update{Revision: state.Revision, Leaving: state.Leaving}
+	update = &peerpb.Update{
+		Revision:  state.Revision,
+		Leaving:   state.Leaving,
+		Directory: state.Directory,
+	}
 	for name, pool := range state.Pools {
 		if poolUpdate := e.encodePool(update, name, pool); poolUpdate != nil {
 			update.Pools = append(update.Pools, poolUpdate)
 		}
 	}
 	changed = e.first || len(update.Pools) > 0 ||
-		state.Revision != e.last.Revision || state.Leaving != e.last.Leaving
+		state.Revision != e.last.Revision || state.Leaving != e.last.Leaving ||
+		state.Directory != e.last.Directory
 	e.last = state
 	e.first = false
 	return update, changed
@@ -108,9 +113,10 @@
 		d.names[name.Number] = name.Text
 	}
 	state = State{
-		Revision: update.Revision,
-		Leaving:  update.Leaving,
-		Pools:    make(map[string]PoolState, len(update.Pools)),
+		Revision:  update.Revision,
+		Leaving:   update.Leaving,
+		Directory: update.Directory,
+		Pools:     make(map[string]PoolState, len(update.Pools)),
 	}
 	for _, pool := range update.Pools {
 		if err := checkEven(pool); err != nil {
--- /dev/null
+++ b/pkg/peer/dispatch.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/quaylead/quaylead/pkg/peer/peerpb"
+)
+
+// DispatchStream carries messages between a router and the box that dispatches
+// for a service. Sending never blocks; receiving does.
+type DispatchStream struct {
+	stream  net.Conn
+	reader  *bufio.Reader
+	outbox  chan proto.Message
+	timeout time.Duration
+}
+
+// outboxLength bounds the messages that wait for a peer; a peer that takes none
+// for so long is not of use.
+const outboxLength = 4096
+
+// NewDispatchStream makes a stream on a connection.
+func NewDispatchStream(stream net.Conn, timeout time.Duration) *DispatchStream {
+	return newDispatchStream(stream, bufio.NewReader(stream), timeout)
+}
+
+func newDispatchStream(stream net.Conn, reader *bufio.Reader, timeout time.Duration) *DispatchStream {
+	return &DispatchStream{
+		stream:  stream,
+		reader:  reader,
+		outbox:  make(chan proto.Message, outboxLength),
+		timeout: timeout,
+	}
+}
+
+// Send queues a message. It reports false when the peer takes none: the stream
+// is then of no use.
+func (s *DispatchStream) Send(message proto.Message) bool {
+	select {
+	case s.outbox <- message:
+		return true
+	default:
+		return false
+	}
+}
+
+// Receive reads the next message.
+func (s *DispatchStream) Receive(message proto.Message) error {
+	return receive(s.reader, message)
+}
+
+// Close ends both directions.
+func (s *DispatchStream) Close() error {
+	return s.stream.Close()
+}
+
+// Write sends what is queued, several messages at a time, until the context
+// ends or the stream breaks.
+func (s *DispatchStream) Write(ctx context.Context) error {
+	writer := bufio.NewWriter(s.stream)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case message := <-s.outbox:
+			if err := s.writeQueued(writer, message); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *DispatchStream) writeQueued(writer *bufio.Writer, message proto.Message) error {
+	if err := s.stream.SetWriteDeadline(time.Now().Add(s.timeout)); err != nil {
+		return err
+	}
+	for {
+		if _, err := protodelim.MarshalTo(writer, message); err != nil {
+			return err
+		}
+		select {
+		case message = <-s.outbox:
+		default:
+			return writer.Flush()
+		}
+	}
+}
+
+// OpenDispatch opens a stream to a box that dispatches for a service.
+func (e *Exchange) OpenDispatch(box, service string) (stream *DispatchStream, err error) {
+	defer func() { err = trace.Wrap(err, "asking %s to dispatch", box) }()
+	session := e.session(box)
+	if session == nil {
+		return nil, trace.NotFound("no session to the peer")
+	}
+	raw, err := session.Open()
+	if err != nil {
+		return nil, err
+	}
+	opening := &peerpb.Opening{Purpose: &peerpb.Opening_DispatchHello{
+		DispatchHello: &peerpb.DispatchHello{Router: e.hello(), Service: service},
+	}}
+	if err := send(raw, opening, e.Box.Exchange.Lapse.Duration); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return NewDispatchStream(raw, e.Box.Exchange.Lapse.Duration), nil
+}
+
+// serveDispatch answers one router's stream.
+func (e *Exchange) serveDispatch(raw net.Conn, reader *bufio.Reader, hello *peerpb.DispatchHello) error {
+	if e.Dispatch == nil || hello.Router == nil {
+		return trace.BadParameter("this box does not dispatch")
+	}
+	if err := raw.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	stream := newDispatchStream(raw, reader, e.Box.Exchange.Lapse.Duration)
+	group, ctx := errgroup.WithContext(context.Background())
+	group.Go(func() error { return stream.Write(ctx) })
+	group.Go(func() error {
+		defer stream.Close()
+		return e.Dispatch.ServeDispatch(senderOf(hello.Router), hello.Service, stream)
+	})
+	return group.Wait()
+}
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
@@ -31,6 +32,17 @@
 	Snapshot() (revision uint64, content []byte)
 }
 
+// DirectoryTeller gives peers what this box knows of the endpoints.
+type DirectoryTeller interface {
+	Directory() *peerpb.Directory
+}
+
+// DispatchServer answers routers that ask this box for engines.
+type DispatchServer interface {
+	// ServeDispatch serves a stream until it breaks.
+	ServeDispatch(from Sender, service string, stream *DispatchStream) error
+}
+
 // Listener takes what peers tell.
 type Listener interface {
 	// Heard takes a message. First marks the first one of a stream, which
@@ -47,6 +59,8 @@
 	Incarnation uint64
 	// OperatorAddress is where operators reach the box.
 	OperatorAddress string
+	// PeerAddress is where other boxes reach it.
+	PeerAddress string
 }
 
 // State is what one box tells the others.
@@ -55,6 +69,8 @@
 	Revision uint64
 	// Leaving is set once the box stops taking work.
 	Leaving bool
+	// Directory is the version of what is known of the endpoints.
+	Directory uint64
 	// Pools are by name. In a received state, only what changed is there.
 	Pools map[string]PoolState
 }
@@ -84,7 +100,11 @@
 	Incarnation uint64
 	Teller      Teller
 	Listener    Listener
-	Log         *zap.Logger
+	// Directory answers peers that ask for the endpoints; nil refuses them.
+	Directory DirectoryTeller
+	// Dispatch answers routers that ask for engines; nil refuses them.
+	Dispatch DispatchServer
+	Log      *zap.Logger
 	// TLS secures sessions; nil means plain TCP.
 	TLS *tls.Config
 	// Traffic counts what the exchange sends and receives.
@@ -214,7 +234,10 @@
 }
 
 func (e *Exchange) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: e.Box.Exchange.DialTimeout.Duration}
+	dialer := net.Dialer{
+		Timeout: e.Box.Exchange.DialTimeout.Duration,
+		Control: userTimeout(e.Box.Exchange.Lapse.Duration),
+	}
 	if e.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
@@ -227,12 +250,7 @@
 func (e *Exchange) sendUpdates(ctx context.Context, stream net.Conn, wake <-chan struct{}) error {
 	timing := e.Box.Exchange
 	encoder := newEncoder()
-	hello := &peerpb.Opening{Purpose: &peerpb.Opening_Hello{Hello: &peerpb.Hello{
-		Box:             e.Box.Name,
-		Zone:            e.Box.Zone,
-		Incarnation:     e.Incarnation,
-		OperatorAddress: e.Box.OperatorAddress,
-	}}}
+	hello := &peerpb.Opening{Purpose: &peerpb.Opening_Hello{Hello: e.hello()}}
 	if err := send(stream, hello, timing.Lapse.Duration); err != nil {
 		return err
 	}
@@ -251,6 +269,17 @@
 	}
 }
 
+// hello introduces this process.
+func (e *Exchange) hello() *peerpb.Hello {
+	return &peerpb.Hello{
+		Box:             e.Box.Name,
+		Zone:            e.Box.Zone,
+		Incarnation:     e.Incarnation,
+		OperatorAddress: e.Box.OperatorAddress,
+		PeerAddress:     e.Box.PeerAddress,
+	}
+}
+
 // Fetch asks peers for settings of at least a revision, one after the other,
 // the named one first, and returns the first that has them.
 func (e *Exchange) Fetch(first string, revision uint64) (found uint64, content []byte, err error) {
@@ -260,7 +289,7 @@
 		if session == nil {
 			continue
 		}
-		snapshot, err := e.fetchFrom(session, revision)
+		snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Revision: revision})
 		if err == nil && snapshot.Revision >= revision && snapshot.Revision > 0 {
 			return snapshot.Revision, snapshot.Content, nil
 		}
@@ -282,7 +311,33 @@
 	return links
 }
 
-func (e *Exchange) fetchFrom(session *yamux.Session, revision uint64) (snapshot *peerpb.Snapshot, err error) {
+// FetchDirectory asks one peer for what it knows of the endpoints.
+func (e *Exchange) FetchDirectory(from string) (directory *peerpb.Directory, err error) {
+	defer func() { err = trace.Wrap(err, "fetching the directory from %s", from) }()
+	session := e.session(from)
+	if session == nil {
+		return nil, trace.NotFound("no session to the peer")
+	}
+	snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Directory: true})
+	if err != nil {
+		return nil, err
+	}
+	directory = &peerpb.Directory{}
+	return directory, proto.Unmarshal(snapshot.Content, directory)
+}
+
+// session returns the open session to a peer; nil means that there is none.
+func (e *Exchange) session(name string) *yamux.Session {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.peers[name]
+	if l == nil {
+		return nil
+	}
+	return l.session.Load()
+}
+
+func (e *Exchange) fetchFrom(session *yamux.Session, request *peerpb.SnapshotRequest) (snapshot *peerpb.Snapshot, err error) {
 	stream, err := session.Open()
 	if err != nil {
 		return nil, err
@@ -290,7 +345,7 @@
 	defer stream.Close()
 	timeout := e.Box.Exchange.Lapse.Duration
 	opening := &peerpb.Opening{Purpose: &peerpb.Opening_SnapshotRequest{
-		SnapshotRequest: &peerpb.SnapshotRequest{Revision: revision},
+		SnapshotRequest: request,
 	}}
 	if err := send(stream, opening, timeout); err != nil {
 		return nil, err
--- a/pkg/peer/listening.go
+++ b/pkg/peer/listening.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 )
@@ -76,22 +77,43 @@
 		defer session.Close()
 		return e.listen(stream, reader, purpose.Hello)
 	case *peerpb.Opening_SnapshotRequest:
-		revision, content := e.Teller.Snapshot()
-		reply := &peerpb.Snapshot{Revision: revision, Content: content}
-		return send(stream, reply, e.Box.Exchange.Lapse.Duration)
+		return e.sendSnapshot(stream, purpose.SnapshotRequest)
+	case *peerpb.Opening_DispatchHello:
+		return e.serveDispatch(stream, reader, purpose.DispatchHello)
 	}
 	return trace.BadParameter("stream without a purpose")
 }
 
-// listen passes on a peer's updates until it is silent for too long. The
-// session is then closed, so that the peer starts again with everything.
-func (e *Exchange) listen(stream net.Conn, reader *bufio.Reader, hello *peerpb.Hello) error {
-	from := Sender{
+func (e *Exchange) sendSnapshot(stream net.Conn, request *peerpb.SnapshotRequest) (err error) {
+	reply := &peerpb.Snapshot{}
+	switch {
+	case request.Directory && e.Directory == nil:
+		return trace.BadParameter("this box knows no endpoints")
+	case request.Directory:
+		reply.Content, err = proto.Marshal(e.Directory.Directory())
+	default:
+		reply.Revision, reply.Content = e.Teller.Snapshot()
+	}
+	if err != nil {
+		return err
+	}
+	return send(stream, reply, e.Box.Exchange.Lapse.Duration)
+}
+
+func senderOf(hello *peerpb.Hello) Sender {
+	return Sender{
 		Box:             hello.Box,
 		Zone:            hello.Zone,
 		Incarnation:     hello.Incarnation,
 		OperatorAddress: hello.OperatorAddress,
+		PeerAddress:     hello.PeerAddress,
 	}
+}
+
+// listen passes on a peer's updates until it is silent for too long. The
+// session is then closed, so that the peer starts again with everything.
+func (e *Exchange) listen(stream net.Conn, reader *bufio.Reader, hello *peerpb.Hello) error {
+	from := senderOf(hello)
 	if from.Incarnation == e.Incarnation {
 		return nil
 	}
