pkg/registry: judge lapsed entries where they were read, and notice hanging feeds

Stopped processes waited for such a feed and were killed at the end of their time. Change: only the box that reads a removal in the store may take it for a lapse, and a lost history is no outage; feeds wait 1.5 s and more by the number of boxes; a stop closes the store's connections.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -9,15 +9,26 @@
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
+// fromStore names the store as the origin of news; others are boxes' names.
+const fromStore = "store"
+
+// lapse is an entry that went while the store was unwell.
+type lapse struct {
+	// until is how long its endpoint is still used.
+	until time.Time
+	// version is that of its removal.
+	version uint64
+}
+
 // take merges entries, the newer account of each going first. Whole marks that
 // they are all there are.
 func (r *Registry) take(entries []Entry, whole bool, from string, now time.Time) {
 	r.mu.Lock()
 	if r.entries == nil {
 		r.entries = map[string]Entry{}
-		r.lapsed = map[string]time.Time{}
+		r.lapsed = map[string]lapse{}
 	}
-	if whole && from == "store" {
+	if whole && from == fromStore {
 		entries = append(entries, r.absent(entries)...)
 	}
 	changed := false
@@ -63,10 +74,12 @@
 		return false
 	}
 	if entry.Gone {
-		return r.remove(known, entry, now)
+		return r.remove(known, entry, from, now)
 	}
 	r.entries[entry.ID] = entry
-	delete(r.lapsed, entry.ID)
+	if entry.Version > r.lapsed[entry.ID].version {
+		delete(r.lapsed, entry.ID)
+	}
 	if had && !known.Gone && entry.Endpoint == known.Endpoint {
 		return false
 	}
@@ -80,34 +93,49 @@
 	return true
 }
 
-func (r *Registry) remove(known, entry Entry, now time.Time) bool {
+// remove takes the word that an entry is gone. The box that read it in the store
+// judges whether an outage of the store may be the reason; what peers tell was
+// judged there.
+func (r *Registry) remove(known, entry Entry, from string, now time.Time) bool {
 	if known.ID == "" {
 		known.ID = entry.ID
 	}
-	wasGone := known.Gone
-	known.Version = entry.Version
-	known.Gone = true
-	r.entries[entry.ID] = known
-	if wasGone {
-		return false
-	}
-	if !known.Leaving && now.Sub(r.unwellAt) < unwellFor {
-		r.lapsed[entry.ID] = now.Add(lapseGrace)
-		r.Log.Info("entry lapsed during an outage, endpoint still used", zap.String("Endpoint", entry.ID))
+	if !known.Gone && !known.Leaving && from == fromStore && now.Sub(r.unwellAt) < unwellFor {
+		if _, had := r.lapsed[entry.ID]; !had {
+			r.lapsed[entry.ID] = lapse{until: now.Add(lapseGrace), version: entry.Version}
+			r.Log.Info("entry lapsed during an outage, endpoint still used",
+				zap.String("Endpoint", entry.ID),
+				zap.Duration("Outage", now.Sub(r.unwellAt)))
+		}
 		return false
 	}
-	r.Log.Info("endpoint gone", zap.String("Endpoint", entry.ID), zap.Uint64("Version", entry.Version))
-	return true
+	wasGone := known.Gone
+	r.bury(known, entry.Version)
+	if !wasGone {
+		r.Log.Info("endpoint gone",
+			zap.String("Endpoint", entry.ID),
+			zap.Uint64("Version", entry.Version),
+			zap.String("From", from))
+	}
+	return !wasGone
+}
+
+func (r *Registry) bury(known Entry, version uint64) {
+	known.Version = version
+	known.Gone = true
+	r.entries[known.ID] = known
+	delete(r.lapsed, known.ID)
 }
 
 // endLapses drops endpoints whose entries did not come back.
 func (r *Registry) endLapses(now time.Time) (changed bool) {
-	for id, until := range r.lapsed {
-		if now.After(until) {
-			delete(r.lapsed, id)
-			changed = true
-			r.Log.Info("endpoint gone: its entry did not come back", zap.String("Endpoint", id))
+	for id, lapsed := range r.lapsed {
+		if now.Before(lapsed.until) {
+			continue
 		}
+		r.bury(r.entries[id], lapsed.version)
+		changed = true
+		r.Log.Info("endpoint gone: its entry did not come back", zap.String("Endpoint", id))
 	}
 	return changed
 }
@@ -120,8 +148,7 @@
 	}
 	for id, entry := range r.entries {
 		directory.Version = max(directory.Version, entry.Version)
-		_, lapsed := r.lapsed[id]
-		if !entry.Gone || lapsed {
+		if !entry.Gone {
 			directory.Endpoints[id] = entry.Endpoint
 		}
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -57,6 +57,8 @@
 	Announce(ctx context.Context, box Box) error
 	// Boxes reads the entries of all boxes.
 	Boxes(ctx context.Context) ([]Box, error)
+	// Close ends the calls that are under way.
+	Close()
 }
 
 // Registry follows the store. Its exported fields are set before Run.
@@ -80,17 +82,22 @@
 	// content is the catalog's, as it was accepted.
 	content []byte
 	entries map[string]Entry
-	// lapsed are entries that went while the store was unwell; they are used
-	// until the time given, unless they come back.
-	lapsed map[string]time.Time
+	// lapsed are entries that went while the store was unwell; they are used for
+	// a while, unless they come back.
+	lapsed map[string]lapse
 	// unwellAt is when a call about the endpoints last failed.
 	unwellAt time.Time
 }
 
 const (
-	// catalogWait is how long one call waits for a new configuration. It is
-	// shorter than the shortest history that the store may keep.
-	catalogWait = 8 * time.Second
+	// catalogWaitLeast and catalogWaitMost bound how long one call waits for a
+	// new configuration; catalogWaitPart is added for each box, as each tells the
+	// others. A call that hangs in an outage is noticed when this time is over,
+	// and 2 s are given for putting a version in force. The most is shorter than
+	// the history that a store keeps.
+	catalogWaitLeast = 1500 * time.Millisecond
+	catalogWaitPart  = 60 * time.Millisecond
+	catalogWaitMost  = 8 * time.Second
 	// lookInterval is the mean time between two looks at the endpoints by any
 	// of the boxes. Leaving endpoints have to be known within 2 s.
 	lookInterval = 400 * time.Millisecond
@@ -105,8 +112,8 @@
 	// the users' pages say that a live server is back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
 	// unwellFor is how long after a failed call a lost entry is put down to the
-	// outage.
-	unwellFor = 4 * time.Second
+	// outage: one call's time-out and the longest wait after a failure.
+	unwellFor = 2 * time.Second
 	// boxesInterval is the mean time between two looks at the list of boxes.
 	boxesInterval = 10 * time.Second
 )
@@ -117,6 +124,11 @@
 	group.Go(func() error { return r.followCatalog(ctx) })
 	group.Go(func() error { return r.followEndpoints(ctx) })
 	group.Go(func() error { return r.followBoxes(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		r.Store.Close()
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -168,7 +180,7 @@
 		again.reset()
 		since, known = version, true
 		if content != nil {
-			r.OfferCatalog(content, "store")
+			r.OfferCatalog(content, fromStore)
 		}
 	}
 	return nil
@@ -176,7 +188,8 @@
 
 func (r *Registry) nextCatalog(ctx context.Context, since uint64, known bool) ([]byte, uint64, error) {
 	if known {
-		return r.Store.CatalogSince(ctx, since, catalogWait)
+		wait := min(catalogWaitLeast+catalogWaitPart*time.Duration(r.Peers()), catalogWaitMost)
+		return r.Store.CatalogSince(ctx, since, interval.Jittered(wait))
 	}
 	return r.Store.Catalog(ctx)
 }
@@ -215,7 +228,7 @@
 		entries, version, err := r.nextEndpoints(ctx, since, known)
 		if err != nil {
 			known = known && !errors.Is(err, ErrHistoryLost)
-			r.endpointsFailed()
+			r.endpointsFailed(err)
 			r.Log.Warn("endpoints not read", zap.Uint64("Since", since), zap.Error(err))
 			if again.wait(ctx) != nil {
 				return nil
@@ -226,7 +239,7 @@
 			r.Log.Info("endpoints are read again", zap.Int("Failures", again.failures))
 		}
 		again.reset()
-		r.take(entries, !known, "store", time.Now())
+		r.take(entries, !known, fromStore, time.Now())
 		since, known = version, true
 		if interval.Wait(ctx, interval.Jittered(r.untilLook())) != nil {
 			return nil
@@ -251,7 +264,11 @@
 	return min(lookInterval*time.Duration(peers+1), longestLook)
 }
 
-func (r *Registry) endpointsFailed() {
+// endpointsFailed notes an outage. A store that lost its history is well.
+func (r *Registry) endpointsFailed(err error) {
+	if errors.Is(err, ErrHistoryLost) {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unwellAt = time.Now()
--- /dev/null
+++ b/pkg/registry/registry_test.go
@@ -0,0 +1,246 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// fakeState is what a test sets of a store.
+type fakeState struct {
+	config  []byte
+	entries []Entry
+	version uint64
+	// failing makes every call fail; lost makes one feed forget its history.
+	failing, lost bool
+	// hanging has feeds wait as long as they may and a second more, then fail.
+	hanging bool
+}
+
+// fakeStore is a store whose state and failures a test sets.
+type fakeStore struct {
+	mu    sync.Mutex
+	state fakeState
+}
+
+var errStoreDown = errors.New("the store is down")
+
+func (f *fakeStore) change(how func(*fakeState)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	how(&f.state)
+}
+
+func (f *fakeStore) now() fakeState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.state
+	now.entries = slices.Clone(now.entries)
+	return now
+}
+
+func (f *fakeStore) Catalog(context.Context) ([]byte, uint64, error) {
+	now := f.now()
+	if now.failing {
+		return nil, 0, errStoreDown
+	}
+	return now.config, now.version, nil
+}
+
+func (f *fakeStore) CatalogSince(ctx context.Context, version uint64, wait time.Duration) ([]byte, uint64, error) {
+	if now := f.now(); now.hanging || now.failing {
+		time.Sleep(wait + time.Second)
+		return nil, 0, errStoreDown
+	}
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; {
+		if now := f.now(); now.version > version {
+			return now.config, now.version, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, f.now().version, nil
+}
+
+func (f *fakeStore) DecodeCatalog(content []byte) (*route.Catalog, error) {
+	catalog := &route.Catalog{}
+	if _, err := fmt.Sscanf(string(content), "version %d", &catalog.Version); err != nil {
+		return nil, err
+	}
+	return catalog, nil
+}
+
+func (f *fakeStore) Endpoints(context.Context) ([]Entry, uint64, error) {
+	now := f.now()
+	if now.failing {
+		return nil, 0, errStoreDown
+	}
+	return now.entries, now.version, nil
+}
+
+func (f *fakeStore) EndpointsSince(_ context.Context, version uint64) ([]Entry, uint64, error) {
+	now := f.now()
+	if now.failing {
+		return nil, 0, errStoreDown
+	}
+	if now.lost {
+		f.change(func(s *fakeState) { s.lost = false })
+		return nil, 0, ErrHistoryLost
+	}
+	var newer []Entry
+	for _, entry := range now.entries {
+		if entry.Version > version {
+			newer = append(newer, entry)
+		}
+	}
+	return newer, now.version, nil
+}
+
+func (f *fakeStore) Announce(context.Context, Box) error  { return nil }
+func (f *fakeStore) Boxes(context.Context) ([]Box, error) { return nil, nil }
+func (f *fakeStore) Close()                               {}
+
+func endpointOf(id string) route.Endpoint {
+	return route.Endpoint{ID: id, Service: "llm", Address: "10.0.0.1:1"}
+}
+
+func (s *fakeState) put(id string, version uint64) {
+	s.set(Entry{Endpoint: endpointOf(id), Version: version})
+}
+
+func (s *fakeState) remove(id string, version uint64) {
+	s.set(Entry{Endpoint: route.Endpoint{ID: id}, Version: version, Gone: true})
+}
+
+func (s *fakeState) set(entry Entry) {
+	s.version = entry.Version
+	for i := range s.entries {
+		if s.entries[i].ID == entry.ID {
+			s.entries[i] = entry
+			return
+		}
+	}
+	s.entries = append(s.entries, entry)
+}
+
+func start(t *testing.T, store *fakeStore) (r *Registry, stop func()) {
+	t.Helper()
+	r = &Registry{
+		Store:      store,
+		Log:        zap.NewNop(),
+		Changed:    func() {},
+		FoundBoxes: func([]Box) {},
+		Peers:      func() int { return 0 },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	group := errgroup.Group{}
+	group.Go(func() error { return r.Run(ctx) })
+	return r, func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func has(r *Registry, id string) bool {
+	_, ok := r.Directory().Endpoints[id]
+	return ok
+}
+
+func TestRegistry(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(*fakeStore, *Registry)
+	}{
+		{"an entry that goes is dropped at once while the store is well", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) { s.remove("a", 2) })
+			time.Sleep(time.Second)
+			So(has(r, "a"), ShouldBeFalse)
+		}},
+		{"a lost history is no outage: an entry that went in the gap is dropped at once", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) { s.remove("a", 2) })
+			store.change(func(s *fakeState) { s.lost = true })
+			time.Sleep(1200 * time.Millisecond)
+			So(has(r, "a"), ShouldBeFalse)
+		}},
+		{"an entry that lapsed in an outage is used for two seconds more", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) { s.failing = true })
+			time.Sleep(5 * time.Second)
+			store.change(func(s *fakeState) { s.remove("a", 2) })
+			store.change(func(s *fakeState) { s.failing = false })
+			time.Sleep(1500 * time.Millisecond)
+			So(has(r, "a"), ShouldBeTrue)
+			time.Sleep(3 * time.Second)
+			So(has(r, "a"), ShouldBeFalse)
+		}},
+		{"an entry that comes back after an outage stays", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) { s.failing = true })
+			time.Sleep(5 * time.Second)
+			store.change(func(s *fakeState) { s.remove("a", 2) })
+			store.change(func(s *fakeState) { s.failing = false })
+			time.Sleep(1500 * time.Millisecond)
+			store.change(func(s *fakeState) { s.put("a", 3) })
+			time.Sleep(5 * time.Second)
+			So(has(r, "a"), ShouldBeTrue)
+		}},
+		{"what a peer calls gone is dropped also while the store is out of reach", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) { s.failing = true })
+			time.Sleep(2 * time.Second)
+			r.OfferEntries([]Entry{{Endpoint: route.Endpoint{ID: "a"}, Version: 2, Gone: true}}, "box-2")
+			So(has(r, "a"), ShouldBeFalse)
+		}},
+		{"an older account does not replace a newer one", func(store *fakeStore, r *Registry) {
+			r.OfferEntries([]Entry{{Endpoint: route.Endpoint{ID: "a"}, Version: 9, Gone: true}}, "box-2")
+			store.change(func(s *fakeState) { s.put("a", 5) })
+			time.Sleep(2 * time.Second)
+			So(has(r, "a"), ShouldBeFalse)
+		}},
+		{"an entry that can not be read changes nothing", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) {
+				s.set(Entry{Endpoint: route.Endpoint{ID: "a"}, Version: 2, Problem: errors.New("no address")})
+			})
+			time.Sleep(2 * time.Second)
+			So(has(r, "a"), ShouldBeTrue)
+		}},
+		{"a configuration is in force within two seconds of a hanging store's return", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) { s.hanging = true })
+			time.Sleep(5 * time.Second)
+			store.change(func(s *fakeState) { s.hanging = false })
+			// The call that hangs was made in the outage.
+			time.Sleep(3 * time.Second)
+			store.change(func(s *fakeState) { s.config, s.version = []byte("version 2"), 2 })
+			time.Sleep(2 * time.Second)
+			So(r.Catalog().Version, ShouldEqual, 2)
+		}},
+		{"a configuration never goes back, and one that can not be read changes nothing", func(store *fakeStore, r *Registry) {
+			r.OfferCatalog([]byte("version 7"), "box-2")
+			r.OfferCatalog([]byte("version 6"), "box-3")
+			r.OfferCatalog([]byte("garbage"), "box-3")
+			So(r.Catalog().Version, ShouldEqual, 7)
+		}},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(c.name, t, func() {
+				store := &fakeStore{state: fakeState{config: []byte("version 1")}}
+				store.change(func(s *fakeState) { s.put("a", 1) })
+				r, stop := start(t, store)
+				time.Sleep(2 * time.Second)
+				So(has(r, "a"), ShouldBeTrue)
+				c.run(store, r)
+				stop()
+			})
+		})
+	}
+}
