pkg/dispatch: one broken answer rests no engine

Answers that are lost or spoiled rested their engines for 0.5 to 4 s, and all their prompts moved. Change: three broken answers in a row rest an engine, one no longer does.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -39,6 +39,8 @@
 	suspectUntil time.Time
 	// failures in a row lengthen that time.
 	failures int
+	// broken answers in a row, without a first token between them.
+	broken int
 }
 
 type keptPart struct {
@@ -78,6 +80,8 @@
 	// each failure in a row, up to suspectLongest.
 	suspectFor     = 500 * time.Millisecond
 	suspectLongest = 4 * time.Second
+	// brokenMost is the number of broken answers in a row that stand for a crash.
+	brokenMost = 3
 	// stallAfter is the time beyond the predicted first token after which an
 	// engine that began nothing since is taken for hanging.
 	stallAfter = 800 * time.Millisecond
@@ -232,8 +236,14 @@
 	case NotRun:
 		// It is full, or its entry is stale: a short rest, without doubt.
 		e.suspectUntil = now.Add(suspectFor / 5)
-	case Unreachable, Broken:
+	case Unreachable:
 		e.fail(now)
+	case Broken:
+		// One answer that was lost says little: sending the engine's prompts
+		// elsewhere would cost far more. A crash breaks many at once.
+		if e.broken++; e.broken >= brokenMost {
+			e.fail(now)
+		}
 	}
 }
 
@@ -245,5 +255,6 @@
 
 func (e *engine) succeed() {
 	e.failures = 0
+	e.broken = 0
 	e.suspectUntil = time.Time{}
 }
--- /dev/null
+++ b/pkg/dispatch/engine_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// start is when the events of these tests begin; the pool takes the time as an
+// argument.
+var start = time.Unix(1000, 0)
+
+func askOf(id, customer string, now time.Time, parts ...Part) *Ask {
+	return &Ask{
+		ID:       id,
+		Customer: customer,
+		Prompt:   Prompt{Parts: parts, MaxOutput: 100},
+		Arrived:  now,
+		Aim:      800 * time.Millisecond,
+		Expires:  now.Add(10 * time.Second),
+	}
+}
+
+func grantAt(e *engine, id string, now time.Time, parts ...Part) *grant {
+	ask := askOf(id, "a", now, parts...)
+	tokens, _ := e.missing(&ask.Prompt)
+	g := &grant{ask: ask, engine: e, tokens: tokens, at: now}
+	e.take(g, now)
+	return g
+}
+
+func newTestEngine() *engine {
+	return newEngine(route.Endpoint{ID: "e", Slots: 8}, 100000)
+}
+
+func TestEngine(t *testing.T) {
+	Convey("One broken answer, between others that begin, rests no engine", t, func() {
+		e := newTestEngine()
+		for i := range 10 {
+			now := start.Add(time.Duration(i) * time.Second)
+			e.finish(grantAt(e, "lost", now, Part{ID: 1, Tokens: 100}), Broken{}, now)
+			So(e.usable(now.Add(time.Millisecond)), ShouldBeTrue)
+			e.begin(grantAt(e, "well", now, Part{ID: 1, Tokens: 100}), now.Add(100*time.Millisecond))
+		}
+	})
+	Convey("Several broken answers in a row rest it, as a crash does", t, func() {
+		e := newTestEngine()
+		for range brokenMost {
+			e.finish(grantAt(e, "lost", start, Part{ID: 1, Tokens: 100}), Broken{}, start)
+		}
+		So(e.usable(start.Add(time.Millisecond)), ShouldBeFalse)
+		So(e.usable(start.Add(suspectFor+time.Millisecond)), ShouldBeTrue)
+	})
+	Convey("An engine without connections rests at once, and longer each time", t, func() {
+		e := newTestEngine()
+		e.finish(grantAt(e, "1", start), Unreachable{}, start)
+		So(e.usable(start.Add(suspectFor-time.Millisecond)), ShouldBeFalse)
+		again := start.Add(time.Second)
+		e.finish(grantAt(e, "2", again), Unreachable{}, again)
+		So(e.usable(again.Add(2*suspectFor-time.Millisecond)), ShouldBeFalse)
+		So(e.usable(again.Add(2*suspectFor+time.Millisecond)), ShouldBeTrue)
+	})
+	Convey("A part behind one that is not kept has to be read again", t, func() {
+		e := newTestEngine()
+		first, second, own := Part{ID: 1, Tokens: 1000}, Part{ID: 2, Tokens: 2000}, Part{ID: 3, Tokens: 10}
+		e.keep(second)
+		tokens, shared := e.missing(&Prompt{Parts: []Part{first, second, own}})
+		So(tokens, ShouldEqual, 3010)
+		So(shared, ShouldEqual, 3000)
+		e.keep(first)
+		tokens, shared = e.missing(&Prompt{Parts: []Part{first, second, own}})
+		So(tokens, ShouldEqual, 10)
+		So(shared, ShouldEqual, 0)
+	})
+	Convey("The parts unused for longest give way first", t, func() {
+		e := newTestEngine()
+		e.keep(Part{ID: 1, Tokens: 40000})
+		e.keep(Part{ID: 2, Tokens: 40000})
+		e.keep(Part{ID: 1, Tokens: 40000})
+		e.keep(Part{ID: 3, Tokens: 40000})
+		So(e.byPart[2], ShouldBeNil)
+		So(e.byPart[1], ShouldNotBeNil)
+		So(e.keptTokens, ShouldEqual, 80000)
+	})
+	Convey("The predicted wait falls while the engine reads, but not below what waits behind", t, func() {
+		e := newTestEngine()
+		grantAt(e, "1", start, Part{ID: 1, Tokens: firstRate / 10})
+		grantAt(e, "2", start, Part{ID: 2, Tokens: firstRate / 10})
+		So(e.wait(start), ShouldEqual, 200*time.Millisecond)
+		So(e.wait(start.Add(base+50*time.Millisecond)), ShouldEqual, 150*time.Millisecond)
+		So(e.wait(start.Add(time.Second)), ShouldEqual, 100*time.Millisecond)
+	})
+	Convey("An engine that begins nothing for long is not used until it does", t, func() {
+		e := newTestEngine()
+		g := grantAt(e, "1", start, Part{ID: 1, Tokens: 4500})
+		later := start.Add(3 * time.Second)
+		So(e.usable(later), ShouldBeFalse)
+		e.begin(g, later)
+		So(e.usable(later.Add(time.Millisecond)), ShouldBeTrue)
+	})
+	Convey("The rate follows what is seen", t, func() {
+		e := newTestEngine()
+		now := start
+		for range 40 {
+			g := grantAt(e, "x", now, Part{ID: uint64(now.UnixNano()), Tokens: 10000})
+			now = now.Add(base + 500*time.Millisecond)
+			e.begin(g, now)
+		}
+		So(e.rate, ShouldBeBetween, 19000, 21500)
+	})
+}
