pkg/dispatch: requests wait for the engine that keeps their parts

Cause: a prompt whose home had reached its bound went to a second home at once and had its shared part read there, although the first would have had room within the time that it may wait. Customers beyond their share filled engines to 100 ms, which pauses the streams beside them. Change: the best engine is chosen with its wait, whatever the bound; a request waits for it for 0.7 of its time here. Tokens of shared parts to be read again count twice. Customers beyond their share wait for engines with 50 ms or less.

--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -132,44 +132,58 @@
 
 // place chooses the engine for a request; nil means that it has to wait. A
 // prompt whose shared parts are long goes to their homes, or to an engine that
-// keeps them: reading them again elsewhere would take from all.
+// keeps them: reading them again elsewhere would take from all. It waits for the
+// best of them, as long as it may, rather than go where they have to be read.
 func (p *Pool) place(ask *Ask, bound time.Duration, now time.Time) *engine {
-	if sharedTokens(&ask.Prompt) <= p.Rules.SmallShared {
-		best, _ := p.best(p.inOrder, ask, bound, now)
-		return best
+	among := p.inOrder
+	if sharedTokens(&ask.Prompt) > p.Rules.SmallShared {
+		among = p.candidates(ask, now)
 	}
-	best, cost := p.best(p.homes(&ask.Prompt, now), ask, bound, now)
-	for _, e := range p.inOrder {
-		if _, shared := e.missing(&ask.Prompt); shared > 0 {
+	var best, free *engine
+	var cost, freeCost time.Duration
+	for _, e := range among {
+		if !p.takes(e, ask, now) {
 			continue
 		}
-		if here, ok := p.costAt(e, ask, bound, now); ok && (best == nil || here < cost) {
+		wait := p.wait(e, now)
+		here := wait + p.readCost(e, ask)
+		if best == nil || here < cost {
 			best, cost = e, here
 		}
+		if wait <= bound && (free == nil || here < freeCost) {
+			free, freeCost = e, here
+		}
+	}
+	if best == free || p.lastChance(ask, now) {
+		return free
 	}
-	return best
+	return nil
 }
 
-func (p *Pool) best(among []*engine, ask *Ask, bound time.Duration, now time.Time) (best *engine, cost time.Duration) {
-	for _, e := range among {
-		here, ok := p.costAt(e, ask, bound, now)
-		if ok && (best == nil || here < cost) {
-			best, cost = e, here
+// candidates are the homes of a prompt, and the engines that keep its parts.
+func (p *Pool) candidates(ask *Ask, now time.Time) []*engine {
+	among := p.homes(&ask.Prompt, now)
+	for _, e := range p.inOrder {
+		if _, shared := e.missing(&ask.Prompt); shared == 0 && !slices.Contains(among, e) {
+			among = append(among, e)
 		}
 	}
-	return best, cost
+	return among
 }
 
-// costAt is the predicted time until a request's first token at an engine; ok
-// is false where it can not go now.
-func (p *Pool) costAt(e *engine, ask *Ask, bound time.Duration, now time.Time) (cost time.Duration, ok bool) {
-	if !e.usable(now) || !e.fits(&ask.Prompt) || slices.Contains(ask.Excluded, e.ID) {
-		return 0, false
-	}
-	wait := p.wait(e, now)
-	if wait > bound {
-		return 0, false
-	}
-	tokens, _ := e.missing(&ask.Prompt)
-	return wait + e.readTime(tokens), true
+// takes tells whether a request may go to an engine at all.
+func (p *Pool) takes(e *engine, ask *Ask, now time.Time) bool {
+	return e.usable(now) && e.fits(&ask.Prompt) && !slices.Contains(ask.Excluded, e.ID)
+}
+
+// readCost is the time for reading a prompt; shared parts that have to be read
+// again count more, as that time is taken from others.
+func (p *Pool) readCost(e *engine, ask *Ask) time.Duration {
+	tokens, shared := e.missing(&ask.Prompt)
+	return e.readTime(tokens) + time.Duration(float64(e.readTime(shared))*p.Rules.MissFactor)
+}
+
+// lastChance tells that a request can not wait much longer.
+func (p *Pool) lastChance(ask *Ask, now time.Time) bool {
+	return now.Sub(ask.Arrived) > time.Duration(p.Rules.LastChance*p.hold(ask))
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -22,6 +22,12 @@
 	// HomeLoad is the part of an engine's time that the requests of a shared
 	// part may take before it gets one more home.
 	HomeLoad float64
+	// MissFactor weighs the time for reading shared parts again, beside the time
+	// itself.
+	MissFactor float64
+	// LastChance is the part of its time here after which a request no longer
+	// waits for the engine that would be best.
+	LastChance float64
 	// SmallShared is the number of shared tokens up to which a prompt may go
 	// anywhere: reading them again costs less than waiting.
 	SmallShared int
@@ -34,10 +40,12 @@
 func DefaultRules() Rules {
 	return Rules{
 		Backlog:     300 * time.Millisecond,
-		IdleBacklog: 100 * time.Millisecond,
+		IdleBacklog: 50 * time.Millisecond,
 		Hold:        0.24,
 		Homes:       2,
 		HomeLoad:    0.25,
+		MissFactor:  1,
+		LastChance:  0.7,
 		SmallShared: 1000,
 		Window:      4 * time.Second,
 	}
@@ -310,8 +318,7 @@
 	for _, a := range p.accounts {
 		for i := 0; i < len(a.queue); {
 			ask := a.queue[i]
-			hold := time.Duration(p.Rules.Hold * float64(ask.Aim))
-			if now.Before(ask.Arrived.Add(hold)) && now.Before(ask.Expires) {
+			if now.Before(ask.Arrived.Add(time.Duration(p.hold(ask)))) && now.Before(ask.Expires) {
 				i++
 				continue
 			}
@@ -330,6 +337,11 @@
 	return decisions
 }
 
+// hold is how long a request may wait here.
+func (p *Pool) hold(ask *Ask) float64 {
+	return p.Rules.Hold * float64(ask.Aim)
+}
+
 // The times after which refused requests come back, spread so that they do not
 // return together. Those within their share come when the engines have read
 // what waits there; those beyond it when the window has moved on.
--- /dev/null
+++ b/pkg/dispatch/pool_test.go
@@ -0,0 +1,181 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+func newTestPool(engines int, tokensPerSecond float64) *Pool {
+	p := &Pool{Rules: DefaultRules(), Rand: rand.New(rand.NewPCG(1, 2))}
+	p.Configure(route.Service{Name: "llm", Engine: &route.Engine{Slots: 64, CacheTokens: 500000}}, tokensPerSecond)
+	var endpoints []route.Endpoint
+	for i := range engines {
+		endpoints = append(endpoints, route.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "llm", Slots: 64})
+	}
+	p.SetEndpoints(endpoints)
+	return p
+}
+
+// shared is a long part that other prompts have too.
+func shared(id uint64) Part { return Part{ID: id, Tokens: 13000} }
+
+// submit puts a request in line and returns what is decided at once.
+func submit(p *Pool, ask *Ask, now time.Time) []Decision {
+	p.Submit(ask, now)
+	return p.Decide(now)
+}
+
+func TestPlacement(t *testing.T) {
+	Convey("A shared part is read at one engine, and its prompts go there again", t, func() {
+		p := newTestPool(9, 0)
+		first := submit(p, askOf("1", "a", start, shared(7), Part{ID: 100, Tokens: 100}), start)
+		So(first, ShouldHaveLength, 1)
+		grant := first[0].(Grant)
+		So(grant.Missing, ShouldEqual, 13000)
+		later := start.Add(2 * time.Second)
+		p.Begin("1", later)
+		p.End("1", Done{}, later)
+		again := submit(p, askOf("2", "a", later, shared(7), Part{ID: 101, Tokens: 100}), later)[0].(Grant)
+		So(again.Endpoint, ShouldEqual, grant.Endpoint)
+		So(again.Missing, ShouldEqual, 0)
+	})
+	Convey("A prompt waits for the engine that keeps its part rather than have it read elsewhere", t, func() {
+		p := newTestPool(9, 0)
+		home := submit(p, askOf("1", "a", start, shared(7), Part{ID: 100, Tokens: 100}), start)[0].(Grant).Endpoint
+		later := start.Add(2 * time.Second)
+		p.Begin("1", later)
+		// Fill the home beyond the bound.
+		for i := range 3 {
+			p.book(askOf(fmt.Sprint("fill", i), "b", later, Part{ID: uint64(200 + i), Tokens: 6000}), p.engines[home], later)
+		}
+		So(submit(p, askOf("2", "a", later, shared(7), Part{ID: 101, Tokens: 100}), later), ShouldBeEmpty)
+		p.Begin("fill0", later.Add(50*time.Millisecond))
+		p.Begin("fill1", later.Add(50*time.Millisecond))
+		decided := p.Decide(later.Add(50 * time.Millisecond))
+		So(decided, ShouldHaveLength, 1)
+		So(decided[0].(Grant).Endpoint, ShouldEqual, home)
+	})
+	Convey("Where it can not wait longer, it goes to another home", t, func() {
+		p := newTestPool(9, 0)
+		home := submit(p, askOf("1", "a", start, shared(7), Part{ID: 100, Tokens: 100}), start)[0].(Grant).Endpoint
+		later := start.Add(2 * time.Second)
+		p.Begin("1", later)
+		p.book(askOf("fill", "b", later, Part{ID: 200, Tokens: 18000}), p.engines[home], later)
+		So(submit(p, askOf("2", "a", later, shared(7), Part{ID: 101, Tokens: 100}), later), ShouldBeEmpty)
+		decided := p.Decide(later.Add(180 * time.Millisecond))
+		So(decided, ShouldHaveLength, 1)
+		So(decided[0].(Grant).Endpoint, ShouldNotEqual, home)
+	})
+	Convey("Homes stay when another engine goes", t, func() {
+		p := newTestPool(9, 0)
+		homes := map[uint64]string{}
+		for id := range uint64(50) {
+			homes[id] = p.homes(&Prompt{Parts: []Part{shared(id), {ID: 1000, Tokens: 1}}}, start)[0].ID
+		}
+		var left []route.Endpoint
+		for _, e := range p.inOrder {
+			if e.ID != "e4" {
+				left = append(left, e.Endpoint)
+			}
+		}
+		p.SetEndpoints(left)
+		for id, home := range homes {
+			if home != "e4" {
+				So(p.homes(&Prompt{Parts: []Part{shared(id), {ID: 1000, Tokens: 1}}}, start)[0].ID, ShouldEqual, home)
+			}
+		}
+	})
+	Convey("A request goes to no engine that it was refused by, nor to one that leaves", t, func() {
+		p := newTestPool(2, 0)
+		p.engines["e0"].Leaving = true
+		ask := askOf("1", "a", start, Part{ID: 1, Tokens: 10})
+		ask.Excluded = []string{"e1"}
+		So(submit(p, ask, start), ShouldBeEmpty)
+		So(p.Waits("1"), ShouldBeTrue)
+	})
+}
+
+func TestTurningAway(t *testing.T) {
+	Convey("What finds no room is turned away within its part of the aim, with a time to come back", t, func() {
+		p := newTestPool(1, 0)
+		p.engines["e0"].Leaving = true
+		ask := askOf("1", "a", start, Part{ID: 1, Tokens: 10})
+		So(submit(p, ask, start), ShouldBeEmpty)
+		So(p.Decide(start.Add(150*time.Millisecond)), ShouldBeEmpty)
+		decided := p.Decide(start.Add(193 * time.Millisecond))
+		So(decided, ShouldHaveLength, 1)
+		So(decided[0].(Turn).RetryAfter, ShouldBeGreaterThan, 0)
+		So(p.Waiting(), ShouldEqual, 0)
+	})
+	Convey("A withdrawn request is neither granted nor turned away", t, func() {
+		p := newTestPool(1, 0)
+		p.engines["e0"].Leaving = true
+		submit(p, askOf("1", "a", start, Part{ID: 1, Tokens: 10}), start)
+		So(p.Withdraw("1"), ShouldBeTrue)
+		So(p.Withdraw("1"), ShouldBeFalse)
+		So(p.Decide(start.Add(time.Second)), ShouldBeEmpty)
+	})
+}
+
+func TestShares(t *testing.T) {
+	Convey("The even share is max-min", t, func() {
+		So(evenShare([]float64{10, 20, 100, 100}, 130), ShouldEqual, 50)
+		So(evenShare([]float64{10, 20}, 100), ShouldBeGreaterThanOrEqualTo, 20)
+	})
+	Convey("With one customer flooding, another's requests go first", t, func() {
+		p := newTestPool(1, 100000)
+		now := start
+		served := map[string]int{}
+		running := []string{}
+		for i := range 400 {
+			now = now.Add(25 * time.Millisecond)
+			for n := range 4 {
+				p.Submit(askOf(fmt.Sprintf("flood-%d-%d", i, n), "flood", now, Part{ID: uint64(1000 + 4*i + n), Tokens: 2000}), now)
+			}
+			if i%8 == 0 {
+				p.Submit(askOf(fmt.Sprintf("small-%d", i), "small", now, Part{ID: uint64(100000 + i), Tokens: 2000}), now)
+			}
+			for _, d := range p.Decide(now) {
+				if grant, ok := d.(Grant); ok {
+					served[grant.Ask.Customer]++
+					running = append(running, grant.Ask.ID)
+				}
+			}
+			// The engine reads one prompt of 2,000 tokens in 50 ms.
+			if i%2 == 1 && len(running) > 0 {
+				p.Begin(running[0], now)
+				p.End(running[0], Done{}, now)
+				running = running[1:]
+			}
+		}
+		So(served["small"], ShouldEqual, 50)
+		So(served["flood"], ShouldBeGreaterThan, 100)
+	})
+	Convey("What a router that is gone had is forgotten", t, func() {
+		p := newTestPool(1, 0)
+		ask := askOf("1", "a", start, Part{ID: 1, Tokens: 10})
+		ask.Router = 5
+		submit(p, ask, start)
+		So(p.Running(), ShouldEqual, 1)
+		p.Forget(5, start)
+		So(p.Running(), ShouldEqual, 0)
+		So(p.engines["e0"].running, ShouldEqual, 0)
+	})
+	Convey("What another box granted is taken over once", t, func() {
+		p := newTestPool(1, 0)
+		ask := askOf("1", "a", start, Part{ID: 1, Tokens: 10})
+		p.Adopt(ask, "e0", false, start)
+		p.Adopt(ask, "e0", false, start)
+		So(p.Running(), ShouldEqual, 1)
+		p.End("1", Done{}, start)
+		So(p.engines["e0"].running, ShouldEqual, 0)
+		So(p.engines["e0"].own, ShouldEqual, 0)
+		So(p.engines["e0"].unread, ShouldBeEmpty)
+	})
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -172,6 +172,10 @@
 	route.Endpoint
 	// finish settles the attempt.
 	finish func(outcome)
+	// granted is what was predicted, and at when it was granted; both are only
+	// set for engines.
+	granted verdict
+	at      time.Time
 }
 
 // attempt sends the request to an endpoint and waits for the head of the
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -101,4 +102,12 @@
 	return nil
 }
 
+// sampleEach is the part of ordinary successes that is logged: one in so many.
+const sampleEach = 16
+
+// sampled chooses requests by their ID, so that every box logs the same ones.
+func sampled(id string) bool {
+	return xxhash.Sum64String(id)%sampleEach == 0
+}
+
 func contextCause(c *call) error { return context.Cause(c.ctx) }
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -57,7 +57,12 @@
 		if known && !found.Leaving {
 			c.log().Debug("engine granted", zap.String("Request", c.ID), zap.String("Endpoint", found.ID), zap.Duration("Wait", v.wait))
 			c.gateway.Metrics.Granted(v)
-			return destination{Endpoint: found, finish: func(how outcome) { s.end(c.ID, dispatchOutcome(how)) }}, nil
+			return destination{
+				Endpoint: found,
+				finish:   func(how outcome) { s.end(c.ID, dispatchOutcome(how)) },
+				granted:  v,
+				at:       time.Now(),
+			}, nil
 		}
 		s.end(c.ID, dispatch.NotRun{})
 		c.excluded = append(c.excluded, v.endpoint)
@@ -126,7 +131,14 @@
 
 // answerStream hands the stream to the server, which reads it event by event.
 func (c *call) answerStream(to destination, reply *endpoint.Reply) error {
-	s := &stream{call: c, to: to, reply: reply, lastEvent: c.LastEvent}
+	s := &stream{
+		call:      c,
+		to:        to,
+		reply:     reply,
+		lastEvent: c.LastEvent,
+		sentAt:    to.at,
+		granted:   to.granted,
+	}
 	if err := s.prime(); err != nil {
 		reply.Close()
 		return err
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -27,8 +27,17 @@
 	// lastEvent is the number of the last event in buffer[:ready] or before.
 	lastEvent string
 	events    int
-	whole     bool
-	err       error
+	// sentAt is when the attempt began, firstAfter the age of the request at its
+	// first event, eventAt when the last one came, and pause the longest time
+	// between two.
+	sentAt     time.Time
+	firstAfter time.Duration
+	eventAt    time.Time
+	pause      time.Duration
+	// granted is what was predicted.
+	granted verdict
+	whole   bool
+	err     error
 	// settled is set once the current attempt was settled.
 	settled bool
 	closed  bool
@@ -95,13 +104,57 @@
 	}
 	n, err := s.reply.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
+	before := s.events
 	s.scan()
+	if s.events > before {
+		s.time(time.Now())
+	}
 	s.err = err
 	if errors.Is(err, io.EOF) {
 		s.ready = len(s.buffer)
 	}
 }
 
+// time notes when an event came.
+func (s *stream) time(now time.Time) {
+	if s.eventAt.IsZero() {
+		s.firstAfter = now.Sub(s.call.arrived)
+	} else {
+		s.pause = max(s.pause, now.Sub(s.eventAt))
+	}
+	s.eventAt = now
+}
+
+// late tells that the stream was slower than its route aims for.
+func (s *stream) late() bool {
+	r := s.call.route
+	return (r.Aim > 0 && s.firstAfter > r.Aim) || (r.PauseAim > 0 && s.pause > r.PauseAim)
+}
+
+// logSettled tells of a whole answer: of each late one, and of a sample of the
+// others.
+func (s *stream) logSettled() {
+	c := s.call
+	late := s.late()
+	if !late && !sampled(c.ID) {
+		return
+	}
+	c.log().Info("stream answered",
+		zap.String("Request", c.ID),
+		zap.String("Customer", c.customer),
+		zap.String("Route", c.route.Name),
+		zap.String("Endpoint", s.to.ID),
+		zap.Bool("Late", late),
+		zap.Duration("FirstAfter", s.firstAfter),
+		zap.Duration("GrantedAfter", s.sentAt.Sub(c.arrived)),
+		zap.Duration("Wait", s.granted.wait),
+		zap.Duration("Read", s.granted.read),
+		zap.Int("Missing", s.granted.missing),
+		zap.Duration("Pause", s.pause),
+		zap.Int("Events", s.events),
+		zap.Duration("Age", time.Since(c.arrived)))
+}
+
 // scan moves ready past the events that are whole.
 func (s *stream) scan() {
 	for {
@@ -146,6 +199,7 @@
 	if s.whole {
 		_ = c.life.Advance(request.Settled)
 		c.gateway.Metrics.Answered(c.customer, c.route.Name, time.Since(c.arrived))
+		s.logSettled()
 		return nil
 	}
 	c.gateway.Metrics.Cut(c.service.Name)
