pkg/dispatch: never read parts elsewhere while the best engine has no room

Cause: of the shared tokens read again, most were read at a second home in the last part of a request's time here. Change: a request goes to the engine with the least predicted cost or waits; tokens of shared parts count three times in it. The last chance is gone.

--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -133,14 +133,14 @@
 // place chooses the engine for a request; nil means that it has to wait. A
 // prompt whose shared parts are long goes to their homes, or to an engine that
 // keeps them: reading them again elsewhere would take from all. It waits for the
-// best of them, as long as it may, rather than go where they have to be read.
+// best of them rather than go where they have to be read.
 func (p *Pool) place(ask *Ask, bound time.Duration, now time.Time) *engine {
 	among := p.inOrder
 	if sharedTokens(&ask.Prompt) > p.Rules.SmallShared {
 		among = p.candidates(ask, now)
 	}
-	var best, free *engine
-	var cost, freeCost time.Duration
+	var best *engine
+	var cost, bestWait time.Duration
 	for _, e := range among {
 		if !p.takes(e, ask, now) {
 			continue
@@ -148,16 +148,13 @@
 		wait := p.wait(e, now)
 		here := wait + p.readCost(e, ask)
 		if best == nil || here < cost {
-			best, cost = e, here
-		}
-		if wait <= bound && (free == nil || here < freeCost) {
-			free, freeCost = e, here
+			best, cost, bestWait = e, here, wait
 		}
 	}
-	if best == free || p.lastChance(ask, now) {
-		return free
+	if bestWait > bound {
+		return nil
 	}
-	return nil
+	return best
 }
 
 // candidates are the homes of a prompt, and the engines that keep its parts.
@@ -182,8 +179,3 @@
 	tokens, shared := e.missing(&ask.Prompt)
 	return e.readTime(tokens) + time.Duration(float64(e.readTime(shared))*p.Rules.MissFactor)
 }
-
-// lastChance tells that a request can not wait much longer.
-func (p *Pool) lastChance(ask *Ask, now time.Time) bool {
-	return now.Sub(ask.Arrived) > time.Duration(p.Rules.LastChance*p.hold(ask))
-}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -25,9 +25,6 @@
 	// MissFactor weighs the time for reading shared parts again, beside the time
 	// itself.
 	MissFactor float64
-	// LastChance is the part of its time here after which a request no longer
-	// waits for the engine that would be best.
-	LastChance float64
 	// SmallShared is the number of shared tokens up to which a prompt may go
 	// anywhere: reading them again costs less than waiting.
 	SmallShared int
@@ -44,8 +41,7 @@
 		Hold:        0.24,
 		Homes:       2,
 		HomeLoad:    0.25,
-		MissFactor:  1,
-		LastChance:  0.7,
+		MissFactor:  2,
 		SmallShared: 1000,
 		Window:      4 * time.Second,
 	}
