pkg/dispatch: a box that takes over learns what the engines keep

Change: routers tell the next box what they believe is kept, beside what runs. Where all boxes restart, parts seen for the first time are believed at their first home for 30 s.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -187,6 +187,16 @@
 	}
 }
 
+// keepOld notes a part that is likely to be in the engine's memory, as the one
+// unused for longest.
+func (e *engine) keepOld(part Part) {
+	if e.byPart[part.ID] != nil || e.keptTokens+part.Tokens > e.capacity {
+		return
+	}
+	e.byPart[part.ID] = e.kept.PushBack(keptPart{part})
+	e.keptTokens += part.Tokens
+}
+
 func (e *engine) drop(at *list.Element) {
 	part := at.Value.(keptPart)
 	e.kept.Remove(at)
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -46,15 +46,28 @@
 	if sharedTokens(prompt) <= p.Rules.SmallShared {
 		return
 	}
+	part := p.part(prompt, now)
+	part.decay(now)
+	part.load += float64(prompt.Last().Tokens) / firstRate / demandMemory.Seconds()
+	p.forgetParts(now)
+}
+
+// part is the entry of the part that decides where a prompt is kept.
+func (p *Pool) part(prompt *Prompt, now time.Time) *partDemand {
 	key := homeKey(prompt)
 	part := p.parts[key]
-	if part == nil {
+	first := part == nil
+	if first {
 		part = &partDemand{at: now}
 		p.parts[key] = part
 	}
-	part.decay(now)
-	part.load += float64(prompt.Last().Tokens) / firstRate / demandMemory.Seconds()
-	p.forgetParts(now)
+	if part.ranked == nil {
+		part.ranked = rank(key, p.inOrder)
+	}
+	if first {
+		p.believe(part, prompt, now)
+	}
+	return part
 }
 
 func (d *partDemand) decay(now time.Time) {
@@ -79,15 +92,7 @@
 
 // homes are the engines that a part should be kept at.
 func (p *Pool) homes(prompt *Prompt, now time.Time) []*engine {
-	key := homeKey(prompt)
-	part := p.parts[key]
-	if part == nil {
-		part = &partDemand{at: now}
-		p.parts[key] = part
-	}
-	if part.ranked == nil {
-		part.ranked = rank(key, p.inOrder)
-	}
+	part := p.part(prompt, now)
 	part.decay(now)
 	most := p.Rules.Homes + int(part.load/p.Rules.HomeLoad)
 	homes := make([]*engine, 0, most)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -53,6 +53,10 @@
 	Rules Rules
 	// Rand spreads the times at which refused requests come back.
 	Rand *rand.Rand
+	// Warm tells that the engines known at first have served before, when the
+	// box has started anew among a fleet or after a stop of all: a part that is
+	// seen for the first time is then believed to be kept at its first home.
+	Warm bool
 	// Routers is how many routers are believed to grant at once, each seeing
 	// only its own requests; 1 where all ask the same dispatcher.
 	Routers int
@@ -69,6 +73,9 @@
 	parts    map[uint64]*partDemand
 	queued   int
 
+	// warmUntil ends that belief; by then, parts in use have been seen.
+	warmUntil time.Time
+
 	// share is what each customer may have in a window, brought up to date at
 	// shareAt.
 	share   float64
@@ -129,6 +136,60 @@
 	return true
 }
 
+// warmFor is how long Warm holds: parts unused for longer have given way.
+const warmFor = 30 * time.Second
+
+// believe notes parts of a prompt at its first home, if that is likely.
+func (p *Pool) believe(part *partDemand, prompt *Prompt, now time.Time) {
+	if p.warmUntil.IsZero() {
+		p.warmUntil = now.Add(warmFor)
+	}
+	if !p.Warm || now.After(p.warmUntil) || len(part.ranked) == 0 {
+		return
+	}
+	for _, shared := range prompt.Shared() {
+		part.ranked[0].keepOld(shared)
+	}
+}
+
+// Kept are parts in an engine's memory, the latest used first.
+type Kept struct {
+	Endpoint string
+	Parts    []Part
+}
+
+// mostKept bounds the parts told of one engine: more than its memory holds of
+// long ones.
+const mostKept = 128
+
+// Kept is what this pool believes of the engines' memories, for a box that takes
+// over. Short parts are left out.
+func (p *Pool) Kept() (all []Kept) {
+	for _, e := range p.inOrder {
+		kept := Kept{Endpoint: e.ID}
+		for at := e.kept.Front(); at != nil && len(kept.Parts) < mostKept; at = at.Next() {
+			if part := at.Value.(keptPart).Part; part.Tokens >= p.Rules.SmallShared {
+				kept.Parts = append(kept.Parts, part)
+			}
+		}
+		if len(kept.Parts) > 0 {
+			all = append(all, kept)
+		}
+	}
+	return all
+}
+
+// Learn takes over what another router believes of an engine's memory.
+func (p *Pool) Learn(kept Kept) {
+	e := p.engines[kept.Endpoint]
+	if e == nil {
+		return
+	}
+	for _, part := range kept.Parts {
+		e.keepOld(part)
+	}
+}
+
 // Submit puts a request in line.
 func (p *Pool) Submit(ask *Ask, now time.Time) {
 	if p.asks[ask.ID] != nil || p.grants[ask.ID] != nil {
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -178,3 +178,37 @@
 		So(p.engines["e0"].unread, ShouldBeEmpty)
 	})
 }
+
+func TestTakingOver(t *testing.T) {
+	Convey("A box that takes over grants as the one before it", t, func() {
+		before, after := newTestPool(9, 0), newTestPool(9, 0)
+		home := submit(before, askOf("1", "a", start, shared(7), Part{ID: 100, Tokens: 100}), start)[0].(Grant).Endpoint
+		kept := before.Kept()
+		So(kept, ShouldResemble, []Kept{{Endpoint: home, Parts: []Part{shared(7)}}})
+		for _, k := range kept {
+			after.Learn(k)
+		}
+		again := submit(after, askOf("2", "a", start, shared(7), Part{ID: 101, Tokens: 100}), start)[0].(Grant)
+		So(again.Endpoint, ShouldEqual, home)
+		So(again.Missing, ShouldEqual, 0)
+	})
+	Convey("After a restart of all, parts are believed at their homes for a while", t, func() {
+		p := newTestPool(9, 0)
+		p.Warm = true
+		grant := submit(p, askOf("1", "a", start, shared(7), Part{ID: 100, Tokens: 100}), start)[0].(Grant)
+		So(grant.Missing, ShouldEqual, 0)
+		later := start.Add(warmFor + time.Second)
+		grant = submit(p, askOf("2", "a", later, shared(8), Part{ID: 101, Tokens: 100}), later)[0].(Grant)
+		So(grant.Missing, ShouldEqual, 13000)
+	})
+	Convey("What is learnt never makes an engine keep more than its memory", t, func() {
+		p := newTestPool(1, 0)
+		var parts []Part
+		for id := range uint64(100) {
+			parts = append(parts, shared(id))
+		}
+		p.Learn(Kept{Endpoint: "e0", Parts: parts})
+		So(p.engines["e0"].keptTokens, ShouldBeLessThanOrEqualTo, 500000)
+		So(p.engines["e0"].byPart[0], ShouldNotBeNil)
+	})
+}
--- a/pkg/gateway/messages.go
+++ b/pkg/gateway/messages.go
@@ -44,12 +44,26 @@
 		Expires:  now.Add(time.Duration(message.Remaining) * time.Microsecond),
 		Excluded: message.Excluded,
 	}
-	for i, id := range message.PartIDs {
-		if i < len(message.PartTokens) {
-			ask.Parts = append(ask.Parts, dispatch.Part{ID: id, Tokens: int(message.PartTokens[i])})
+	ask.Parts = partsOf(message.PartIDs, message.PartTokens)
+	return ask
+}
+
+func partsOf(ids []uint64, tokens []uint32) (parts []dispatch.Part) {
+	for i, id := range ids {
+		if i < len(tokens) {
+			parts = append(parts, dispatch.Part{ID: id, Tokens: int(tokens[i])})
 		}
 	}
-	return ask
+	return parts
+}
+
+func keptMessage(kept dispatch.Kept) *peerpb.Call {
+	message := &peerpb.Kept{Endpoint: kept.Endpoint}
+	for _, part := range kept.Parts {
+		message.PartIDs = append(message.PartIDs, part.ID)
+		message.PartTokens = append(message.PartTokens, uint32(part.Tokens))
+	}
+	return &peerpb.Call{Kind: &peerpb.Call_Kept{Kept: message}}
 }
 
 func beginMessage(id string) *peerpb.Call {
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -74,6 +74,9 @@
 	}
 	r = &remote{box: box, stream: stream}
 	s.remote = r
+	for _, kept := range s.pool.Kept() {
+		stream.Send(keptMessage(kept))
+	}
 	for _, one := range s.running {
 		stream.Send(askMessage(one.ask, one.endpoint, one.begun))
 	}
@@ -170,6 +173,12 @@
 	case *peerpb.Call_Ask:
 		s.handleAsk(from, kind.Ask, stream, now)
 		return
+	case *peerpb.Call_Kept:
+		s.pool.Learn(dispatch.Kept{
+			Endpoint: kind.Kept.Endpoint,
+			Parts:    partsOf(kind.Kept.PartIDs, kind.Kept.PartTokens),
+		})
+		return
 	case *peerpb.Call_Begin:
 		s.pool.Begin(kind.Begin, now)
 	case *peerpb.Call_End:
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -100,10 +100,14 @@
 	rules := dispatch.DefaultRules()
 	rules.Window = g.Settings.ShareWindow
 	s := &scheduler{
-		gateway:  g,
-		service:  service,
-		log:      g.Logs.For(logflags.Pool),
-		pool:     &dispatch.Pool{Rules: rules, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		gateway: g,
+		service: service,
+		log:     g.Logs.For(logflags.Pool),
+		pool: &dispatch.Pool{
+			Rules: rules,
+			Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Warm:  !g.Settings.FirstStart,
+		},
 		pending:  map[string]*pending{},
 		running:  map[string]*running{},
 		routers:  map[uint64]*peer.DispatchStream{},
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -14,6 +14,8 @@
 	ReadyAddress string
 	// PeerAddress is the IP and port on which other boxes connect.
 	PeerAddress string
+	// FirstStart is set where no box of the fleet has run before.
+	FirstStart bool
 	// StopTime is how long the process may live on after it was asked to stop.
 	StopTime time.Duration
 	// RetryRatio, RetryExtra and RetryWindow are the budget of repeated sends of
