pkg/endpoint: a request that is given up is no longer written

Change: Do and Close return only once nothing of the request is read any more; the request is released by whoever writes it last. The new test reports a data race without the wait; further tests go over framings, cuts, surplus and early answers, and reuse of connections.

--- a/pkg/endpoint/reply.go
+++ b/pkg/endpoint/reply.go
@@ -26,6 +26,9 @@
 	// Belongs tells whether an answer is to this request. Others are read to
 	// their end and left out: a surplus answer may come before the one due.
 	Belongs func(head *fasthttp.ResponseHeader) bool
+	// Written is called once nothing of the request is read any more, which may
+	// be after Do returned an answer, and always before Close of it returns.
+	Written func()
 }
 
 // NoAnswerError reports that the request was sent, at least in part, and no
@@ -62,6 +65,8 @@
 	spent  bool
 	closed bool
 	detach func() bool
+	// writing of the request may go on after an early answer.
+	writing *writing
 }
 
 // mostSurplus bounds the surplus answers that are left out on one connection.
@@ -75,12 +80,16 @@
 		return nil, err
 	}
 	detach := context.AfterFunc(ctx, func() { open.Close() })
+	var sent *writing
 	defer func() {
 		if err == nil {
 			return
 		}
 		detach()
 		open.Close()
+		if sent != nil {
+			sent.wait()
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = trace.NewAggregate(cause, err)
 		}
@@ -88,13 +97,14 @@
 	if err := call.Sending(); err != nil {
 		return nil, err
 	}
-	writing := open.start(call.Request)
+	sent = open.start(call)
 	reply, err = c.readReply(open, call)
 	if err != nil {
 		return nil, &NoAnswerError{Address: c.Address, Err: err}
 	}
 	reply.detach = detach
-	reply.spent = reply.spent || !writing.done()
+	reply.writing = sent
+	reply.spent = reply.spent || !sent.done()
 	return reply, nil
 }
 
@@ -150,14 +160,21 @@
 	}
 }
 
-func (c *conn) start(request *fasthttp.Request) *writing {
+// wait returns when the request is no longer read. The connection is closed
+// before, unless all was written.
+func (w *writing) wait() { <-w.finished }
+
+func (c *conn) start(call *Call) *writing {
 	w := &writing{finished: make(chan struct{})}
 	w.group.Go(func() error {
 		defer close(w.finished)
-		w.err = request.Write(c.writer)
+		w.err = call.Request.Write(c.writer)
 		if w.err == nil {
 			w.err = c.writer.Flush()
 		}
+		if call.Written != nil {
+			call.Written()
+		}
 		return nil
 	})
 	return w
@@ -275,9 +292,10 @@
 		return
 	}
 	r.closed = true
-	attached := r.detach == nil || r.detach()
+	attached := r.detach()
 	if !r.whole || r.spent || !attached || r.conn.reader.Buffered() > 0 {
 		r.conn.Close()
+		r.writing.wait()
 		return
 	}
 	r.conn.keepAlive = keepAliveOf(&r.Head)
--- /dev/null
+++ b/pkg/endpoint/reply_test.go
@@ -0,0 +1,247 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// server answers each connection by a script.
+type server struct {
+	listener net.Listener
+	group    errgroup.Group
+	accepted int
+}
+
+func serve(t *testing.T, script func(conn net.Conn, reader *bufio.Reader)) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: listener}
+	s.group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			s.accepted++
+			script(conn, bufio.NewReader(conn))
+			conn.Close()
+		}
+	})
+	return s
+}
+
+func (s *server) close() {
+	s.listener.Close()
+	_ = s.group.Wait()
+}
+
+func (s *server) client() *Client {
+	return &Client{Address: s.listener.Addr().String(), ConnectTimeout: time.Second}
+}
+
+// readRequest takes one request of known length off a connection.
+func readRequest(reader *bufio.Reader) (body []byte, err error) {
+	request := &fasthttp.Request{}
+	err = request.Read(reader)
+	return request.Body(), err
+}
+
+func callWith(body []byte) *Call {
+	request := &fasthttp.Request{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetRequestURI("/path//x?y=%2F")
+	request.Header.SetHost("host")
+	request.SetBodyRaw(body)
+	return &Call{
+		Request: request,
+		Sending: func() error { return nil },
+		Belongs: func(head *fasthttp.ResponseHeader) bool {
+			id := string(head.Peek("X-Id"))
+			return id == "" || id == "mine"
+		},
+	}
+}
+
+// answers are what a server may send, and what the caller gets of it.
+var answers = []struct {
+	name, sent string
+	// reset ends the connection with a reset in place of an orderly close.
+	reset bool
+	body  string
+	// failed: no answer can be had; cut: its body ends before its end.
+	failed, cut bool
+}{
+	{name: "a length", sent: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", body: "hello"},
+	{name: "chunks", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", body: "hello"},
+	{name: "chunks with a trailer", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-A: b\r\n\r\n", body: "hello"},
+	{name: "no length, closed in order", sent: "HTTP/1.1 200 OK\r\n\r\nhello", body: "hello"},
+	{name: "no length, reset", sent: "HTTP/1.1 200 OK\r\n\r\nhello", reset: true, cut: true},
+	{name: "a length, cut", sent: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", cut: true},
+	{name: "chunks, cut between two", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", cut: true},
+	{name: "chunks, cut before the last line", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", cut: true},
+	{name: "a head that is cut", sent: "HTTP/1.1 200 OK\r\nContent-Le", failed: true},
+	{name: "nothing", sent: "", failed: true},
+	{name: "bytes that are no answer", sent: "garbage garbage", failed: true},
+	{name: "an answer to another request before its own", body: "hello",
+		sent: "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nxyzHTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\nhello"},
+	{name: "only an answer to another request", failed: true,
+		sent: "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nxyz"},
+	{name: "an interim answer before its own", body: "hello",
+		sent: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"},
+}
+
+func TestReply(t *testing.T) {
+	for _, a := range answers {
+		Convey("An endpoint answers with "+a.name, t, func() {
+			s := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				if _, err := readRequest(reader); err != nil {
+					return
+				}
+				_, _ = conn.Write([]byte(a.sent))
+				if a.reset {
+					// The body has to arrive before the reset overtakes it.
+					_, _ = reader.Peek(1)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			defer s.close()
+			reply, err := s.client().Do(context.Background(), callWith([]byte("body")))
+			if a.failed {
+				var none *NoAnswerError
+				So(errors.As(err, &none), ShouldBeTrue)
+				return
+			}
+			So(err, ShouldBeNil)
+			defer reply.Close()
+			if a.reset {
+				_ = reply.conn.Conn.(*net.TCPConn).CloseWrite()
+			}
+			body, err := reply.Whole(1000)
+			if a.cut {
+				So(err, ShouldNotBeNil)
+				So(errors.Is(err, io.EOF), ShouldBeFalse)
+				return
+			}
+			So(err, ShouldBeNil)
+			So(string(body), ShouldEqual, a.body)
+		})
+	}
+}
+
+func TestConnections(t *testing.T) {
+	// exchanges makes two calls and returns how many connections they took.
+	exchanges := func(first string, between func(*Client)) int {
+		s := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+			sent := first
+			for {
+				if _, err := readRequest(reader); err != nil {
+					return
+				}
+				if _, err := conn.Write([]byte(sent)); err != nil {
+					return
+				}
+				sent = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+			}
+		})
+		client := s.client()
+		for i := range 2 {
+			reply, err := client.Do(context.Background(), callWith(nil))
+			So(err, ShouldBeNil)
+			_, err = reply.Whole(1000)
+			So(err, ShouldBeNil)
+			reply.Close()
+			if i == 0 {
+				between(client)
+			}
+		}
+		client.Close()
+		s.close()
+		return s.accepted
+	}
+	nothing := func(*Client) {}
+	Convey("A connection whose answer was read whole is used again", t, func() {
+		So(exchanges("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nothing), ShouldEqual, 1)
+	})
+	Convey("One with bytes after the answer is not", t, func() {
+		So(exchanges("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", nothing), ShouldEqual, 2)
+	})
+	Convey("One that the endpoint is about to close is not", t, func() {
+		So(exchanges("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", nothing), ShouldEqual, 2)
+	})
+	Convey("One that was idle for longer than the endpoint keeps it is not", t, func() {
+		So(exchanges("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok", func(c *Client) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			So(c.idle[0].keepAlive, ShouldEqual, 5*time.Second)
+			c.idle[0].idleSince = time.Now().Add(-4600 * time.Millisecond)
+		}), ShouldEqual, 2)
+	})
+}
+
+func TestEarlyAnswer(t *testing.T) {
+	Convey("An answer before the body is in is passed on, and the connection not used again", t, func() {
+		s := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+			if _, err := reader.ReadString('\n'); err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"))
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		defer s.close()
+		written := make(chan struct{})
+		call := callWith(make([]byte, 32<<20))
+		call.Written = func() { close(written) }
+		reply, err := s.client().Do(context.Background(), call)
+		So(err, ShouldBeNil)
+		So(reply.Head.StatusCode(), ShouldEqual, 413)
+		_, err = reply.Whole(1000)
+		So(err, ShouldBeNil)
+		reply.Close()
+		select {
+		case <-written:
+		default:
+			t.Error("the request was still read after Close")
+		}
+		So(reply.client.idle, ShouldBeEmpty)
+	})
+	Convey("When a call is given up, its request is no longer read and what was sent is its beginning", t, func() {
+		const size = 32 << 20
+		got := make(chan []byte, 1)
+		release := make(chan struct{})
+		s := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+			<-release
+			all, _ := io.ReadAll(reader)
+			got <- all
+		})
+		defer s.close()
+		body := bytes.Repeat([]byte("a"), size)
+		ctx, cancel := context.WithCancel(context.Background())
+		call := callWith(body)
+		call.Sending = func() error {
+			time.AfterFunc(20*time.Millisecond, cancel)
+			return nil
+		}
+		_, err := s.client().Do(ctx, call)
+		So(errors.Is(err, context.Canceled), ShouldBeTrue)
+		// The caller's buffers are used for another request now.
+		copy(body, bytes.Repeat([]byte("b"), size))
+		close(release)
+		sent := <-got
+		So(strings.Contains(string(sent), "b"), ShouldBeFalse)
+		So(len(sent), ShouldBeLessThan, size)
+	})
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -172,6 +172,8 @@
 	route.Endpoint
 	// finish settles the attempt.
 	finish func(outcome)
+	// begin notes the first event; it is only set for engines.
+	begin func()
 	// granted is what was predicted, and at when it was granted; both are only
 	// set for engines.
 	granted verdict
@@ -186,7 +188,6 @@
 		_ = c.life.Advance(request.Queued)
 	}
 	out := c.compose(to.Endpoint, lastEvent)
-	defer fasthttp.ReleaseRequest(out)
 	reply, err := c.gateway.client(to.Address).Do(c.ctx, &endpoint.Call{
 		Request: out,
 		Sure:    !c.route.Repeatable,
@@ -195,6 +196,7 @@
 			id := c.gateway.Translator.Answered(head).ID
 			return id == "" || id == c.ID
 		},
+		Written: func() { fasthttp.ReleaseRequest(out) },
 	})
 	if err != nil {
 		return nil, err
