pkg/gateway: divide large pools among boxes, and bound memory and descriptors

Change: engines are divided among groups of about a dozen by rendezvous hash, each with a box that dispatches; prompts go to groups by their long part, by weight. The runtime keeps to 0.7 of the memory; callers take 0.45 of the descriptors; accepting goes on after failures that pass; idle connections are swept. Looks at the store grow rarer with the number of boxes.

--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -33,6 +33,20 @@
 	return shared[len(shared)-1].ID
 }
 
+// smallShared is the number of shared tokens up to which a prompt may go
+// anywhere: reading them again costs less than waiting. It is about one piece of
+// a prompt's reading.
+const smallShared = 1000
+
+// PlaceKey decides, in a pool of many engines, among which of them a request is
+// placed: prompts with the same long part go together, others are spread.
+func (a *Ask) PlaceKey() uint64 {
+	if sharedTokens(&a.Prompt) > smallShared {
+		return homeKey(&a.Prompt)
+	}
+	return xxhash.Sum64String(a.ID)
+}
+
 func sharedTokens(p *Prompt) int {
 	total := 0
 	for _, part := range p.Shared() {
@@ -43,7 +57,7 @@
 
 // demand notes a request for a part.
 func (p *Pool) demand(prompt *Prompt, now time.Time) {
-	if sharedTokens(prompt) <= p.Rules.SmallShared {
+	if sharedTokens(prompt) <= smallShared {
 		return
 	}
 	part := p.part(prompt, now)
@@ -141,7 +155,7 @@
 // best of them rather than go where they have to be read.
 func (p *Pool) place(ask *Ask, bound time.Duration, now time.Time) *engine {
 	among := p.inOrder
-	if sharedTokens(&ask.Prompt) > p.Rules.SmallShared {
+	if sharedTokens(&ask.Prompt) > smallShared {
 		among = p.candidates(ask, now)
 	}
 	var best *engine
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -25,9 +25,6 @@
 	// MissFactor weighs the time for reading shared parts again, beside the time
 	// itself.
 	MissFactor float64
-	// SmallShared is the number of shared tokens up to which a prompt may go
-	// anywhere: reading them again costs less than waiting.
-	SmallShared int
 	// Window is the time over which customers' shares are counted.
 	Window time.Duration
 }
@@ -42,7 +39,6 @@
 		Homes:       2,
 		HomeLoad:    0.25,
 		MissFactor:  2,
-		SmallShared: 1000,
 		Window:      4 * time.Second,
 	}
 }
@@ -168,7 +164,7 @@
 	for _, e := range p.inOrder {
 		kept := Kept{Endpoint: e.ID}
 		for at := e.kept.Front(); at != nil && len(kept.Parts) < mostKept; at = at.Next() {
-			if part := at.Value.(keptPart).Part; part.Tokens >= p.Rules.SmallShared {
+			if part := at.Value.(keptPart).Part; part.Tokens >= smallShared {
 				kept.Parts = append(kept.Parts, part)
 			}
 		}
--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -135,6 +135,23 @@
 	c.idle = append(c.idle, open)
 }
 
+// Sweep closes the connections that were idle for too long: nothing else would,
+// and each takes a descriptor here and at the endpoint.
+func (c *Client) Sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.idle[:0]
+	for _, idle := range c.idle {
+		if idle.fresh(false) {
+			kept = append(kept, idle)
+			continue
+		}
+		idle.Close()
+	}
+	clear(c.idle[len(kept):])
+	c.idle = kept
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +48,7 @@
 	inFlight atomic.Int64
 
 	mu      sync.Mutex
-	pools   map[string]*scheduler
+	pools   map[string]*pool
 	clients map[string]*endpoint.Client
 	peers   map[string]settings.Peer
 }
@@ -59,6 +60,7 @@
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	defer func() { err = trace.Wrap(err, "running box %s", g.Settings.Name) }()
 	g.prepare()
+	g.limitMemory()
 	callers, ready, peers, err := g.listen()
 	if err != nil {
 		return err
@@ -75,6 +77,7 @@
 	group.Go(func() error { return readyServer.Serve(ready) })
 	group.Go(func() error { return callerServer.Serve(callers) })
 	group.Go(func() error { return g.reportCounts(behind) })
+	group.Go(func() error { return g.sweepIdle(behind) })
 	g.log.Info("box started",
 		zap.String("Box", g.Settings.Name),
 		zap.String("Zone", g.Settings.Zone),
@@ -91,10 +94,17 @@
 	return group.Wait()
 }
 
+// limitMemory has the runtime collect garbage in time on a small box.
+func (g *Gateway) limitMemory() {
+	if g.Settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(float64(g.Settings.MemoryLimit) * memoryPart))
+	}
+}
+
 func (g *Gateway) prepare() {
 	g.log = g.Logs.For(logflags.Box)
 	g.incarnation = rand.Uint64()
-	g.pools = map[string]*scheduler{}
+	g.pools = map[string]*pool{}
 	g.clients = map[string]*endpoint.Client{}
 	g.peers = map[string]settings.Peer{}
 	g.health = &health{log: g.Logs.For(logflags.Pool)}
@@ -143,16 +153,24 @@
 }
 
 func (g *Gateway) listen() (callers, ready, peers net.Listener, err error) {
-	if callers, err = net.Listen("tcp", g.Settings.CallerAddress); err != nil {
+	if callers, err = g.listenAt(g.Settings.CallerAddress); err != nil {
 		return nil, nil, nil, err
 	}
-	if ready, err = net.Listen("tcp", g.Settings.ReadyAddress); err != nil {
+	if ready, err = g.listenAt(g.Settings.ReadyAddress); err != nil {
 		return nil, nil, nil, err
 	}
-	peers, err = net.Listen("tcp", g.Settings.PeerAddress)
+	peers, err = g.listenAt(g.Settings.PeerAddress)
 	return callers, ready, peers, err
 }
 
+func (g *Gateway) listenAt(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return patientListener{Listener: listener, log: g.log}, nil
+}
+
 // callerServer passes paths and header names on as they were sent.
 func (g *Gateway) callerServer() *fasthttp.Server {
 	return &fasthttp.Server{
@@ -164,6 +182,8 @@
 		DisableHeaderNamesNormalizing: true,
 		DisablePreParseMultipartForm:  true,
 		ReadBufferSize:                headBytes,
+		ReduceMemoryUsage:             true,
+		Concurrency:                   int(float64(g.Settings.ConnectionsLimit) * callersPart),
 		MaxRequestBodySize:            bodyBytes,
 		ReadTimeout:                   readTimeout,
 		WriteTimeout:                  writeTimeout,
@@ -240,12 +260,12 @@
 		if service.Engine == nil {
 			continue
 		}
-		s := g.pools[name]
-		if s == nil {
-			s = newScheduler(g, name)
-			g.pools[name] = s
+		p := g.pools[name]
+		if p == nil {
+			p = &pool{gateway: g, name: name}
+			g.pools[name] = p
 		}
-		s.configure(service, catalog.Limits.TokensPerSecond, directory.Of(name))
+		p.configure(service, catalog.Limits.TokensPerSecond, directory.Of(name))
 	}
 	for address, client := range g.clients {
 		if !addressKnown(directory.Endpoints, address) {
@@ -255,8 +275,8 @@
 	}
 }
 
-// scheduler returns the one of a service; nil where it has no engines.
-func (g *Gateway) scheduler(service string) *scheduler {
+// pool returns the one of a service; nil where it has no engines.
+func (g *Gateway) pool(service string) *pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.pools[service]
@@ -277,3 +297,17 @@
 	}
 	return client
 }
+
+// sweepInterval is the time between two looks for connections idle too long.
+const sweepInterval = 2 * time.Second
+
+func (g *Gateway) sweepIdle(ctx context.Context) error {
+	interval.Every(ctx, sweepInterval, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, client := range g.clients {
+			client.Sweep()
+		}
+	})
+	return nil
+}
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -40,12 +40,14 @@
 
 // acquire waits for an engine.
 func (c *call) acquire() (to destination, refusal *request.Refusal) {
-	s := c.gateway.scheduler(c.service.Name)
-	if s == nil {
+	p := c.gateway.pool(c.service.Name)
+	if p == nil {
 		return to, notRun(request.NoEndpoint, "the service has no engine now", comeBackAfterFailure())
 	}
 	for {
-		v, err := s.acquire(c.ctx, c.ask())
+		ask := c.ask()
+		s := p.group(ask)
+		v, err := s.acquire(c.ctx, ask)
 		if err != nil {
 			return to, c.ended()
 		}
@@ -59,6 +61,7 @@
 			c.gateway.Metrics.Granted(v)
 			return destination{
 				Endpoint: found,
+				begin:    func() { s.begin(c.ID) },
 				finish:   func(how outcome) { s.end(c.ID, dispatchOutcome(how)) },
 				granted:  v,
 				at:       time.Now(),
@@ -143,7 +146,7 @@
 		reply.Close()
 		return err
 	}
-	c.gateway.scheduler(c.service.Name).begin(c.ID)
+	to.begin()
 	c.gateway.Metrics.FirstEvent(c.customer, c.route.Name, time.Since(c.arrived))
 	c.passHead(reply)
 	c.streaming = true
--- /dev/null
+++ b/pkg/gateway/pool.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quaylead/quaylead/pkg/dispatch"
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// pool is the engines of one service, divided among groups so that no box has
+// to dispatch for more than it can. Every box divides them alike: an engine
+// belongs to the group that ranks first for it, and a prompt goes to a group by
+// the part that decides where it is kept.
+type pool struct {
+	gateway *Gateway
+	name    string
+
+	mu     sync.Mutex
+	groups []*scheduler
+	// weights are the engines of each group.
+	weights []int
+	// retired are groups of a larger pool, kept for what still runs there.
+	retired []*scheduler
+}
+
+// groupEngines is the number of engines that one box dispatches for. A box of a
+// fifth of a core takes some 70 requests a second for them, at about 0.2 ms each.
+const groupEngines = 12
+
+// groupCount is a power of two, so that it seldom changes with the pool.
+func groupCount(engines int) int {
+	count := 1
+	for count*groupEngines < engines {
+		count *= 2
+	}
+	return count
+}
+
+// configure divides the engines anew.
+func (p *pool) configure(service route.Service, tokensPerSecond float64, endpoints []route.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := groupCount(len(endpoints))
+	for len(p.groups) < count {
+		p.groups = append(p.groups, newScheduler(p.gateway, fmt.Sprintf("%s/%d", p.name, len(p.groups))))
+	}
+	p.retired = append(p.retired, p.groups[count:]...)
+	p.groups = p.groups[:count]
+	members := make([][]route.Endpoint, count)
+	for _, endpoint := range endpoints {
+		at := groupOf(endpoint.ID, count)
+		members[at] = append(members[at], endpoint)
+	}
+	p.weights = make([]int, count)
+	for i, group := range p.groups {
+		p.weights[i] = len(members[i])
+		part := tokensPerSecond * float64(len(members[i])) / float64(max(1, len(endpoints)))
+		group.configure(service, part, members[i])
+	}
+}
+
+// groupOf is the group that ranks first for an engine.
+func groupOf(engine string, count int) int {
+	best, bestRank := 0, uint64(0)
+	for i := range count {
+		if rank := hashOf(xxhash.Sum64String(engine), uint64(i)); rank >= bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	return best
+}
+
+// group is where a prompt goes: by weighted rendezvous hash, so that each group
+// gets a part that goes with its engines, and few prompts change group when an
+// engine comes or goes.
+func (p *pool) group(ask *dispatch.Ask) *scheduler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := ask.PlaceKey()
+	best, bestScore := 0, math.Inf(-1)
+	for i, weight := range p.weights {
+		if weight == 0 {
+			continue
+		}
+		// Uniform over (0, 1].
+		uniform := (float64(hashOf(key, uint64(i))>>11) + 1) / (1 << 53)
+		if score := math.Log(uniform) / float64(weight); score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return p.groups[best]
+}
+
+// named returns a group by the name it has on the wire.
+func (p *pool) named(name string) *scheduler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, group := range p.groups {
+		if group.service == name {
+			return group
+		}
+	}
+	return nil
+}
+
+func hashOf(key, number uint64) uint64 {
+	var bytes [16]byte
+	binary.LittleEndian.PutUint64(bytes[:8], key)
+	binary.LittleEndian.PutUint64(bytes[8:], number)
+	return xxhash.Sum64(bytes[:])
+}
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -132,9 +133,9 @@
 // ServeDispatch decides for another box.
 func (g *Gateway) ServeDispatch(from peer.Sender, service string, stream *peer.DispatchStream) (err error) {
 	defer func() { err = trace.Wrap(err, "dispatching %s for %s", service, from.Box) }()
-	s := g.scheduler(service)
+	s := g.groupNamed(service)
 	if s == nil {
-		return trace.NotFound("no such service here")
+		return trace.NotFound("no such group of engines here")
 	}
 	s.mu.Lock()
 	s.routers[from.Incarnation] = stream
@@ -153,6 +154,16 @@
 	}
 }
 
+// groupNamed finds a group of engines by its name on the wire.
+func (g *Gateway) groupNamed(name string) *scheduler {
+	service := name[:max(0, strings.LastIndexByte(name, '/'))]
+	p := g.pool(service)
+	if p == nil {
+		return nil
+	}
+	return p.named(name)
+}
+
 // stopServing forgets what a box had waiting and running.
 func (s *scheduler) stopServing(from peer.Sender, stream *peer.DispatchStream) {
 	s.mu.Lock()
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -17,13 +17,14 @@
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
-// scheduler gets this box's requests for one service of model engines granted.
-// Any box can dispatch for a service: the one that ranks first among the live
+// scheduler gets this box's requests for one group of engines granted. Any box
+// can dispatch for a group: the one that ranks first among the live
 // boxes is asked, by all. Its grants are advice, and what an engine says of
 // itself is the truth, so that two boxes that dispatch at once, or none, do no
 // harm. A box that gets no word in time asks the next, or decides alone.
 type scheduler struct {
 	gateway *Gateway
+	// service is the name of the group, with the service's.
 	service string
 	log     *zap.Logger
 
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -25,15 +25,23 @@
 	RetryWindow time.Duration
 	// ShareWindow is the time over which customers' shares are counted.
 	ShareWindow time.Duration
+	// MemoryLimit is the most bytes that the process may hold; 0 means no bound.
+	MemoryLimit int64
 	// ConnectionsLimit bounds the connections of the process.
 	ConnectionsLimit int
 }
 
 // The bounds and times of a box that no setting says yet.
 const (
-	// headBytes bounds the request line and headers; the catalog's own limit is
-	// half of it.
-	headBytes = 32 << 10
+	// headBytes bounds the request line and headers; each
+	// connection in use has a buffer of this size. The catalog's limit is 16 KiB.
+	headBytes = 20 << 10
+	// callersPart of the connections may be callers'; each may need one to an
+	// endpoint, and the rest is for peers and the store.
+	callersPart = 0.45
+	// memoryPart of the limit is what the runtime aims for: what the kernel holds
+	// for sockets counts as well.
+	memoryPart = 0.7
 	// bodyBytes bounds a request's body before the catalog is known.
 	bodyBytes = 8 << 20
 	// answerBytes bounds an answer that is held whole.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -81,7 +81,7 @@
 			return 0, broken
 		}
 		s.buffer, s.err = s.buffer[:0], nil
-		s.call.gateway.scheduler(s.call.service.Name).begin(s.call.ID)
+		s.to.begin()
 	}
 	n := copy(p, s.buffer[:s.ready])
 	rest := copy(s.buffer, s.buffer[n:])
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -91,23 +91,27 @@
 
 const (
 	// catalogWaitLeast and catalogWaitMost bound how long one call waits for a
-	// new configuration; catalogWaitPart is added for each box, as each tells the
-	// others. A call that hangs in an outage is noticed when this time is over,
+	// new configuration; beyond ten boxes it grows by catalogWaitPart for
+	// each, as each tells the others. A call that hangs in an outage is noticed when this time is over,
 	// and 2 s are given for putting a version in force. The most is shorter than
 	// the history that a store keeps.
 	catalogWaitLeast = 1500 * time.Millisecond
-	catalogWaitPart  = 60 * time.Millisecond
+	catalogWaitPart  = 140 * time.Millisecond
 	catalogWaitMost  = 8 * time.Second
 	// lookInterval is the mean time between two looks at the endpoints by any
 	// of the boxes. Leaving endpoints have to be known within 2 s.
 	lookInterval = 400 * time.Millisecond
 	// longestLook bounds the time between two looks of one box.
-	longestLook = 4 * time.Second
+	longestLook = 15 * time.Second
 	// aloneLook is the time between two looks when no peer tells news.
 	aloneLook = 600 * time.Millisecond
 	// retryLeast and retryMost bound the wait after a failed call; it doubles.
-	retryLeast = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	// The most grows by retryPart for each other box, up to retryLongest: the
+	// first that reads again tells the others.
+	retryLeast   = 100 * time.Millisecond
+	retryMost    = 800 * time.Millisecond
+	retryPart    = 80 * time.Millisecond
+	retryLongest = 5 * time.Second
 	// lapseGrace is how long an entry that went during an outage is still used;
 	// the users' pages say that a live server is back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
@@ -116,6 +120,9 @@
 	unwellFor = 2 * time.Second
 	// boxesInterval is the mean time between two looks at the list of boxes.
 	boxesInterval = 10 * time.Second
+	// boxesPart is added to it for each box: new ones tell all they find, and
+	// those tell the others nothing new.
+	boxesPart = 500 * time.Millisecond
 )
 
 // Run follows the store until the context ends.
@@ -151,10 +158,13 @@
 // backoff doubles the wait between failed calls.
 type backoff struct {
 	failures int
+	// peers is the number of other live boxes.
+	peers func() int
 }
 
 func (b *backoff) wait(ctx context.Context) error {
-	length := min(retryLeast<<min(b.failures, 6), retryMost)
+	most := min(max(retryMost, retryPart*time.Duration(b.peers())), retryLongest)
+	length := min(retryLeast<<min(b.failures, 6), most)
 	b.failures++
 	return interval.Wait(ctx, interval.Jittered(length))
 }
@@ -162,7 +172,7 @@
 func (b *backoff) reset() { b.failures = 0 }
 
 func (r *Registry) followCatalog(ctx context.Context) error {
-	again := backoff{}
+	again := backoff{peers: r.Peers}
 	since, known := uint64(0), false
 	for ctx.Err() == nil {
 		content, version, err := r.nextCatalog(ctx, since, known)
@@ -188,7 +198,7 @@
 
 func (r *Registry) nextCatalog(ctx context.Context, since uint64, known bool) ([]byte, uint64, error) {
 	if known {
-		wait := min(catalogWaitLeast+catalogWaitPart*time.Duration(r.Peers()), catalogWaitMost)
+		wait := min(max(catalogWaitLeast, catalogWaitPart*time.Duration(r.Peers())), catalogWaitMost)
 		return r.Store.CatalogSince(ctx, since, interval.Jittered(wait))
 	}
 	return r.Store.Catalog(ctx)
@@ -222,7 +232,7 @@
 }
 
 func (r *Registry) followEndpoints(ctx context.Context) error {
-	again := backoff{}
+	again := backoff{peers: r.Peers}
 	since, known := uint64(0), false
 	for ctx.Err() == nil {
 		entries, version, err := r.nextEndpoints(ctx, since, known)
@@ -275,13 +285,13 @@
 }
 
 func (r *Registry) followBoxes(ctx context.Context) error {
-	again := backoff{}
+	again := backoff{peers: r.Peers}
 	announced := false
 	for ctx.Err() == nil {
 		err := r.lookAtBoxes(ctx, &announced)
 		if err == nil {
 			again.reset()
-			if interval.Wait(ctx, interval.Jittered(boxesInterval)) != nil {
+			if interval.Wait(ctx, interval.Jittered(boxesInterval+boxesPart*time.Duration(r.Peers()))) != nil {
 				return nil
 			}
 			continue
