--- a/pkg/endpoint/reply.go
+++ b/pkg/endpoint/reply.go
@@ -97,8 +97,10 @@
 	if err := call.Sending(); err != nil {
 		return nil, err
 	}
+	// The request belongs to its writer from here on.
+	isHead := call.Request.Header.IsHead()
 	sent = open.start(call)
-	reply, err = c.readReply(open, call)
+	reply, err = c.readReply(open, call, isHead)
 	if err != nil {
 		return nil, &NoAnswerError{Address: c.Address, Err: err}
 	}
@@ -180,7 +182,7 @@
 	return w
 }
 
-func (c *Client) readReply(open *conn, call *Call) (*Reply, error) {
+func (c *Client) readReply(open *conn, call *Call, isHead bool) (*Reply, error) {
 	for range mostSurplus {
 		reply := &Reply{client: c, conn: open}
 		reply.Head.DisableNormalizing()
@@ -194,7 +196,7 @@
 		if reply.Head.StatusCode() == fasthttp.StatusContinue {
 			continue
 		}
-		reply.frame(call.Request.Header.IsHead())
+		reply.frame(isHead)
 		if call.Belongs == nil || call.Belongs(&reply.Head) {
 			return reply, nil
 		}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -56,7 +56,7 @@
 	g.inFlight.Add(1)
 	c := &call{gateway: g, http: http, arrived: time.Now()}
 	if refusal := c.run(); refusal != nil {
-		c.refuse(refusal)
+		c.refuse(c.truthful(refusal))
 	}
 	if g.stopping.Load() {
 		http.SetConnectionClose()
@@ -66,6 +66,19 @@
 	}
 }
 
+// truthful replaces a refusal that promises that nothing was run, where an
+// earlier attempt may have run.
+func (c *call) truthful(refusal *request.Refusal) *request.Refusal {
+	if refusal.Run != request.NotRun || c.life.Run() == request.NotRun {
+		return refusal
+	}
+	return &request.Refusal{
+		Code:    request.EndpointFailed,
+		Message: "an earlier attempt may have run; " + refusal.Message,
+		Run:     c.life.Run(),
+	}
+}
+
 // finish ends the watch over the caller's connection.
 func (c *call) finish() {
 	defer c.gateway.inFlight.Add(-1)
