pkg/gateway: repeatable requests leave endpoints that say nothing

Change: an attempt of a request that may be repeated ends when its endpoint is silent for three aims (plain), 1.5 s beyond the predicted first event, or three of the route's longest pauses; it goes to another endpoint within the budget.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -47,6 +47,8 @@
 	excluded []string
 	// unreachable counts endpoints that took no connection.
 	unreachable int
+	// guard ends the current attempt if it stalls.
+	guard *guard
 	// streaming is set once the answer's stream has the call; it then ends it.
 	streaming bool
 }
@@ -85,6 +87,7 @@
 	if c.cancel == nil {
 		return
 	}
+	c.guard.stop()
 	c.cancel(nil)
 	conn := c.http.Conn()
 	// The watcher has to be gone before the connection is read again.
@@ -201,7 +204,8 @@
 		_ = c.life.Advance(request.Queued)
 	}
 	out := c.compose(to.Endpoint, lastEvent)
-	reply, err := c.gateway.client(to.Address).Do(c.ctx, &endpoint.Call{
+	ctx := c.guarded(to)
+	reply, err := c.gateway.client(to.Address).Do(ctx, &endpoint.Call{
 		Request: out,
 		Sure:    !c.route.Repeatable,
 		Sending: func() error { return c.life.Advance(request.Sending) },
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -81,6 +81,7 @@
 	g.log.Info("box started",
 		zap.String("Box", g.Settings.Name),
 		zap.String("Zone", g.Settings.Zone),
+		zap.String("PeerAddress", g.Settings.PeerAddress),
 		zap.Uint64("Incarnation", g.incarnation))
 	group.Go(func() error {
 		select {
--- /dev/null
+++ b/pkg/gateway/guard.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// errStalled ends an attempt whose endpoint says nothing for far too long. Only
+// requests that may be repeated are given up so; they go to another endpoint.
+var errStalled = errors.New("the endpoint said nothing for too long")
+
+// guard ends an attempt that stalls. A nil guard does nothing.
+type guard struct {
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+// The silence after which a repeatable request goes elsewhere. It has to be far
+// beyond what a busy endpoint takes, as giving up costs what was done there.
+const (
+	// plainStallAims is in aims of the route, and plainStallLeast its least.
+	plainStallAims  = 3
+	plainStallLeast = 300 * time.Millisecond
+	// firstStall goes beyond the predicted time of a stream's first event.
+	firstStall = 1500 * time.Millisecond
+	// pauseStallAims is in longest pauses that the route aims for, and
+	// pauseStallLeast its least.
+	pauseStallAims  = 3
+	pauseStallLeast = time.Second
+)
+
+// guarded returns the context of an attempt.
+func (c *call) guarded(to destination) context.Context {
+	c.guard.stop()
+	c.guard = nil
+	if !c.route.Repeatable {
+		return c.ctx
+	}
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	c.guard = &guard{
+		cancel: cancel,
+		timer:  time.AfterFunc(c.firstPatience(to), func() { cancel(errStalled) }),
+	}
+	return ctx
+}
+
+func (c *call) firstPatience(to destination) time.Duration {
+	if c.route.Streaming {
+		return firstStall + to.granted.wait + to.granted.read
+	}
+	return max(plainStallAims*c.route.Aim, plainStallLeast)
+}
+
+func (c *call) pausePatience() time.Duration {
+	return max(pauseStallAims*c.route.PauseAim, pauseStallLeast)
+}
+
+// extend gives the attempt more time, as something came.
+func (g *guard) extend(length time.Duration) {
+	if g != nil {
+		g.timer.Reset(length)
+	}
+}
+
+// stop ends the attempt's context.
+func (g *guard) stop() {
+	if g == nil {
+		return
+	}
+	g.timer.Stop()
+	g.cancel(nil)
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -123,6 +123,7 @@
 		s.pause = max(s.pause, now.Sub(s.eventAt))
 	}
 	s.eventAt = now
+	s.call.guard.extend(s.call.pausePatience())
 }
 
 // late tells that the stream was slower than its route aims for.
