pkg/gateway: patience with the box that dispatches grows on a box that is late

Change: patience is four times the mean time of a first word, late ones included, between 80 and 300 ms; a suspicion is logged once.

--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -23,16 +23,17 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	p := &pending{from: r, queued: make(chan struct{}, 1), decided: make(chan verdict, 1)}
+	p := &pending{from: r, queued: make(chan struct{}, 1), decided: make(chan verdict, 1), asked: time.Now()}
 	s.mu.Lock()
 	s.pending[ask.ID] = p
 	sent := r.stream.Send(askMessage(ask, "", false))
+	patience := s.words.patience()
 	s.mu.Unlock()
 	if !sent {
 		s.forgetPending(ask.ID, p)
 		return verdict{}, errNoWord
 	}
-	timer := time.NewTimer(wordPatience)
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	for {
 		select {
@@ -40,8 +41,9 @@
 			return s.accept(ask, v, r), nil
 		case <-p.queued:
 			hold := time.Duration(s.pool.Rules.Hold * float64(ask.Aim))
-			timer.Reset(hold + verdictSlack)
+			timer.Reset(hold + verdictSlack + patience)
 		case <-timer.C:
+			s.gaveUp(ask.ID, p)
 			s.forgetPending(ask.ID, p)
 			return verdict{}, errNoWord
 		case <-ctx.Done():
@@ -51,6 +53,12 @@
 	}
 }
 
+func (s *scheduler) gaveUp(id string, p *pending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.words.gaveUp(id, p.asked)
+}
+
 // connect returns the stream to the box that dispatches, and tells a new one
 // what runs already.
 func (s *scheduler) connect(box string) (r *remote, err error) {
@@ -114,8 +122,15 @@
 func (s *scheduler) heard(r *remote, message *peerpb.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p := s.pending[message.ID]
+	if p == nil || p.from != r {
+		s.words.late(message.ID, time.Now())
+	} else if !p.heard {
+		p.heard = true
+		s.words.came(time.Since(p.asked))
+	}
 	if message.Queued {
-		if p := s.pending[message.ID]; p != nil && p.from == r {
+		if p != nil && p.from == r {
 			select {
 			case p.queued <- struct{}{}:
 			default:
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -41,6 +41,8 @@
 	remote *remote
 	// suspects are boxes that gave no word, until the time given.
 	suspects map[string]time.Time
+	// words are the times that first words take to come.
+	words wordTimes
 	// wake tells the ticker that requests wait. Capacity 1.
 	wake chan struct{}
 }
@@ -55,6 +57,9 @@
 type pending struct {
 	// from is the stream that was asked; nil for this box's own pool.
 	from *remote
+	// asked is when another box was asked, and heard is set once it said a word.
+	asked time.Time
+	heard bool
 	// queued is told that the request is in line. Capacity 1.
 	queued chan struct{}
 	// decided takes the verdict. Capacity 1.
@@ -82,10 +87,6 @@
 }
 
 const (
-	// wordPatience is how long a router waits for the first word of the box that
-	// dispatches. An answer takes about 2 ms; a box whose processor time is a
-	// quota may stand still for most of a tenth of a second.
-	wordPatience = 80 * time.Millisecond
 	// verdictSlack is added to the time a request may be held before the box
 	// that dispatches is taken for hanging.
 	verdictSlack = 100 * time.Millisecond
@@ -258,11 +259,16 @@
 func (s *scheduler) suspect(box string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	known := time.Now().Before(s.suspects[box])
 	s.suspects[box] = time.Now().Add(suspectFor)
+	if known {
+		return
+	}
 	s.log.Warn("dispatcher not asked for a while",
 		zap.String("Service", s.service),
 		zap.String("Box", box),
 		zap.Duration("For", suspectFor),
+		zap.Duration("Patience", s.words.patience()),
 		zap.Error(err))
 }
 
