--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -15,6 +15,9 @@
 	Backlog time.Duration
 	// IdleBacklog is the same for customers beyond their share.
 	IdleBacklog time.Duration
+	// MostShares is how many times its share a customer may have before it gets
+	// idle engines only.
+	MostShares float64
 	// Hold is the part of its aim for which a request may wait here.
 	Hold float64
 	// Homes is the least number of engines that a shared part is kept at.
@@ -35,6 +38,7 @@
 	return Rules{
 		Backlog:     300 * time.Millisecond,
 		IdleBacklog: 50 * time.Millisecond,
+		MostShares:  2,
 		Hold:        0.24,
 		Homes:       2,
 		HomeLoad:    0.25,
@@ -322,6 +326,18 @@
 	return p.tokensPerSecond > 0 && a.granted.sum+ask.cost/2 > p.share
 }
 
+// bound is the longest predicted wait at an engine that a request may go to.
+func (p *Pool) bound(a *account, ask *Ask) time.Duration {
+	switch {
+	case !p.over(a, ask):
+		return p.Rules.Backlog
+	case a.granted.sum > p.Rules.MostShares*p.share:
+		return 0
+	default:
+		return p.Rules.IdleBacklog
+	}
+}
+
 // inTurn are the customers with waiting requests, the one served least first.
 func (p *Pool) inTurn(now time.Time) []*account {
 	var waiting []*account
@@ -340,10 +356,7 @@
 // grantOne grants the first of a customer's requests for which there is room.
 func (p *Pool) grantOne(a *account, now time.Time) *Grant {
 	for i, ask := range a.queue {
-		bound := p.Rules.Backlog
-		if p.over(a, ask) {
-			bound = p.Rules.IdleBacklog
-		}
+		bound := p.bound(a, ask)
 		at := p.place(ask, bound, now)
 		if at == nil {
 			continue
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -156,6 +156,18 @@
 		So(served["small"], ShouldEqual, 50)
 		So(served["flood"], ShouldBeGreaterThan, 100)
 	})
+	Convey("A customer far beyond its share gets idle engines only, one within it the whole bound", t, func() {
+		p := newTestPool(1, 10000)
+		p.Submit(askOf("first", "flood", start, Part{ID: 1, Tokens: 5000}), start)
+		p.Submit(askOf("other", "small", start, Part{ID: 2, Tokens: 1000}), start)
+		So(p.Decide(start), ShouldHaveLength, 2)
+		p.share, p.shareAt = 2000, start
+		p.Submit(askOf("more", "flood", start, Part{ID: 3, Tokens: 100}), start)
+		p.Submit(askOf("within", "small", start, Part{ID: 4, Tokens: 100}), start)
+		decided := p.Decide(start)
+		So(decided, ShouldHaveLength, 1)
+		So(decided[0].(Grant).Ask.ID, ShouldEqual, "within")
+	})
 	Convey("What a router that is gone had is forgotten", t, func() {
 		p := newTestPool(1, 0)
 		ask := askOf("1", "a", start, Part{ID: 1, Tokens: 10})
