pkg/registry: boxes look at the endpoints in turn

Change: a box looks 0.4 to 1.2 s after the last look of any box and tells the others that it did; the test over nine boxes holds 1.5 s between two looks and fails with looks on their own.

--- /dev/null
+++ b/pkg/gateway/budget_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestRetryBudgetHoldsForTheFleet lets the boxes of a fleet ask for repeated sends
+// as often as they like. In no window may more be allowed than the users' rule has
+// for the whole fleet, although the boxes tell each other nothing of it.
+func TestRetryBudgetHoldsForTheFleet(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		boxes := rapid.IntRange(1, 12).Draw(r, "boxes")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 40), 50, 200).Draw(r, "requests")
+		greedy := rapid.IntRange(0, 30).Draw(r, "greedy")
+		synctest.Test(t, func(*testing.T) {
+			checkBudget(r, boxes, steps, greedy)
+		})
+	})
+}
+
+func checkBudget(t *rapid.T, boxes int, steps []int, greedy int) {
+	const step = 250 * time.Millisecond
+	settings := Settings{RetryRatio: 0.2, RetryExtra: 58, RetryWindow: 10 * time.Second}
+	fleet := make([]*retryBudget, boxes)
+	for i := range fleet {
+		fleet[i] = &retryBudget{settings: settings, peers: func() int { return boxes - 1 }}
+	}
+	requests, repeats := make([]int, len(steps)), make([]int, len(steps))
+	for at, count := range steps {
+		for n := range count {
+			fleet[n%boxes].earn("s")
+			requests[at]++
+		}
+		for n := range greedy {
+			if fleet[n%boxes].take("s") {
+				repeats[at]++
+			}
+		}
+		time.Sleep(step)
+	}
+	inWindow := int(settings.RetryWindow / step)
+	for end := range steps {
+		begin := max(0, end-inWindow+1)
+		allowed := settings.RetryRatio*float64(sum(requests[begin:end+1])) + settings.RetryExtra
+		if got := sum(repeats[begin : end+1]); float64(got) > allowed {
+			t.Fatalf("%d repeated sends in a window, %f allowed, %d boxes", got, allowed, boxes)
+		}
+	}
+}
+
+func sum(counts []int) (total int) {
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -46,6 +46,8 @@
 	endWork  context.CancelCauseFunc
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// looks counts this box's looks at the endpoints in the store.
+	looks atomic.Uint64
 
 	mu      sync.Mutex
 	pools   map[string]*pool
@@ -123,6 +125,7 @@
 		Log:        g.Logs.For(logflags.Platform),
 		Changed:    g.changed,
 		FoundBoxes: g.addPeers,
+		Looked:     g.looked,
 		Peers:      g.members.CountLive,
 	}
 	g.exchange = &peer.Exchange{
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -39,7 +39,7 @@
 
 // State tells peers what is in force here.
 func (g *Gateway) State() peer.State {
-	state := peer.State{Leaving: g.stopping.Load()}
+	state := peer.State{Leaving: g.stopping.Load(), Looks: g.looks.Load()}
 	if catalog := g.registry.Catalog(); catalog != nil {
 		state.Revision = catalog.Version
 	}
@@ -49,6 +49,12 @@
 	return state
 }
 
+// looked tells peers that they need not look at the endpoints themselves.
+func (g *Gateway) looked() {
+	g.looks.Add(1)
+	g.exchange.Wake()
+}
+
 // Snapshot gives peers the configuration in force.
 func (g *Gateway) Snapshot() (revision uint64, content []byte) {
 	return g.registry.Content()
@@ -74,7 +80,9 @@
 
 // Heard applies what a peer tells.
 func (g *Gateway) Heard(from peer.Sender, news peer.State, first bool) {
-	g.members.Heard(from, news, first, time.Now())
+	if g.members.Heard(from, news, first, time.Now()) {
+		g.registry.HeardLook()
+	}
 	if first {
 		g.Logs.For(logflags.Peer).Info("peer heard", zap.String("Peer", from.Box), zap.Uint64("Incarnation", from.Incarnation))
 		g.addPeers([]registry.Box{{Name: from.Box, Zone: from.Zone, PeerAddress: from.PeerAddress}})
--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -26,6 +26,7 @@
 		Revision:  state.Revision,
 		Leaving:   state.Leaving,
 		Directory: state.Directory,
+		Looks:     state.Looks,
 	}
 	for name, pool := range state.Pools {
 		if poolUpdate := e.encodePool(update, name, pool); poolUpdate != nil {
@@ -34,7 +35,7 @@
 	}
 	changed = e.first || len(update.Pools) > 0 ||
 		state.Revision != e.last.Revision || state.Leaving != e.last.Leaving ||
-		state.Directory != e.last.Directory
+		state.Directory != e.last.Directory || state.Looks != e.last.Looks
 	e.last = state
 	e.first = false
 	return update, changed
@@ -116,6 +117,7 @@
 		Revision:  update.Revision,
 		Leaving:   update.Leaving,
 		Directory: update.Directory,
+		Looks:     update.Looks,
 		Pools:     make(map[string]PoolState, len(update.Pools)),
 	}
 	for _, pool := range update.Pools {
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -73,6 +73,8 @@
 	Leaving bool
 	// Directory is the version of what is known of the endpoints.
 	Directory uint64
+	// Looks is how often the box looked at the endpoints in the store.
+	Looks uint64
 	// Pools are by name. In a received state, only what changed is there.
 	Pools map[string]PoolState
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,12 +72,16 @@
 	Changed func()
 	// FoundBoxes is called with the boxes that the store lists.
 	FoundBoxes func([]Box)
-	// Peers is the number of other live boxes; the work of looking at the
-	// endpoints is spread over all.
+	// Looked is called after each look at the endpoints, for the other boxes to
+	// hear.
+	Looked func()
+	// Peers is the number of other live boxes.
 	Peers func() int
 
-	catalog   atomic.Pointer[route.Catalog]
-	directory atomic.Pointer[route.Directory]
+	// heardLooks counts the looks of other boxes.
+	heardLooks atomic.Int64
+	catalog    atomic.Pointer[route.Catalog]
+	directory  atomic.Pointer[route.Directory]
 
 	mu sync.Mutex
 	// content is the catalog's, as it was accepted.
@@ -98,13 +103,12 @@
 	catalogWaitLeast = 1500 * time.Millisecond
 	catalogWaitPart  = 140 * time.Millisecond
 	catalogWaitMost  = 8 * time.Second
-	// lookInterval is the mean time between two looks at the endpoints by any
-	// of the boxes. Leaving endpoints have to be known within 2 s.
-	lookInterval = 400 * time.Millisecond
-	// longestLook bounds the time between two looks of one box.
-	longestLook = 15 * time.Second
-	// aloneLook is the time between two looks when no peer tells news.
-	aloneLook = 600 * time.Millisecond
+	// lookSoonest is the time after a look at the endpoints, by any box, before
+	// which no box looks again; lookSpread is the time over which the boxes spread
+	// their next ones, so that mostly one looks and tells. Together they bound the
+	// time between two looks: leaving endpoints have to be known within 2 s.
+	lookSoonest = 400 * time.Millisecond
+	lookSpread  = 800 * time.Millisecond
 	// retryLeast and retryMost bound the wait after a failed call; it doubles.
 	// The most grows by retryPart for each other box, up to retryLongest: the
 	// first that reads again tells the others.
@@ -251,13 +255,31 @@
 		again.reset()
 		r.take(entries, !known, fromStore, time.Now())
 		since, known = version, true
-		if interval.Wait(ctx, interval.Jittered(r.untilLook())) != nil {
+		r.Looked()
+		if r.awaitTurn(ctx) != nil {
 			return nil
 		}
 	}
 	return nil
 }
 
+// awaitTurn waits until no box has looked at the endpoints for a while.
+func (r *Registry) awaitTurn(ctx context.Context) error {
+	for {
+		heard := r.heardLooks.Load()
+		if err := interval.Wait(ctx, lookSoonest+rand.N(lookSpread)); err != nil {
+			return err
+		}
+		if r.heardLooks.Load() == heard {
+			return nil
+		}
+	}
+}
+
+// HeardLook notes that another box looked at the endpoints, and told what it
+// found.
+func (r *Registry) HeardLook() { r.heardLooks.Add(1) }
+
 func (r *Registry) nextEndpoints(ctx context.Context, since uint64, known bool) ([]Entry, uint64, error) {
 	if known {
 		return r.Store.EndpointsSince(ctx, since)
@@ -265,15 +287,6 @@
 	return r.Store.Endpoints(ctx)
 }
 
-// untilLook spreads the looks over all live boxes.
-func (r *Registry) untilLook() time.Duration {
-	peers := r.Peers()
-	if peers == 0 {
-		return aloneLook
-	}
-	return min(lookInterval*time.Duration(peers+1), longestLook)
-}
-
 // endpointsFailed notes an outage. A store that lost its history is well.
 func (r *Registry) endpointsFailed(err error) {
 	if errors.Is(err, ErrHistoryLost) {
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -133,7 +133,7 @@
 	s.entries = append(s.entries, entry)
 }
 
-func start(t *testing.T, store *fakeStore) (r *Registry, stop func()) {
+func start(t *testing.T, store *fakeStore, looked func(*Registry)) (r *Registry, stop func()) {
 	t.Helper()
 	r = &Registry{
 		Store:      store,
@@ -142,6 +142,7 @@
 		FoundBoxes: func([]Box) {},
 		Peers:      func() int { return 0 },
 	}
+	r.Looked = func() { looked(r) }
 	ctx, cancel := context.WithCancel(context.Background())
 	group := errgroup.Group{}
 	group.Go(func() error { return r.Run(ctx) })
@@ -235,7 +236,7 @@
 			Convey(c.name, t, func() {
 				store := &fakeStore{state: fakeState{config: []byte("version 1")}}
 				store.change(func(s *fakeState) { s.put("a", 1) })
-				r, stop := start(t, store)
+				r, stop := start(t, store, func(*Registry) {})
 				time.Sleep(2 * time.Second)
 				So(has(r, "a"), ShouldBeTrue)
 				c.run(store, r)
@@ -244,3 +245,40 @@
 		})
 	}
 }
+
+func TestLooksOfManyBoxes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Boxes that tell each other look at most a little more often than one, and never pause for long", t, func() {
+			const boxes = 9
+			store := &fakeStore{state: fakeState{config: []byte("version 1")}}
+			var mu sync.Mutex
+			var looks []time.Time
+			var fleet []*Registry
+			looked := func(by *Registry) {
+				mu.Lock()
+				defer mu.Unlock()
+				looks = append(looks, time.Now())
+				for _, other := range fleet {
+					if other != by {
+						other.HeardLook()
+					}
+				}
+			}
+			for range boxes {
+				r, stop := start(t, store, looked)
+				defer stop()
+				mu.Lock()
+				fleet = append(fleet, r)
+				mu.Unlock()
+			}
+			time.Sleep(10 * time.Minute)
+			mu.Lock()
+			looks = slices.Clone(looks)
+			mu.Unlock()
+			for i := 1; i < len(looks); i++ {
+				So(looks[i].Sub(looks[i-1]), ShouldBeLessThan, 1500*time.Millisecond)
+			}
+			So(len(looks), ShouldBeLessThan, 10*60*3)
+		})
+	})
+}
