pkg/gateway: a late word is no reason to ask another box

Cause: on the grown sites all of one large customer's callers are at one or two small boxes. Such a box is out of processor time, reads the word of the box that dispatches late, takes that box for hanging and asks the next one, some ten times a second; each change tells all that runs and is kept, and makes the old dispatcher forget what runs. Change: a request whose word is due waits on, up to a second in all, while the other box speaks to other requests or this box is itself late. If the word is still missing then, this box decides alone and does not suspect the other.

--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -17,6 +17,9 @@
 // errNoWord reports that the box that dispatches did not answer in time.
 var errNoWord = errors.New("no word from the box that dispatches")
 
+// errLateWord reports that it spoke, but not to this request: it lives.
+var errLateWord = errors.New("the word from the box that dispatches is late")
+
 // askRemote has another box decide. An error means that it is of no use now.
 func (s *scheduler) askRemote(ctx context.Context, ask *dispatch.Ask, box string) (verdict, error) {
 	r, err := s.connect(box)
@@ -33,6 +36,7 @@
 		s.forgetPending(ask.ID, p)
 		return verdict{}, errNoWord
 	}
+	due := time.Now().Add(patience)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	for {
@@ -41,10 +45,19 @@
 			return s.accept(ask, v, r), nil
 		case <-p.queued:
 			hold := time.Duration(s.pool.Rules.Hold * float64(ask.Aim))
-			timer.Reset(hold + verdictSlack + patience)
+			due = time.Now().Add(hold + verdictSlack + patience)
+			timer.Reset(time.Until(due))
 		case <-timer.C:
-			s.gaveUp(ask.ID, p)
+			if s.waitsOn(r, p, due, patience) {
+				due = time.Now().Add(patience)
+				timer.Reset(patience)
+				continue
+			}
+			spoke := s.gaveUp(r, p, ask.ID)
 			s.forgetPending(ask.ID, p)
+			if spoke {
+				return verdict{}, errLateWord
+			}
 			return verdict{}, errNoWord
 		case <-ctx.Done():
 			s.forgetPending(ask.ID, p)
@@ -53,10 +66,25 @@
 	}
 }
 
-func (s *scheduler) gaveUp(id string, p *pending) {
+// waitsOn tells whether a request whose word was due waits for it longer: the
+// box that dispatches has spoken to others since, or this box is itself late and
+// may not have read the word yet. Asking another box would only add to that, as
+// it has to be told all that runs.
+func (s *scheduler) waitsOn(r *remote, p *pending, due time.Time, patience time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	ownLate := now.Sub(due) > patience/2
+	return (ownLate || r.heardAt.After(p.asked)) && now.Sub(p.asked) < mostSilence
+}
+
+// gaveUp notes that no word came in time, and tells whether the box spoke to other
+// requests meanwhile.
+func (s *scheduler) gaveUp(r *remote, p *pending, id string) (spoke bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.words.gaveUp(id, p.asked)
+	return r.heardAt.After(p.asked)
 }
 
 // connect returns the stream to the box that dispatches, and tells a new one
@@ -122,6 +150,7 @@
 func (s *scheduler) heard(r *remote, message *peerpb.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.heardAt = time.Now()
 	p := s.pending[message.ID]
 	if p == nil || p.from != r {
 		s.words.late(message.ID, time.Now())
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -51,6 +52,8 @@
 type remote struct {
 	box    string
 	stream *peer.DispatchStream
+	// heardAt is when it last said something, to whichever request.
+	heardAt time.Time
 }
 
 // pending is a request that waits for a verdict.
@@ -90,6 +93,10 @@
 	// verdictSlack is added to the time a request may be held before the box
 	// that dispatches is taken for hanging.
 	verdictSlack = 100 * time.Millisecond
+	// mostSilence is the longest that a request waits for its word from a box that
+	// speaks to others: of the order of the routes' aims, after which an answer
+	// counts little.
+	mostSilence = time.Second
 	// suspectFor is how long a box that gave no word is not asked.
 	suspectFor = 1500 * time.Millisecond
 	// tick is the time between two looks at the line while requests wait.
@@ -212,6 +219,9 @@
 		if err == nil || ctx.Err() != nil {
 			return v, err
 		}
+		if errors.Is(err, errLateWord) {
+			break
+		}
 		s.suspect(box, err)
 	}
 	return s.askOwn(ctx, ask, s.gateway.members.CountLive()+1)
