pkg/peer: a dispatch stream's writer ends with its server

Cause: the goroutine that writes to a stream ended only when the server of the stream returned an error; one that returned none kept the box from stopping. It was found by a stand-in that hung up in order. Change: the server's return ends the writer.

--- a/pkg/peer/dispatch.go
+++ b/pkg/peer/dispatch.go
@@ -124,9 +124,12 @@
 		return err
 	}
 	stream := newDispatchStream(raw, reader, e.Box.Exchange.Lapse.Duration)
-	group, ctx := errgroup.WithContext(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return stream.Write(ctx) })
 	group.Go(func() error {
+		// The writer ends with the server, also when that returns no error.
+		defer cancel()
 		defer stream.Close()
 		return e.Dispatch.ServeDispatch(senderOf(hello.Router), hello.Service, stream)
 	})
