pkg/gateway: an attempt is given up only where another may follow

Cause: a request that may be repeated left a silent endpoint also when it had no attempt or no budget left: the answer that came a moment later was thrown away. Change: no silence ends the last attempt a route allows, nor any while the budget is spent.

--- a/pkg/gateway/guard.go
+++ b/pkg/gateway/guard.go
@@ -30,17 +30,23 @@
 	pauseStallLeast = time.Second
 )
 
-// guarded returns the context of an attempt.
+// guarded returns the context of an attempt. It is given up only where another
+// one may follow: otherwise an answer that comes late is better than none.
 func (c *call) guarded(to destination) context.Context {
 	c.guard.stop()
 	c.guard = nil
-	if !c.route.Repeatable {
+	last := c.life.Attempts()+1 >= c.route.MaxAttempts
+	if !c.route.Repeatable || last {
 		return c.ctx
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.guard = &guard{
 		cancel: cancel,
-		timer:  time.AfterFunc(c.firstPatience(to), func() { cancel(errStalled) }),
+		timer: time.AfterFunc(c.firstPatience(to), func() {
+			if c.gateway.budget.has(c.service.Name) {
+				cancel(errStalled)
+			}
+		}),
 	}
 	return ctx
 }
