--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -60,7 +60,7 @@
 	if refusal := c.run(); refusal != nil {
 		c.refuse(c.truthful(refusal))
 	}
-	if g.stopping.Load() {
+	if g.stopping.Load() || g.load.sheds(time.Now()) {
 		http.SetConnectionClose()
 	}
 	if !c.streaming {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -39,6 +39,7 @@
 	members     box.Members
 	budget      *retryBudget
 	health      *health
+	load        load
 	// work runs what serves callers; it outlives the order to stop.
 	work *errgroup.Group
 	// over ends what is still in flight when the time to stop is up.
@@ -80,6 +81,7 @@
 	group.Go(func() error { return callerServer.Serve(callers) })
 	group.Go(func() error { return g.reportCounts(behind) })
 	group.Go(func() error { return g.sweepIdle(behind) })
+	group.Go(func() error { return g.load.measure(behind, g.overloaded) })
 	g.log.Info("box started",
 		zap.String("Box", g.Settings.Name),
 		zap.String("Zone", g.Settings.Zone),
@@ -107,6 +109,7 @@
 func (g *Gateway) prepare() {
 	g.log = g.Logs.For(logflags.Box)
 	g.incarnation = rand.Uint64()
+	g.load.cores = g.Settings.Cores
 	g.pools = map[string]*pool{}
 	g.clients = map[string]*endpoint.Client{}
 	g.peers = map[string]settings.Peer{}
@@ -228,7 +231,15 @@
 
 // ready tells whether new connections of callers are welcome.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.registry.Catalog() != nil && g.registry.Directory() != nil
+	return !g.stopping.Load() && !g.load.busy(time.Now()) && g.registry.Catalog() != nil && g.registry.Directory() != nil
+}
+
+// overloaded tells of a time in which this box asks for no new callers.
+func (g *Gateway) overloaded() {
+	g.log.Warn("overloaded, not ready for a while",
+		zap.Float64("ProcessorUse", g.load.used()),
+		zap.Int64("InFlight", g.inFlight.Load()),
+		zap.Duration("For", busyFor))
 }
 
 // stop ends as planned: the box is no longer ready but serves on until the
