pkg/gateway: a box that grants engines that are not there is not asked

Cause: a box that dispatches on a wrong view of the endpoints had all requests of its groups refused, truthfully, until it went; routers had no way to tell. Change: after three such grants in a row, without an engine that began between them, the next box is asked for a while.

--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -67,7 +67,7 @@
 				at:       time.Now(),
 			}, nil
 		}
-		s.end(c.ID, dispatch.NotRun{})
+		s.absent(c.ID, v)
 		c.excluded = append(c.excluded, v.endpoint)
 		if len(c.excluded) > mostUnreachable {
 			return to, notRun(request.NoEndpoint, "the engines granted are gone", comeBackAfterFailure())
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -20,6 +20,9 @@
 // errLateWord reports that it spoke, but not to this request: it lives.
 var errLateWord = errors.New("the word from the box that dispatches is late")
 
+// errAbsentEngines reports that it grants engines that are not there.
+var errAbsentEngines = errors.New("the box that dispatches grants engines that are not there")
+
 // askRemote has another box decide. An error means that it is of no use now.
 func (s *scheduler) askRemote(ctx context.Context, ask *dispatch.Ask, box string) (verdict, error) {
 	r, err := s.connect(box)
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -54,6 +54,8 @@
 	stream *peer.DispatchStream
 	// heardAt is when it last said something, to whichever request.
 	heardAt time.Time
+	// absent counts the engines in a row that it granted and that are not there.
+	absent int
 }
 
 // pending is a request that waits for a verdict.
@@ -357,6 +359,26 @@
 	return v
 }
 
+// mostAbsent grants in a row of engines that are not there make a box unfit to
+// dispatch. One or two come from an engine that has just left.
+const mostAbsent = 3
+
+// absent gives back the grant of an engine that is not there.
+func (s *scheduler) absent(id string, v verdict) {
+	s.end(id, dispatch.NotRun{})
+	s.mu.Lock()
+	r := s.remote
+	unfit := false
+	if r != nil && r.box == v.by {
+		r.absent++
+		unfit = r.absent >= mostAbsent
+	}
+	s.mu.Unlock()
+	if unfit {
+		s.suspect(v.by, errAbsentEngines)
+	}
+}
+
 // begin notes the first event of a granted request.
 func (s *scheduler) begin(id string) {
 	s.mu.Lock()
@@ -366,6 +388,9 @@
 		return
 	}
 	r.begun = true
+	if s.remote != nil {
+		s.remote.absent = 0
+	}
 	s.pool.Begin(id, time.Now())
 	if s.remote != nil {
 		s.remote.stream.Send(beginMessage(id))
