pkg/gateway: overload is measured by the wait of a byte

Change: the box sends itself a byte through a pipe four times a second; like all that comes to it, the byte has to be noticed and waits for its turn.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -109,7 +109,6 @@
 func (g *Gateway) prepare() {
 	g.log = g.Logs.For(logflags.Box)
 	g.incarnation = rand.Uint64()
-	g.load.cores = g.Settings.Cores
 	g.pools = map[string]*pool{}
 	g.clients = map[string]*endpoint.Client{}
 	g.peers = map[string]settings.Peer{}
@@ -237,7 +236,7 @@
 // overloaded tells of a time in which this box asks for no new callers.
 func (g *Gateway) overloaded() {
 	g.log.Warn("overloaded, not ready for a while",
-		zap.Float64("ProcessorUse", g.load.used()),
+		zap.Duration("ProcessorWait", g.load.waited()),
 		zap.Int64("InFlight", g.inFlight.Load()),
 		zap.Duration("For", busyFor))
 }
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -2,27 +2,24 @@
 
 import (
 	"context"
-	"math"
+	"errors"
+	"io"
+	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/quaylead/quaylead/pkg/interval"
 )
 
-// load measures how busy this box is, by the processor time that the process
-// uses, and decides when it had better get no new callers. All callers of one
-// large customer may come to one small box.
+// load measures how busy this box is, by how long what comes to it waits for the
+// processor, and decides when the box had better get no new callers. All
+// callers of one large customer may come to one small box.
 type load struct {
-	// cores is the processor time that the box has. It is set before use; 0 means
-	// that it is not known, and the box is never taken for overloaded.
-	cores float64
-
-	// use is a mean of the part of the processor that is used, as the bits of a
-	// float64.
-	use atomic.Uint64
+	// delay is a mean of that wait.
+	delay atomic.Int64
 	// busyUntil ends a time in which this box asks for no new callers, in
 	// nanoseconds of the time of day; busySince is when it began, and 0 outside.
 	busyUntil atomic.Int64
@@ -30,62 +27,93 @@
 }
 
 const (
-	// useInterval is the time between two looks at the processor time. Where the
-	// processor is a quota, it is given out by tenths of a second.
-	useInterval = 250 * time.Millisecond
-	// useGain is the weight of the newest look. A box that was half busy is
-	// overloaded after three quarters of a second of nothing but work.
-	useGain = 0.4
-	// useMost is the part of the processor above which a box is overloaded. Work
-	// that waits for the processor takes several times its own time by then.
-	useMost = 0.85
+	// delayInterval is the time between two looks. Where the processor is a quota,
+	// it is given out by tenths of a second.
+	delayInterval = 250 * time.Millisecond
+	// delayGain is the weight of the newest look.
+	delayGain = 0.4
+	// delayMost is the mean wait above which a box is overloaded. A request waits
+	// several times on its way, and its aim is several hundred milliseconds.
+	delayMost = 20 * time.Millisecond
+	// longestDelay bounds what one look may say: a box that stood still for a while
+	// is not overloaded yet when it goes on.
+	longestDelay = 2 * delayMost
 	// busyFor is how long an overloaded box is not ready, at least. The balancer
 	// asks each second and believes the second answer; one more second gives it
 	// callers to pass elsewhere.
 	busyFor = 3 * time.Second
 )
 
-// measure follows the use of the processor until the context ends, and calls
-// overloaded when a time without new callers begins.
+// measure follows the wait until the context ends, and calls overloaded when a
+// time without new callers begins. It sends itself bytes through a pipe: like all
+// that comes to a box, they have to be noticed and then wait for their turn.
 func (l *load) measure(ctx context.Context, overloaded func()) (err error) {
 	defer func() { err = trace.Wrap(err, "measuring the load of this box") }()
-	before, err := processorTime()
+	reader, writer, err := os.Pipe()
 	if err != nil {
 		return err
 	}
-	began := time.Now()
-	for interval.Wait(ctx, useInterval) == nil {
-		used, err := processorTime()
-		if err != nil {
+	group := errgroup.Group{}
+	sent := make(chan time.Time, 1)
+	group.Go(func() error {
+		defer writer.Close()
+		return probe(ctx, writer, sent)
+	})
+	group.Go(func() error {
+		defer reader.Close()
+		return l.listen(reader, sent, overloaded)
+	})
+	return group.Wait()
+}
+
+// probe sends a byte from time to time, and when it did.
+func probe(ctx context.Context, to io.Writer, sent chan<- time.Time) error {
+	for interval.Wait(ctx, delayInterval) == nil {
+		select {
+		case sent <- time.Now():
+		default:
+			// The last byte has not been read yet.
+			continue
+		}
+		if _, err := to.Write([]byte{0}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listen notes how long each byte took, until there are no more.
+func (l *load) listen(from io.Reader, sent <-chan time.Time, overloaded func()) error {
+	one := make([]byte, 1)
+	for {
+		if _, err := from.Read(one); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
 			return err
 		}
 		now := time.Now()
-		l.note(used-before, now.Sub(began))
-		before, began = used, now
+		l.note(now.Sub(<-sent))
 		if l.judge(now) {
 			overloaded()
 		}
 	}
-	return nil
 }
 
-// note takes the processor time that was used in a time.
-func (l *load) note(used, took time.Duration) {
-	if l.cores <= 0 || took <= 0 {
-		return
-	}
-	part := used.Seconds() / took.Seconds() / l.cores
-	mean := l.used()
-	l.use.Store(math.Float64bits(mean + useGain*(part-mean)))
+// note takes the wait of one byte.
+func (l *load) note(wait time.Duration) {
+	wait = min(wait, longestDelay)
+	before := l.delay.Load()
+	l.delay.Store(before + int64(delayGain*float64(int64(wait)-before)))
 }
 
-// used is a mean of the part of the processor that is used.
-func (l *load) used() float64 { return math.Float64frombits(l.use.Load()) }
+// waited is a mean of the wait for the processor.
+func (l *load) waited() time.Duration { return time.Duration(l.delay.Load()) }
 
 // judge begins or extends a time without new callers when the box is overloaded.
 // It reports whether one began.
 func (l *load) judge(now time.Time) (began bool) {
-	if l.used() < useMost {
+	if l.waited() < delayMost {
 		if !l.busy(now) {
 			l.busySince.Store(0)
 		}
@@ -104,12 +132,3 @@
 	since := l.busySince.Load()
 	return since > 0 && l.busy(now) && now.Sub(time.Unix(0, since)) > noticeTime
 }
-
-// processorTime is what the process has used.
-func processorTime() (used time.Duration, err error) {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0, trace.Wrap(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
-}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -94,7 +94,7 @@
 	interval.Every(ctx, countsInterval, func() {
 		log.Info("counts",
 			zap.Int64("InFlight", g.inFlight.Load()),
-			zap.Float64("ProcessorUse", g.load.used()),
+			zap.Duration("ProcessorWait", g.load.waited()),
 			zap.Int64("Granted", g.Metrics.granted.Value()),
 			zap.Int64("MissingTokens", g.Metrics.missing.Value()),
 			zap.String("Refusals", g.Metrics.refusals.String()),
