pkg/gateway: few requests of a customer beyond its share wait

Cause: a customer that asks for many times its share has hundreds of requests waiting at one small box, each with a question to the box that dispatches and a quarter of its aim spent, to be refused in the end. That takes the box's processor from the requests that are granted. Change: once a customer is told to be beyond its share, 32 of its requests wait at a box for one group; more are refused at once, with a time to come back.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -394,7 +394,7 @@
 			over := p.over(a, ask)
 			decisions = append(decisions, Turn{
 				Ask:        ask,
-				RetryAfter: p.comeBack(over),
+				RetryAfter: p.ComeBack(over),
 				Over:       over,
 				Queued:     p.queued,
 			})
@@ -419,7 +419,9 @@
 	comeBackLater = 1500 * time.Millisecond
 )
 
-func (p *Pool) comeBack(over bool) time.Duration {
+// ComeBack is the time after which a refused request comes back; over tells that
+// its customer has its share.
+func (p *Pool) ComeBack(over bool) time.Duration {
 	least := comeBackSoon
 	if over {
 		least = comeBackLater
--- /dev/null
+++ b/pkg/gateway/floods.go
@@ -0,0 +1,96 @@
+package gateway
+
+import "time"
+
+// floods bounds what waits at this box of customers beyond their share. Of a
+// customer that asks for many times its share, most is refused in the end: what
+// is beyond the bound is refused at once, which costs the box far less than
+// asking, and tells the caller sooner. It is not safe for concurrent use.
+type floods struct {
+	customers map[string]*flood
+}
+
+// flood is one customer's.
+type flood struct {
+	waiting int
+	// overUntil is how long the customer is taken for beyond its share.
+	overUntil time.Time
+}
+
+const (
+	// floodMost is the number of a customer's requests that wait at one box for
+	// one group of engines, once it is beyond its share: about what the group
+	// grants to all customers in the time that a request may wait.
+	floodMost = 32
+	// overMemory is how long a refusal that says so is believed: shares are
+	// counted over seconds.
+	overMemory = 500 * time.Millisecond
+	// mostFloods bounds the customers that are remembered without a request.
+	mostFloods = 1000
+)
+
+// enter notes that a request waits. It reports false, and notes nothing, where it
+// is to be refused.
+func (f *floods) enter(customer string, now time.Time) bool {
+	one := f.customers[customer]
+	if one == nil {
+		f.forget(now)
+		one = &flood{}
+		f.customers[customer] = one
+	}
+	if one.waiting >= floodMost && now.Before(one.overUntil) {
+		return false
+	}
+	one.waiting++
+	return true
+}
+
+// leave notes that a request waits no more, and whether its customer was found
+// beyond its share.
+func (f *floods) leave(customer string, over bool, now time.Time) {
+	one := f.customers[customer]
+	one.waiting--
+	if over {
+		one.overUntil = now.Add(overMemory)
+	}
+}
+
+func (f *floods) forget(now time.Time) {
+	if f.customers == nil {
+		f.customers = map[string]*flood{}
+	}
+	if len(f.customers) < mostFloods {
+		return
+	}
+	for name, one := range f.customers {
+		if one.waiting == 0 && now.After(one.overUntil) {
+			delete(f.customers, name)
+		}
+	}
+}
+
+// enter notes that a request of a customer waits, unless it is to be refused.
+func (s *scheduler) enter(customer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.floods.enter(customer, time.Now())
+}
+
+// leave notes that it waits no more.
+func (s *scheduler) leave(customer string, v verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floods.leave(customer, v.endpoint == "" && v.over, time.Now())
+}
+
+// turnHere refuses a request without asking.
+func (s *scheduler) turnHere() verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return verdict{
+		retryAfter: s.pool.ComeBack(true),
+		over:       true,
+		waiting:    floodMost,
+		by:         s.gateway.Settings.Name,
+	}
+}
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -42,6 +42,8 @@
 	remote *remote
 	// suspects are boxes that gave no word, until the time given.
 	suspects map[string]time.Time
+	// floods are the customers beyond their share, with what waits here of each.
+	floods floods
 	// words are the times that first words take to come.
 	words wordTimes
 	// wake tells the ticker that requests wait. Capacity 1.
@@ -212,6 +214,16 @@
 // acquire waits until a request is granted an engine or turned away.
 func (s *scheduler) acquire(ctx context.Context, ask *dispatch.Ask) (verdict, error) {
 	ask.Router = s.gateway.incarnation
+	if !s.enter(ask.Customer) {
+		return s.turnHere(), nil
+	}
+	v, err := s.ask(ctx, ask)
+	s.leave(ask.Customer, v)
+	return v, err
+}
+
+// ask has the box that dispatches decide, or this one.
+func (s *scheduler) ask(ctx context.Context, ask *dispatch.Ask) (verdict, error) {
 	for range mostAsked {
 		box := s.target()
 		if box == s.gateway.Settings.Name {
