pkg/gateway: the number of groups follows the engines late

Cause: a pool of 90 engines has two groups, one of more than 96 four. Change: the engines are divided anew only when their number has asked for it for 15 seconds.

--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,12 +27,26 @@
 	weights []int
 	// retired are groups of a larger pool, kept for what still runs there.
 	retired []*scheduler
+
+	service         route.Service
+	tokensPerSecond float64
+	endpoints       []route.Endpoint
+	// strayedAt is since when the number of engines asks for another number of
+	// groups; zero while it does not.
+	strayedAt time.Time
 }
 
-// groupEngines is the number of engines that one box dispatches for. With more
-// in a group, customers' shares and the load of engines even out better; for
-// these, a box takes some 400 requests a second, at about 0.2 ms each.
-const groupEngines = 48
+const (
+	// groupEngines is the number of engines that one box dispatches for. With more
+	// in a group, customers' shares and the load of engines even out better; for
+	// these, a box takes some 400 requests a second, at about 0.2 ms each.
+	groupEngines = 48
+	// divideAfter is how long the number of engines has to ask for another number
+	// of groups before they are divided anew: nearly all parts of prompts are then
+	// read again elsewhere. Entries of engines that crashed stay for seconds beside
+	// those that replace them.
+	divideAfter = 15 * time.Second
+)
 
 // groupCount is a power of two, so that it seldom changes with the pool.
 func groupCount(engines int) int {
@@ -42,26 +57,48 @@
 	return count
 }
 
-// configure divides the engines anew.
+// configure takes a new catalog or directory.
 func (p *pool) configure(service route.Service, tokensPerSecond float64, endpoints []route.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	count := groupCount(len(endpoints))
+	p.service, p.tokensPerSecond, p.endpoints = service, tokensPerSecond, endpoints
+	p.divide(p.count(time.Now()))
+}
+
+// count is the number of groups. It follows the number of engines late.
+func (p *pool) count(now time.Time) int {
+	wanted, current := groupCount(len(p.endpoints)), len(p.groups)
+	if wanted == current || current == 0 {
+		p.strayedAt = time.Time{}
+		return wanted
+	}
+	if p.strayedAt.IsZero() {
+		p.strayedAt = now
+	}
+	if now.Sub(p.strayedAt) < divideAfter {
+		return current
+	}
+	p.strayedAt = time.Time{}
+	return wanted
+}
+
+// divide divides the engines among groups. The lock is held.
+func (p *pool) divide(count int) {
 	for len(p.groups) < count {
 		p.groups = append(p.groups, newScheduler(p.gateway, fmt.Sprintf("%s/%d", p.name, len(p.groups))))
 	}
 	p.retired = append(p.retired, p.groups[count:]...)
 	p.groups = p.groups[:count]
 	members := make([][]route.Endpoint, count)
-	for _, endpoint := range endpoints {
+	for _, endpoint := range p.endpoints {
 		at := groupOf(endpoint.ID, count)
 		members[at] = append(members[at], endpoint)
 	}
 	p.weights = make([]int, count)
 	for i, group := range p.groups {
 		p.weights[i] = len(members[i])
-		part := tokensPerSecond * float64(len(members[i])) / float64(max(1, len(endpoints)))
-		group.configure(service, part, members[i])
+		part := p.tokensPerSecond * float64(len(members[i])) / float64(max(1, len(p.endpoints)))
+		group.configure(p.service, part, members[i])
 	}
 }
 
@@ -82,6 +119,11 @@
 func (p *pool) group(ask *dispatch.Ask) *scheduler {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.strayedAt.IsZero() {
+		if count := p.count(time.Now()); count != len(p.groups) {
+			p.divide(count)
+		}
+	}
 	key := ask.PlaceKey()
 	best, bestScore := 0, math.Inf(-1)
 	for i, weight := range p.weights {
