--- /dev/null
+++ b/cmd/quaybench/cmds/soak.go
@@ -0,0 +1,70 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/soak"
+)
+
+// errBroken reports that a promise was broken.
+var errBroken = errors.New("a promise was broken")
+
+func soakCommand() *cobra.Command {
+	opts := &runOptions{}
+	run := &soak.Soak{}
+	command := &cobra.Command{
+		Use:   "soak",
+		Short: "Break a fleet of real processes by the draw of a seed, and check its promises",
+		Long: "Starts routers as processes among stand-ins of the platform, breaks links and\n" +
+			"processes from outside, and checks what callers and endpoints see. The last line\n" +
+			"is the verdict. Logs of a run that failed are kept.",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, args []string) (err error) {
+			if run.Bin, err = binDir(); err != nil {
+				return err
+			}
+			dir, clean, err := opts.folder()
+			if err != nil {
+				return err
+			}
+			if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+			run.Dir, run.Seed, run.Progress = dir, opts.seed, command.ErrOrStderr()
+			verdict, err := run.Run(command.Context())
+			if err != nil {
+				return err
+			}
+			return printVerdict(command, run, verdict, clean)
+		},
+	}
+	opts.add(command)
+	command.Flags().DurationVar(&run.Length, "length", 30*time.Second, "the time in which faults begin")
+	command.Flags().IntVar(&run.Boxes, "boxes", 5, "the number of routers")
+	command.Flags().IntVar(&run.Callers, "callers", 24, "the number of callers")
+	return command
+}
+
+func printVerdict(command *cobra.Command, run *soak.Soak, verdict soak.Verdict, clean func()) error {
+	out := command.OutOrStdout()
+	for _, line := range verdict.Broken {
+		fmt.Fprintln(out, "broken:", line)
+	}
+	word := "passed"
+	if len(verdict.Broken) > 0 {
+		word = "FAILED, logs in " + run.Dir
+	} else {
+		clean()
+	}
+	fmt.Fprintf(out, "soak seed %d: %d faults, %d requests, %d answered, %d broken: %s\n",
+		run.Seed, verdict.Faults, verdict.Requests, verdict.Answered, len(verdict.Broken), word)
+	if len(verdict.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/quaybench/fleet/address.go
+++ b/cmd/quaybench/fleet/address.go
@@ -12,10 +12,10 @@
 // choose a port again before the process that it is meant for has started.
 var given sync.Map
 
-// freeAddress lets the kernel choose a free port. It is chosen on a loopback
+// FreeAddress lets the kernel choose a free port. It is chosen on a loopback
 // address that only this harness uses: on 127.0.0.1 the port of an outgoing
 // connection could take it before the process that it is meant for starts.
-func freeAddress() (address string, err error) {
+func FreeAddress() (address string, err error) {
 	defer func() { err = trace.Wrap(err, "choosing a port") }()
 	pid := os.Getpid()
 	host := net.IPv4(127, byte(1+pid>>8&0x7f), byte(pid), 1)
--- a/cmd/quaybench/fleet/fleet.go
+++ b/cmd/quaybench/fleet/fleet.go
@@ -141,7 +141,7 @@
 }
 
 func (f *Fleet) startStandIns() error {
-	address, err := freeAddress()
+	address, err := FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -150,7 +150,7 @@
 		return err
 	}
 	for i := range f.Plan.Engines {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -164,7 +164,7 @@
 		f.Engines = append(f.Engines, engine)
 	}
 	for i := range f.Plan.Services {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -207,7 +207,7 @@
 	for i := range f.Plan.Routers {
 		router := &Router{}
 		for _, address := range []*string{&router.CallerAddress, &router.OperatorAddress, &router.PeerAddress} {
-			if *address, err = freeAddress(); err != nil {
+			if *address, err = FreeAddress(); err != nil {
 				return err
 			}
 		}
--- /dev/null
+++ b/cmd/quaybench/soak/check_test.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/platform/standin"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	errCut = errors.New("cut")
+)
+
+// good is a lookup that was answered whole.
+func good(b *box) outcome {
+	return outcome{
+		id: "1", path: "/look/1", kind: lookup, box: b, life: 1,
+		sent: start, ended: start.Add(time.Second),
+		status: 200, answered: "1", body: "answer to 1",
+	}
+}
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// TestChecksFail shows for each promise that its check can fail.
+func TestChecksFail(t *testing.T) {
+	ran := []standin.Run{{ID: "1", Server: "api-1", Began: start}}
+	Convey("A request that was answered well breaks nothing", t, func() {
+		o := good(&box{})
+		So(o.problems(ran), ShouldBeEmpty)
+	})
+	for name, spoil := range map[string]func(*outcome){
+		"an answer that is not whole":    func(o *outcome) { o.body = "answer" },
+		"an answer to another request":   func(o *outcome) { o.answered = "2" },
+		"a false promise of not run":     func(o *outcome) { o.status = 503 },
+		"a stream without its last part": func(o *outcome) { o.kind, o.body = stream, standin.Event("1", 1) },
+	} {
+		Convey("It is found: "+name, t, func() {
+			o := good(&box{})
+			spoil(&o)
+			So(o.problems(ran), ShouldHaveLength, 1)
+		})
+	}
+	Convey("A booking that ran twice is found", t, func() {
+		o := good(&box{})
+		o.kind = booking
+		So(o.problems(append(ran, ran...)), ShouldHaveLength, 1)
+	})
+	Convey("An answer that a planned stop cut is found, one that a kill cut is none", t, func() {
+		b := &box{lives: 2, stops: []stop{{life: 1, began: at(0.5)}}}
+		w := &world{}
+		o := good(b)
+		o.err = errCut
+		So(w.cutByStop(&o, ran), ShouldNotBeEmpty)
+		So(w.cutByStop(&o, nil), ShouldBeEmpty)
+		b.troubles = spans{{from: at(2), to: at(6)}}
+		So(w.cutByStop(&o, ran), ShouldNotBeEmpty)
+		b.troubles = spans{{from: at(0.2), to: at(4)}}
+		So(w.cutByStop(&o, ran), ShouldBeEmpty)
+	})
+	Convey("Work sent to a server long after it left is found, unless its box may not know", t, func() {
+		b := &box{lives: 1}
+		left := &server{Server: &standin.Server{ID: "api-1"}, left: at(-10)}
+		w := &world{servers: []*server{left}, outcomes: []outcome{good(b)}}
+		runs := map[string][]standin.Run{"1": ran}
+		So(w.checkLeaving(runs), ShouldHaveLength, 1)
+		b.troubles = spans{{from: at(-5), to: at(-4)}}
+		So(w.checkLeaving(runs), ShouldBeEmpty)
+	})
+	Convey("A configuration that goes back, or comes late, is found", t, func() {
+		b := &box{lives: 1}
+		present, absent := good(b), good(b)
+		present.probes, absent.probes = 2, 2
+		absent.status, absent.sent, absent.ended = 404, at(2), at(3)
+		w := &world{outcomes: []outcome{present, absent}, accepted: map[int]time.Time{2: at(1.5)}}
+		So(w.checkConfigurations(), ShouldHaveLength, 1)
+		w.outcomes = []outcome{absent}
+		So(w.checkConfigurations(), ShouldBeEmpty)
+		w.accepted[2] = at(-10)
+		So(w.checkConfigurations(), ShouldHaveLength, 1)
+		b.troubles = spans{{from: at(-5), to: at(-4)}}
+		So(w.checkConfigurations(), ShouldBeEmpty)
+	})
+	Convey("A customer or a box that is not served after the faults is found", t, func() {
+		served, starved := good(&box{}), good(&box{})
+		starved.customer, starved.status = 1, 503
+		boxes := []*box{served.box, starved.box}
+		So(checkService([]outcome{served, starved}, boxes, start.Add(-time.Second)), ShouldHaveLength, 2)
+		So(checkService([]outcome{served}, boxes, start.Add(-time.Second)), ShouldBeEmpty)
+		So(checkService([]outcome{served}, boxes, start.Add(time.Second)), ShouldHaveLength, 1)
+	})
+}
--- /dev/null
+++ b/cmd/quaybench/soak/soak_test.go
@@ -0,0 +1,28 @@
+package soak_test
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/cmd/quaybench/soak"
+)
+
+// TestShortSoak is one short run; `quaybench soak` runs longer ones.
+func TestShortSoak(t *testing.T) {
+	Convey("A fleet of processes keeps its promises through some seconds of faults", t, func() {
+		bin, err := filepath.Abs("../../../bin/test")
+		So(err, ShouldBeNil)
+		run := &soak.Soak{
+			Bin: bin, Dir: t.TempDir(), Seed: 1, Length: 8 * time.Second,
+			Boxes: 3, Callers: 8, Progress: t.Output(),
+		}
+		verdict, err := run.Run(t.Context())
+		So(err, ShouldBeNil)
+		So(verdict.Broken, ShouldBeEmpty)
+		So(verdict.Faults, ShouldBeGreaterThan, 0)
+		So(verdict.Answered, ShouldBeGreaterThan, 0)
+	})
+}
