pkg/gateway: a line for each endpoint's error that is passed on

Cause: a request whose final answer was an endpoint's own error left no line, so its cause could not be found from its id. Change: the error's status, endpoint and attempts are logged. The soak looks in each box's log for a line of every request that failed, with a test that it can fail.

--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
 	"github.com/quaylead/quaylead/platform/standin"
@@ -48,6 +51,9 @@
 	}
 	broken = append(broken, w.checkLeaving(runs)...)
 	broken = append(broken, w.checkConfigurations()...)
+	for _, b := range w.boxes {
+		broken = append(broken, checkExplained(w.outcomes, b)...)
+	}
 	broken = append(broken, checkService(w.outcomes, w.boxes, calm)...)
 	if len(broken) > mostBroken {
 		broken = append(broken[:mostBroken], fmt.Sprintf("and %d more", len(broken)-mostBroken))
@@ -209,6 +215,41 @@
 	return broken
 }
 
+// logSlack is how long a line may wait in a box's buffer; a kill loses it.
+const logSlack = time.Second
+
+// checkExplained looks in a box's log for a line of each request that failed.
+func checkExplained(outcomes []outcome, b *box) (broken []string) {
+	explained, err := loggedRequests(b.LogFile)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	for i := range outcomes {
+		o := &outcomes[i]
+		failed := o.err == nil && o.status >= fasthttp.StatusTooManyRequests
+		if o.box != b || !failed || explained[o.id] || b.troubles.touch(o.sent, o.ended.Add(logSlack)) {
+			continue
+		}
+		broken = append(broken, o.describe("no line of the log tells why"))
+	}
+	return broken
+}
+
+// requestField finds the request of a line of the log.
+var requestField = regexp.MustCompile(`\bRequest=(\S+)`)
+
+func loggedRequests(file string) (ids map[string]bool, err error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ids = map[string]bool{}
+	for _, match := range requestField.FindAllSubmatch(text, -1) {
+		ids[string(match[1])] = true
+	}
+	return ids, nil
+}
+
 // checkService holds that every box and every customer is served again.
 func checkService(outcomes []outcome, boxes []*box, calm time.Time) (broken []string) {
 	type count struct{ sent, served int }
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -85,6 +87,15 @@
 		b.troubles = spans{{from: at(-5), to: at(-4)}}
 		So(w.checkConfigurations(), ShouldBeEmpty)
 	})
+	Convey("A refusal that no line of the log tells of is found", t, func() {
+		b := &box{}
+		b.LogFile = filepath.Join(t.TempDir(), "box.log")
+		So(os.WriteFile(b.LogFile, []byte("Event=\"request refused\" Request=1 Code=overloaded\n"), 0o644), ShouldBeNil)
+		told, untold := good(b), good(b)
+		told.status, untold.status, untold.id = 503, 503, "2"
+		So(checkExplained([]outcome{told, good(b)}, b), ShouldBeEmpty)
+		So(checkExplained([]outcome{told, untold}, b), ShouldHaveLength, 1)
+	})
 	Convey("A customer or a box that is not served after the faults is found", t, func() {
 		served, starved := good(&box{}), good(&box{})
 		starved.customer, starved.status = 1, 503
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -416,6 +416,21 @@
 	c.gateway.Translator.Strip(&response.Header)
 }
 
+// logEndpointError tells of a final answer that is an endpoint's own error.
+func (c *call) logEndpointError(to destination, status int) {
+	if status < fasthttp.StatusInternalServerError {
+		return
+	}
+	c.log().Info("endpoint's error passed on",
+		zap.String("Request", c.ID),
+		zap.String("Customer", c.customer),
+		zap.String("Route", c.route.Name),
+		zap.String("Endpoint", to.ID),
+		zap.Int("Status", status),
+		zap.Int("Attempts", c.life.Attempts()),
+		zap.Duration("Age", time.Since(c.arrived)))
+}
+
 // passWhole passes on an answer that is read whole before any of it is sent, so
 // that a cut one can still be told as failed.
 func (c *call) passWhole(reply *endpoint.Reply) error {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -124,6 +124,7 @@
 	if err := c.passWhole(reply); err != nil {
 		return err
 	}
+	c.logEndpointError(to, status)
 	how := outcomeUnknown
 	if status >= fasthttp.StatusInternalServerError {
 		how = outcomeFailed
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -23,8 +23,10 @@
 			reply.Close()
 			err = &unusableError{reason: "the endpoint answered with an error of its own"}
 		} else if err == nil {
-			good := reply.Head.StatusCode() < fasthttp.StatusInternalServerError
+			status := reply.Head.StatusCode()
+			good := status < fasthttp.StatusInternalServerError
 			if err = c.passWhole(reply); err == nil {
+				c.logEndpointError(to, status)
 				c.settlePlain(to, good, time.Since(began))
 				return nil
 			}
