pkg/gateway: at an overloaded box few requests of a customer wait

Cause: a box at its limit still takes all that comes until the balancer has noticed that it is not ready; what waits there is late or given up, where another box would have answered in time. Change: while a box is overloaded, 8 requests of a customer wait for a group of engines; more are told at once to come back after 0.1 to 0.2 s, which takes them to another box: not run, and still within their aim.

--- a/pkg/gateway/floods.go
+++ b/pkg/gateway/floods.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // floods bounds what waits at this box of customers beyond their share. Of a
 // customer that asks for many times its share, most is refused in the end: what
@@ -22,6 +25,9 @@
 	// one group of engines, once it is beyond its share: about what the group
 	// grants to all customers in the time that a request may wait.
 	floodMost = 32
+	// busyMost is the same at an overloaded box, for any customer: less waits there,
+	// and what is refused can come back to another box within its aim.
+	busyMost = 8
 	// overMemory is how long a refusal that says so is believed: shares are
 	// counted over seconds.
 	overMemory = 500 * time.Millisecond
@@ -29,20 +35,36 @@
 	mostFloods = 1000
 )
 
-// enter notes that a request waits. It reports false, and notes nothing, where it
-// is to be refused.
-func (f *floods) enter(customer string, now time.Time) bool {
+// admission is what floods say to a new request.
+type admission int
+
+const (
+	admitted admission = iota
+	// beyondShare: enough of its customer's requests wait already.
+	beyondShare
+	// boxBusy: this box is overloaded, and others are likely not to be.
+	boxBusy
+)
+
+// enter notes that a request waits, unless it is to be refused. Busy tells that
+// this box is overloaded.
+func (f *floods) enter(customer string, busy bool, now time.Time) admission {
 	one := f.customers[customer]
 	if one == nil {
 		f.forget(now)
 		one = &flood{}
 		f.customers[customer] = one
 	}
-	if one.waiting >= floodMost && now.Before(one.overUntil) {
-		return false
+	switch over := now.Before(one.overUntil); {
+	case over && one.waiting >= floodMost:
+		return beyondShare
+	case busy && over && one.waiting >= busyMost:
+		return beyondShare
+	case busy && one.waiting >= busyMost:
+		return boxBusy
 	}
 	one.waiting++
-	return true
+	return admitted
 }
 
 // leave notes that a request waits no more, and whether its customer was found
@@ -70,10 +92,11 @@
 }
 
 // enter notes that a request of a customer waits, unless it is to be refused.
-func (s *scheduler) enter(customer string) bool {
+func (s *scheduler) enter(customer string) admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.floods.enter(customer, time.Now())
+	now := time.Now()
+	return s.floods.enter(customer, s.gateway.load.busy(now), now)
 }
 
 // leave notes that it waits no more.
@@ -83,14 +106,19 @@
 	s.floods.leave(customer, v.endpoint == "" && v.over, time.Now())
 }
 
+// comeBackElsewhere is when a request that an overloaded box refuses had better
+// come to another one, spread over as much again.
+const comeBackElsewhere = 100 * time.Millisecond
+
 // turnHere refuses a request without asking.
-func (s *scheduler) turnHere() verdict {
+func (s *scheduler) turnHere(why admission) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return verdict{
-		retryAfter: s.pool.ComeBack(true),
-		over:       true,
-		waiting:    floodMost,
-		by:         s.gateway.Settings.Name,
+	v := verdict{over: why == beyondShare, waiting: floodMost, by: s.gateway.Settings.Name}
+	if v.over {
+		v.retryAfter = s.pool.ComeBack(true)
+		return v
 	}
+	v.retryAfter = comeBackElsewhere + rand.N(comeBackElsewhere)
+	return v
 }
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -235,8 +235,8 @@
 // acquire waits until a request is granted an engine or turned away.
 func (s *scheduler) acquire(ctx context.Context, ask *dispatch.Ask) (verdict, error) {
 	ask.Router = s.gateway.incarnation
-	if !s.enter(ask.Customer) {
-		return s.turnHere(), nil
+	if why := s.enter(ask.Customer); why != admitted {
+		return s.turnHere(why), nil
 	}
 	v, err := s.ask(ctx, ask)
 	s.leave(ask.Customer, v)
