pkg/registry: fewer calls of the store by large fleets

Each of 59 boxes waits 8 s for a configuration, and the endpoints are looked at every 0.4 s although three seconds are given there. Change: a call waits a quarter of a second for each box, up to 15 s, below the history of 20 s; looks follow the platform's time for leaving endpoints, which is a setting now.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -129,6 +129,8 @@
 		FoundBoxes: g.addPeers,
 		Looked:     g.looked,
 		Peers:      g.members.CountLive,
+
+		LeavingTime: g.Settings.LeavingTime,
 	}
 	g.exchange = &peer.Exchange{
 		Box:         g.peerSettings(),
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -18,6 +18,9 @@
 	FirstStart bool
 	// StopTime is how long the process may live on after it was asked to stop.
 	StopTime time.Duration
+	// LeavingTime is the time within which an endpoint that leaves has to get no
+	// new work; 0 stands for a default.
+	LeavingTime time.Duration
 	// RetryRatio, RetryExtra and RetryWindow are the budget of repeated sends of
 	// the whole fleet: in each window, the ratio of the requests, and the extra.
 	RetryRatio  float64
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -77,6 +78,9 @@
 	Looked func()
 	// Peers is the number of other live boxes.
 	Peers func() int
+	// LeavingTime is the time within which an endpoint that leaves has to get no
+	// new work; 0 stands for two seconds.
+	LeavingTime time.Duration
 
 	// heardLooks counts the looks of other boxes.
 	heardLooks atomic.Int64
@@ -96,19 +100,23 @@
 
 const (
 	// catalogWaitLeast and catalogWaitMost bound how long one call waits for a
-	// new configuration; beyond ten boxes it grows by catalogWaitPart for
-	// each, as each tells the others. A call that hangs in an outage is noticed when this time is over,
-	// and 2 s are given for putting a version in force. The most is shorter than
-	// the history that a store keeps.
+	// new configuration; it grows by catalogWaitPart for each box, as each tells
+	// the others. A call that hangs in an outage is noticed when this time is over;
+	// of all boxes, the first notices within a few hundred milliseconds, and two
+	// seconds are given for putting a version in force. The most, with its jitter,
+	// is shorter than the history of 20 s that a store keeps.
 	catalogWaitLeast = 1500 * time.Millisecond
-	catalogWaitPart  = 140 * time.Millisecond
-	catalogWaitMost  = 8 * time.Second
-	// lookSoonest is the time after a look at the endpoints, by any box, before
-	// which no box looks again; lookSpread is the time over which the boxes spread
-	// their next ones, so that mostly one looks and tells. Together they bound the
-	// time between two looks: leaving endpoints have to be known within 2 s.
-	lookSoonest = 400 * time.Millisecond
-	lookSpread  = 800 * time.Millisecond
+	catalogWaitPart  = 250 * time.Millisecond
+	catalogWaitMost  = 15 * time.Second
+	// lookSoonest is the part of the time in which leaving endpoints have to be
+	// known for which no box looks again after a look by any box; lookSpread is the
+	// part over which the boxes spread their next looks, so that mostly one looks
+	// and tells. Together they bound the time between two looks, and leave two
+	// fifths for telling.
+	lookSoonest = 0.2
+	lookSpread  = 0.4
+	// defaultLeavingTime stands in for LeavingTime.
+	defaultLeavingTime = 2 * time.Second
 	// retryLeast and retryMost bound the wait after a failed call; it doubles.
 	// The most grows by retryPart for each other box, up to retryLongest: the
 	// first that reads again tells the others.
@@ -265,9 +273,11 @@
 
 // awaitTurn waits until no box has looked at the endpoints for a while.
 func (r *Registry) awaitTurn(ctx context.Context) error {
+	bound := float64(cmp.Or(r.LeavingTime, defaultLeavingTime))
 	for {
 		heard := r.heardLooks.Load()
-		if err := interval.Wait(ctx, lookSoonest+rand.N(lookSpread)); err != nil {
+		wait := time.Duration((lookSoonest + lookSpread*rand.Float64()) * bound)
+		if err := interval.Wait(ctx, wait); err != nil {
 			return err
 		}
 		if r.heardLooks.Load() == heard {
