pkg/gateway: a stopping box serves callers whom the balancer still sends

A box closed its port 2.5 s after the order to stop: 215 tries found no connection, at lhr-a-3 2.7 s after its order, with one box of three left in that zone. Change: while requests still come, a stopping box serves them for half of its time, then refuses them at once as not run, with a time to come back; without requests for a second it stops as before. The times of overload and of the last request are kept on the clock that does not jump.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -57,6 +57,7 @@
 func (g *Gateway) serve(http *fasthttp.RequestCtx) {
 	g.inFlight.Add(1)
 	c := &call{gateway: g, http: http, arrived: time.Now()}
+	g.arrivedAfter.Store(int64(c.arrived.Sub(g.startedAt)))
 	if refusal := c.run(); refusal != nil {
 		c.refuse(c.truthful(refusal))
 	}
@@ -113,6 +114,9 @@
 	if limit := catalog.Limits.BodyBytes; limit > 0 && len(c.http.Request.Body()) > limit {
 		return notRun(request.TooLarge, "the body is larger than "+strconv.Itoa(limit)+" bytes", 0)
 	}
+	if c.gateway.refusing.Load() {
+		return notRun(request.NotReady, "this box is stopping", comeBackElsewhere)
+	}
 	c.watch()
 	c.gateway.budget.earn(c.service.Name)
 	if c.service.Engine != nil && c.Prompt != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -46,7 +46,13 @@
 	over     context.Context
 	endWork  context.CancelCauseFunc
 	stopping atomic.Bool
-	inFlight atomic.Int64
+	// refusing is set in the second part of a planned stop.
+	refusing  atomic.Bool
+	startedAt time.Time
+	// arrivedAfter is when the last request came, as the time after startedAt: the
+	// time of day may jump.
+	arrivedAfter atomic.Int64
+	inFlight     atomic.Int64
 	// looks counts this box's looks at the endpoints in the store.
 	looks atomic.Uint64
 
@@ -109,6 +115,7 @@
 func (g *Gateway) prepare() {
 	g.log = g.Logs.For(logflags.Box)
 	g.incarnation = rand.Uint64()
+	g.startedAt = time.Now()
 	g.pools = map[string]*pool{}
 	g.clients = map[string]*endpoint.Client{}
 	g.peers = map[string]settings.Peer{}
@@ -244,13 +251,18 @@
 }
 
 // stop ends as planned: the box is no longer ready but serves on until the
-// balancer has noticed, finishes what is in flight, and cuts what is left.
+// balancer has noticed, and for longer while it still sends callers: it does where
+// too few boxes of a zone are ready. Then the box refuses what is new, finishes what
+// is in flight, and cuts what is left.
 func (g *Gateway) stop(callers *fasthttp.Server) error {
 	began := time.Now()
 	g.stopping.Store(true)
 	g.exchange.Wake()
 	g.log.Info("planned stop began", zap.Int64("InFlight", g.inFlight.Load()))
 	_ = interval.Wait(context.Background(), min(noticeTime, g.Settings.StopTime/2))
+	g.awaitQuiet(began.Add(g.Settings.StopTime / 2))
+	g.refusing.Store(true)
+	g.awaitQuiet(began.Add(g.Settings.StopTime - 2*stopReserve))
 	left := g.Settings.StopTime - stopReserve - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
@@ -264,6 +276,24 @@
 	return nil
 }
 
+const (
+	// quietTime is how long no request has to come before a stopping box believes
+	// that the balancer sends none any more: the time between two of its questions.
+	quietTime = time.Second
+	// quietLook is the time between two looks whether requests come.
+	quietLook = 100 * time.Millisecond
+)
+
+// awaitQuiet waits until no request has come for a while, and not beyond a time.
+func (g *Gateway) awaitQuiet(until time.Time) {
+	for time.Now().Before(until) {
+		if time.Since(g.startedAt)-time.Duration(g.arrivedAfter.Load()) > quietTime {
+			return
+		}
+		_ = interval.Wait(context.Background(), quietLook)
+	}
+}
+
 // changed brings the pools in line with a new catalog or directory.
 func (g *Gateway) changed() {
 	g.exchange.Wake()
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,10 +21,11 @@
 type load struct {
 	// delay is a mean of that wait.
 	delay atomic.Int64
-	// busyUntil ends a time in which this box asks for no new callers, in
-	// nanoseconds of the time of day; busySince is when it began, and 0 outside.
-	busyUntil atomic.Int64
-	busySince atomic.Int64
+
+	mu sync.Mutex
+	// busyUntil ends a time in which this box asks for no new callers; busySince is
+	// when it began, and zero outside.
+	busyUntil, busySince time.Time
 }
 
 const (
@@ -113,22 +115,33 @@
 // judge begins or extends a time without new callers when the box is overloaded.
 // It reports whether one began.
 func (l *load) judge(now time.Time) (began bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.waited() < delayMost {
-		if !l.busy(now) {
-			l.busySince.Store(0)
+		if now.After(l.busyUntil) {
+			l.busySince = time.Time{}
 		}
 		return false
 	}
-	l.busyUntil.Store(now.Add(busyFor).UnixNano())
-	return l.busySince.CompareAndSwap(0, now.UnixNano())
+	l.busyUntil = now.Add(busyFor)
+	began = l.busySince.IsZero()
+	if began {
+		l.busySince = now
+	}
+	return began
 }
 
 // busy tells that new callers had better go to another box.
-func (l *load) busy(now time.Time) bool { return now.UnixNano() < l.busyUntil.Load() }
+func (l *load) busy(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.busyUntil)
+}
 
 // sheds tells that callers who keep connections had better open new ones: the
 // balancer has noticed by now.
 func (l *load) sheds(now time.Time) bool {
-	since := l.busySince.Load()
-	return since > 0 && l.busy(now) && now.Sub(time.Unix(0, since)) > noticeTime
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.busyUntil) && now.Sub(l.busySince) > noticeTime
 }
