--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -26,7 +26,10 @@
 			return refusal
 		}
 		reply, err := c.attempt(to, c.LastEvent)
-		if err == nil {
+		if err == nil && c.worthAnother(reply) {
+			reply.Close()
+			err = errOwnError
+		} else if err == nil {
 			err = c.answerModel(to, reply)
 		}
 		if err == nil {
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -21,7 +21,7 @@
 		reply, err := c.attempt(to, c.LastEvent)
 		if err == nil && c.worthAnother(reply) {
 			reply.Close()
-			err = &unusableError{reason: "the endpoint answered with an error of its own"}
+			err = errOwnError
 		} else if err == nil {
 			status := reply.Head.StatusCode()
 			good := status < fasthttp.StatusInternalServerError
@@ -37,11 +37,13 @@
 	}
 }
 
-// worthAnother tells that an error may be had better elsewhere. It books the
-// attempt.
+// errOwnError reports an error of the endpoint's own that is not passed on.
+var errOwnError = &unusableError{reason: "the endpoint answered with an error of its own"}
+
+// worthAnother tells that an error may be had better elsewhere.
 func (c *call) worthAnother(reply *endpoint.Reply) bool {
 	return reply.Head.StatusCode() >= fasthttp.StatusInternalServerError && c.route.Repeatable &&
-		c.life.Attempts() < c.route.MaxAttempts && c.ctx.Err() == nil
+		c.life.Attempts() < c.route.MaxAttempts && c.ctx.Err() == nil && c.gateway.budget.has(c.service.Name)
 }
 
 func (c *call) settlePlain(to destination, good bool, took time.Duration) {
