pkg/gateway: callers' connections are bounded by memory too

Cause: on grown Qatra's mix one customer sends some 4000 requests a second to one box of 184 MB, whose callers repeat at once; the box ended over its memory with 1845 connections allowed. Change: callers' connections may take 0.35 of the memory, at an estimated 64 KB each: 1030 on that box; boxes of 284 MB and more had fewer, or about as many, before.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -199,7 +199,7 @@
 		DisablePreParseMultipartForm:  true,
 		ReadBufferSize:                headBytes,
 		ReduceMemoryUsage:             true,
-		Concurrency:                   int(float64(g.Settings.ConnectionsLimit) * callersPart),
+		Concurrency:                   g.Settings.callersLimit(),
 		MaxRequestBodySize:            bodyBytes,
 		ReadTimeout:                   readTimeout,
 		WriteTimeout:                  writeTimeout,
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -36,6 +36,16 @@
 	ConnectionsLimit int
 }
 
+// callersLimit bounds the connections of callers, by the connections and by the
+// memory that the process may have.
+func (s *Settings) callersLimit() int {
+	limit := int(float64(s.ConnectionsLimit) * callersPart)
+	if s.MemoryLimit > 0 {
+		limit = min(limit, int(float64(s.MemoryLimit)*callersMemory)/callerBytes)
+	}
+	return limit
+}
+
 // The bounds and times of a box that no setting says yet.
 const (
 	// headBytes bounds the request line and headers; each
@@ -44,6 +54,11 @@
 	// callersPart of the connections may be callers'; each may need one to an
 	// endpoint, and the rest is for peers and the store.
 	callersPart = 0.45
+	// callersMemory is the part of the memory that callers' connections may take,
+	// and callerBytes an estimate of what each takes: its buffers, a body as the
+	// users' callers send, stacks, and what the kernel holds.
+	callersMemory = 0.35
+	callerBytes   = 64 << 10
 	// memoryPart of the limit is what the runtime aims for: what the kernel holds
 	// for sockets counts as well.
 	memoryPart = 0.7
