--- /dev/null
+++ b/pkg/gateway/suspicion.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/dispatch"
+)
+
+const (
+	// suspectFor is how long a box that gave no word is not asked; it doubles, up
+	// to suspectLongest, each time that the box fails within suspectMemory after.
+	suspectFor     = 1500 * time.Millisecond
+	suspectLongest = 12 * time.Second
+	suspectMemory  = 10 * time.Second
+	// mostAbsent grants in a row of engines that are not there make a box unfit to
+	// dispatch. One or two come from an engine that has just left.
+	mostAbsent = 3
+)
+
+// suspicion is of a box that gave no word.
+type suspicion struct {
+	// until is when it may be asked again.
+	until time.Time
+	// length is that of the time in which it is not asked.
+	length time.Duration
+}
+
+// again is the next suspicion. It is longer for a box that failed soon after the
+// last one was over: each change of the box that dispatches costs what the one
+// before knew.
+func (s suspicion) again(now time.Time) suspicion {
+	length := suspectFor
+	if s.length > 0 && now.Sub(s.until) < suspectMemory {
+		length = min(2*s.length, suspectLongest)
+	}
+	return suspicion{until: now.Add(length), length: length}
+}
+
+func (s *scheduler) suspect(box string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	known := s.suspects[box]
+	if now.Before(known.until) {
+		return
+	}
+	next := known.again(now)
+	s.suspects[box] = next
+	s.log.Warn("dispatcher not asked for a while",
+		zap.String("Service", s.service),
+		zap.String("Box", box),
+		zap.Duration("For", next.length),
+		zap.Duration("Patience", s.words.patience()),
+		zap.Error(err))
+}
+
+// absent gives back the grant of an engine that is not there.
+func (s *scheduler) absent(id string, v verdict) {
+	s.end(id, dispatch.NotRun{})
+	s.mu.Lock()
+	r := s.remote
+	unfit := false
+	if r != nil && r.box == v.by {
+		r.absent++
+		unfit = r.absent >= mostAbsent
+	}
+	s.mu.Unlock()
+	if unfit {
+		s.suspect(v.by, errAbsentEngines)
+	}
+}
