pkg/gateway: a stopping box refuses new streams

Change: streams are refused once the balancer should have noticed, 2.5 s after the order, as not run and with a time to come back; short requests are served on.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -114,7 +114,7 @@
 	if limit := catalog.Limits.BodyBytes; limit > 0 && len(c.http.Request.Body()) > limit {
 		return notRun(request.TooLarge, "the body is larger than "+strconv.Itoa(limit)+" bytes", 0)
 	}
-	if c.gateway.refusing.Load() {
+	if c.gateway.refusing.Load() || (c.route.Streaming && c.gateway.refusingStreams.Load()) {
 		return notRun(request.NotReady, "this box is stopping", comeBackElsewhere)
 	}
 	c.watch()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -46,9 +46,10 @@
 	over     context.Context
 	endWork  context.CancelCauseFunc
 	stopping atomic.Bool
-	// refusing is set in the second part of a planned stop.
-	refusing  atomic.Bool
-	startedAt time.Time
+	// refusingStreams and refusing are set in the later parts of a planned stop:
+	// new streams, which may take longer than what is left, are refused first.
+	refusingStreams, refusing atomic.Bool
+	startedAt                 time.Time
 	// arrivedAfter is when the last request came, as the time after startedAt: the
 	// time of day may jump.
 	arrivedAfter atomic.Int64
@@ -252,14 +253,15 @@
 
 // stop ends as planned: the box is no longer ready but serves on until the
 // balancer has noticed, and for longer while it still sends callers: it does where
-// too few boxes of a zone are ready. Then the box refuses what is new, finishes what
-// is in flight, and cuts what is left.
+// too few boxes of a zone are ready. Then the box refuses new streams, and later all
+// that is new, finishes what is in flight, and cuts what is left.
 func (g *Gateway) stop(callers *fasthttp.Server) error {
 	began := time.Now()
 	g.stopping.Store(true)
 	g.exchange.Wake()
 	g.log.Info("planned stop began", zap.Int64("InFlight", g.inFlight.Load()))
 	_ = interval.Wait(context.Background(), min(noticeTime, g.Settings.StopTime/2))
+	g.refusingStreams.Store(true)
 	g.awaitQuiet(began.Add(g.Settings.StopTime / 2))
 	g.refusing.Store(true)
 	g.awaitQuiet(began.Add(g.Settings.StopTime - 2*stopReserve))
