platform/standin: the wire of callers and operators, for the soak

Cause: the soak composed requests, configurations and settings files itself, and so knew the platform's names outside its folder. Change: standin has the caller's and the operator's side in the project's terms; the soak uses them. Checks and draws are as before.

--- a/cmd/quaybench/soak/caller.go
+++ b/cmd/quaybench/soak/caller.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/platform/standin"
 )
 
 // outcome is what a caller saw of one request.
 type outcome struct {
 	id, path string
-	kind     kind
+	kind     standin.RouteKind
 	customer int
 	box      *box
 	// life is the box's when the request was sent.
@@ -29,19 +31,22 @@
 	probes int
 }
 
-// kind is what a request is.
-type kind int
+// names are the routes of the four kinds.
+var names = map[standin.RouteKind]string{
+	standin.Stream:          "brief",
+	standin.ResumableStream: "plan",
+	standin.Booking:         "book",
+	standin.Lookup:          "look",
+}
 
-const (
-	stream kind = iota
-	resumable
-	booking
-	lookup
-	kinds
-)
+var kinds = []standin.RouteKind{standin.Stream, standin.ResumableStream, standin.Booking, standin.Lookup}
 
 const (
 	host = "shop.example"
+	// sharedParts is how many long parts the prompts begin with.
+	sharedParts = 20
+	// callerDeadline is what callers say that they wait.
+	callerDeadline = 8 * time.Second
 	// streamEvents is the number of events of a whole stream.
 	streamEvents = 15
 	// callerPatience is the longest that a caller waits for an answer.
@@ -112,13 +117,12 @@
 	c.sent++
 	got = outcome{
 		id:       fmt.Sprintf("%08x%08x", c.number+1, c.sent),
-		kind:     kind(c.draw.IntN(int(kinds))),
+		kind:     kinds[c.draw.IntN(len(kinds))],
 		customer: c.number % 2,
 		box:      c.box,
 	}
-	paths := map[kind]string{stream: "/brief/1", resumable: "/plan/1", booking: "/book/1", lookup: "/look/1"}
-	got.path = paths[got.kind]
-	if got.kind == lookup && c.draw.IntN(4) == 0 {
+	got.path = "/" + names[got.kind] + "/1"
+	if got.kind == standin.Lookup && c.draw.IntN(4) == 0 {
 		got.probes = c.world.newest()
 		got.path = fmt.Sprintf("/probe-%d/1", got.probes)
 	}
@@ -134,20 +138,17 @@
 }
 
 func (c *caller) compose(got *outcome) *fasthttp.Request {
-	request := fasthttp.AcquireRequest()
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.SetHost(host)
-	request.Header.SetRequestURI(got.path)
-	request.Header.Set("X-Quaylead-Request-Id", got.id)
-	request.Header.Set("X-Quaylead-Deadline-Ms", "8000")
-	request.Header.Set("Authorization", fmt.Sprintf("Bearer key-%d", got.customer))
-	if got.kind == stream || got.kind == resumable {
-		request.Header.Set("X-Quaylead-Model", "m")
-		request.Header.Set("X-Quaylead-Token-Count", "1500,40")
-		request.Header.Set("X-Quaylead-Prompt-Prefix", fmt.Sprintf("%x:1200,%s:300", 1000000+c.draw.IntN(20), got.id))
+	ask := standin.Ask{
+		ID:       got.id,
+		Host:     host,
+		Path:     got.path,
+		Key:      fmt.Sprintf("key-%d", got.customer),
+		Deadline: callerDeadline,
+	}
+	if got.kind == standin.Stream || got.kind == standin.ResumableStream {
+		ask.Shared = 1000000 + c.draw.IntN(sharedParts)
 	}
-	request.SetBodyString("body of " + got.id)
-	return request
+	return ask.Compose()
 }
 
 func (c *caller) exchange(request *fasthttp.Request, got *outcome) error {
@@ -160,7 +161,7 @@
 	response := &fasthttp.Response{}
 	err := response.Read(c.reader)
 	got.status = response.StatusCode()
-	got.answered = string(response.Header.Peek("X-Quaylead-Request-Id"))
+	got.answered = standin.AnsweredID(response)
 	got.body = string(response.Body())
 	if err == nil && response.ConnectionClose() {
 		c.hangUp()
--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -76,7 +76,7 @@
 	if o.err == nil && saysNotRun(o.status) && len(runs) > 0 {
 		problems = append(problems, "it was said not to have run, and ran at "+runs[0].Server)
 	}
-	if (o.kind == stream || o.kind == booking) && len(runs) > 1 {
+	if (o.kind == standin.Stream || o.kind == standin.Booking) && len(runs) > 1 {
 		problems = append(problems, fmt.Sprintf("it must not be repeated, and ran %d times", len(runs)))
 	}
 	return problems
@@ -94,7 +94,7 @@
 
 // whole is the body that the stand-ins answer a request with.
 func (o *outcome) whole() string {
-	if o.kind == booking || o.kind == lookup {
+	if o.kind == standin.Booking || o.kind == standin.Lookup {
 		return "answer to " + o.id
 	}
 	var body strings.Builder
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -20,7 +20,7 @@
 // good is a lookup that was answered whole.
 func good(b *box) outcome {
 	return outcome{
-		id: "1", path: "/look/1", kind: lookup, box: b, life: 1,
+		id: "1", path: "/look/1", kind: standin.Lookup, box: b, life: 1,
 		sent: start, ended: start.Add(time.Second),
 		status: 200, answered: "1", body: "answer to 1",
 	}
@@ -39,7 +39,7 @@
 		"an answer that is not whole":    func(o *outcome) { o.body = "answer" },
 		"an answer to another request":   func(o *outcome) { o.answered = "2" },
 		"a false promise of not run":     func(o *outcome) { o.status = 503 },
-		"a stream without its last part": func(o *outcome) { o.kind, o.body = stream, standin.Event("1", 1) },
+		"a stream without its last part": func(o *outcome) { o.kind, o.body = standin.Stream, standin.Event("1", 1) },
 	} {
 		Convey("It is found: "+name, t, func() {
 			o := good(&box{})
@@ -49,7 +49,7 @@
 	}
 	Convey("A booking that ran twice is found", t, func() {
 		o := good(&box{})
-		o.kind = booking
+		o.kind = standin.Booking
 		So(o.problems(append(ran, ran...)), ShouldHaveLength, 1)
 	})
 	Convey("An answer that a planned stop cut is found, one that a kill cut is none", t, func() {
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -284,7 +284,7 @@
 	if err := w.addServer(s.Service); err != nil {
 		return err
 	}
-	if err := w.writeEntry(s, true); err != nil {
+	if err := w.store.Register(s.Server, s.reached, true); err != nil {
 		return err
 	}
 	w.mu.Lock()
@@ -297,7 +297,7 @@
 		return nil
 	}
 	_ = interval.Wait(ctx, leavingTime)
-	w.store.Delete("servers", s.ID)
+	w.store.Unregister(s.ID)
 	return nil
 }
 
--- a/cmd/quaybench/soak/world.go
+++ b/cmd/quaybench/soak/world.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -70,6 +69,7 @@
 const (
 	engines      = 4
 	plainServers = 3
+	engineSlots  = 32
 	// longestStop is the time that a planned stop may take.
 	longestStop = 6 * time.Second
 )
@@ -112,7 +112,7 @@
 	s := &server{Server: &standin.Server{ID: id, Service: service, Zone: "zone-a", Truth: w.truth}}
 	s.Slots, s.Work = 8, 5*time.Millisecond
 	if service == "llm" {
-		s.Slots, s.Work, s.Events, s.Pause = 32, 20*time.Millisecond, streamEvents, 10*time.Millisecond
+		s.Slots, s.Work, s.Events, s.Pause = engineSlots, 20*time.Millisecond, streamEvents, 10*time.Millisecond
 	}
 	if err := s.Open("127.0.0.1:0"); err != nil {
 		return err
@@ -126,13 +126,7 @@
 	w.mu.Lock()
 	w.servers = append(w.servers, s)
 	w.mu.Unlock()
-	return w.writeEntry(s, false)
-}
-
-func (w *world) writeEntry(s *server, leaving bool) error {
-	entry := s.Entry(leaving)
-	entry["address"] = s.reached
-	return w.store.Write("servers", s.ID, entry)
+	return w.store.Register(s.Server, s.reached, false)
 }
 
 // accept has the operator accept a new configuration. Each version has a route of
@@ -143,30 +137,30 @@
 	w.version++
 	version := w.version
 	w.mu.Unlock()
-	route := func(path, kind, service string, limit, aim, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": path, "host": host, "path_prefix": "/" + path + "/", "kind": kind, "service": service,
-			"timeout_ms": limit, "target_latency_ms": aim, "max_attempts": attempts, "resumable": resumable,
+	route := func(name, service string, kind standin.RouteKind, limit, aim time.Duration, attempts int) standin.Route {
+		return standin.Route{
+			Name: name, Host: host, Path: "/" + name + "/", Service: service,
+			Kind: kind, Limit: limit, Aim: aim, Attempts: attempts,
 		}
 	}
-	routes := []map[string]any{
-		route("brief", "streaming", "llm", 8000, 800, 1, false),
-		route("plan", "streaming", "llm", 8000, 800, 2, true),
-		route("book", "non_idempotent", "api", 2000, 150, 2, false),
-		route("look", "idempotent", "api", 2000, 150, 2, false),
+	lookup := func(name string) standin.Route {
+		return route(name, "api", standin.Lookup, 2*time.Second, 150*time.Millisecond, 2)
+	}
+	routes := []standin.Route{
+		route(names[standin.Stream], "llm", standin.Stream, 8*time.Second, 800*time.Millisecond, 1),
+		route(names[standin.ResumableStream], "llm", standin.ResumableStream, 8*time.Second, 800*time.Millisecond, 2),
+		route(names[standin.Booking], "api", standin.Booking, 2*time.Second, 150*time.Millisecond, 2),
+		lookup(names[standin.Lookup]),
 	}
 	for v := 1; v <= version; v++ {
-		routes = append(routes, route(fmt.Sprintf("probe-%d", v), "idempotent", "api", 2000, 150, 2, false))
+		routes = append(routes, lookup(fmt.Sprintf("probe-%d", v)))
 	}
-	err := w.store.Write("op", "config", map[string]any{
-		"version": version * 3,
-		"routes":  routes,
-		"services": []map[string]any{
-			{"name": "llm", "health_path": "/health", "max_conns": 200, "engine": map[string]any{"slots": 32, "kv_capacity_tokens": 500000}},
-			{"name": "api", "health_path": "/health", "max_conns": 200},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "tokens_per_s": 400000},
-		"tenants": []map[string]any{{"name": "ward", "api_keys": []string{"key-0"}}, {"name": "camp", "api_keys": []string{"key-1"}}},
+	err := w.store.Accept(standin.Configuration{
+		Version:         version * 3,
+		Routes:          routes,
+		Pools:           []standin.Pool{{Name: "llm", Slots: engineSlots}, {Name: "api"}},
+		Customers:       map[string][]string{"ward": {"key-0"}, "camp": {"key-1"}},
+		TokensPerSecond: 400000,
 	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -193,15 +187,11 @@
 		return err
 	}
 	file := filepath.Join(w.soak.Dir, name+".conf")
-	lines := []string{
-		"node_name=" + name, "zone=zone-a", "ip=" + peerHost, "port_range=" + peerPort + "," + peerPort,
-		"listen.front=" + addresses[0], "listen.ready=" + addresses[1], "bootstrap=true",
-		"limits.memory_mb=200", "limits.cpu_share=1", "limits.cores=1", "limits.max_fds=4000",
-		fmt.Sprintf("bounds.grace_s=%g", longestStop.Seconds()), "bounds.retry_budget_ratio=0.2",
-		"bounds.budget_extra=58", "bounds.budget_window_s=10", "bounds.quota_window_s=4", "bounds.pass_ms=120",
-		"platform.address=" + store,
+	given := standin.BoxSettings{
+		Name: name, Zone: "zone-a", Callers: addresses[0], Ready: addresses[1],
+		PeerHost: peerHost, PeerPort: peerPort, Store: store, StopTime: longestStop,
 	}
-	if err := os.WriteFile(file, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
+	if err := os.WriteFile(file, []byte(given.Text()), 0o644); err != nil {
 		return err
 	}
 	b := &box{callers: addresses[0], ready: addresses[1], Process: fleet.Process{
