pkg/registry: what went in an outage is dropped within the time for leaving

A box whose own last call had failed took that for the outage and used the server for 2.2 s more, counted from when it read the entry, and looked whether that was over only with its next look, up to 1.2 s later. Change: the time runs from when any box was known to read the endpoints again, ends a fifth of a second before the time that the platform gives for leaving endpoints, and is looked at ten times a second. The new test failed without it.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -102,7 +102,7 @@
 	}
 	if !known.Gone && !known.Leaving && from == fromStore && now.Sub(r.unwellAt) < unwellFor {
 		if _, had := r.lapsed[entry.ID]; !had {
-			r.lapsed[entry.ID] = lapse{until: now.Add(lapseGrace), version: entry.Version}
+			r.lapsed[entry.ID] = lapse{until: r.returnedAt.Add(r.grace()), version: entry.Version}
 			r.Log.Info("entry lapsed during an outage, endpoint still used",
 				zap.String("Endpoint", entry.ID),
 				zap.Duration("Outage", now.Sub(r.unwellAt)))
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -94,8 +94,9 @@
 	// lapsed are entries that went while the store was unwell; they are used for
 	// a while, unless they come back.
 	lapsed map[string]lapse
-	// unwellAt is when a call about the endpoints last failed.
-	unwellAt time.Time
+	// unwellAt is when a call about the endpoints last failed, and returnedAt when
+	// any box was first known to read them again after that.
+	unwellAt, returnedAt time.Time
 }
 
 const (
@@ -124,9 +125,14 @@
 	retryMost    = 800 * time.Millisecond
 	retryPart    = 80 * time.Millisecond
 	retryLongest = 5 * time.Second
-	// lapseGrace is how long an entry that went during an outage is still used;
-	// the users' pages say that a live server is back within two seconds.
-	lapseGrace = 2200 * time.Millisecond
+	// lapseGrace is how long after the store's return an entry that went during the
+	// outage is still used; the users' pages say that a live server is back within
+	// two seconds. It ends lapseReserve before LeavingTime is over, as the entry may
+	// be that of an endpoint that has left.
+	lapseGrace   = 2200 * time.Millisecond
+	lapseReserve = 200 * time.Millisecond
+	// lapseLook is the time between two looks whether that time is over.
+	lapseLook = 100 * time.Millisecond
 	// unwellFor is how long after a failed call a lost entry is put down to the
 	// outage: one call's time-out and the longest wait after a failure.
 	unwellFor = 2 * time.Second
@@ -143,6 +149,7 @@
 	group.Go(func() error { return r.followCatalog(ctx) })
 	group.Go(func() error { return r.followEndpoints(ctx) })
 	group.Go(func() error { return r.followBoxes(ctx) })
+	group.Go(func() error { return r.followLapses(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
 		r.Store.Close()
@@ -261,6 +268,7 @@
 			r.Log.Info("endpoints are read again", zap.Int("Failures", again.failures))
 		}
 		again.reset()
+		r.endpointsRead(time.Now())
 		r.take(entries, !known, fromStore, time.Now())
 		since, known = version, true
 		r.Looked()
@@ -288,7 +296,37 @@
 
 // HeardLook notes that another box looked at the endpoints, and told what it
 // found.
-func (r *Registry) HeardLook() { r.heardLooks.Add(1) }
+func (r *Registry) HeardLook() {
+	r.heardLooks.Add(1)
+	r.endpointsRead(time.Now())
+}
+
+// endpointsRead notes that some box reads the endpoints.
+func (r *Registry) endpointsRead(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.returnedAt.After(r.unwellAt) {
+		r.returnedAt = now
+	}
+}
+
+// followLapses drops in time what did not come back.
+func (r *Registry) followLapses(ctx context.Context) error {
+	for interval.Wait(ctx, lapseLook) == nil {
+		r.mu.Lock()
+		pending := len(r.lapsed) > 0
+		r.mu.Unlock()
+		if pending {
+			r.take(nil, false, fromStore, time.Now())
+		}
+	}
+	return nil
+}
+
+// grace is how long after the store's return lapsed entries are used.
+func (r *Registry) grace() time.Duration {
+	return min(lapseGrace, cmp.Or(r.LeavingTime, defaultLeavingTime)-lapseReserve)
+}
 
 func (r *Registry) nextEndpoints(ctx context.Context, since uint64, known bool) ([]Entry, uint64, error) {
 	if known {
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -191,6 +191,15 @@
 			time.Sleep(3 * time.Second)
 			So(has(r, "a"), ShouldBeFalse)
 		}},
+		{"an entry that goes when others read the store again is dropped within the time for leaving", func(store *fakeStore, r *Registry) {
+			store.change(func(s *fakeState) { s.failing = true })
+			time.Sleep(5 * time.Second)
+			store.change(func(s *fakeState) { s.failing = false })
+			r.HeardLook()
+			store.change(func(s *fakeState) { s.remove("a", 2) })
+			time.Sleep(defaultLeavingTime)
+			So(has(r, "a"), ShouldBeFalse)
+		}},
 		{"an entry that comes back after an outage stays", func(store *fakeStore, r *Registry) {
 			store.change(func(s *fakeState) { s.failing = true })
 			time.Sleep(5 * time.Second)
