pkg/dispatch: a customer is not charged for what broke before it began

Change: they are taken out, as those that the engine proves not run. The new test failed without it.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -281,12 +281,21 @@
 	g.engine.finish(g, how, now)
 	switch how.(type) {
 	case NotRun, Unreachable:
-		// It got nothing: the customer is not charged.
-		p.account(g.ask.Customer).granted.add(-g.ask.cost, now, p.Rules.Window)
-	case Done, Broken:
+		p.refund(g, now)
+	case Broken:
+		if !g.begun {
+			p.refund(g, now)
+		}
+	case Done:
 	}
 }
 
+// refund takes a grant out of its customer's account, as the customer got nothing
+// by it.
+func (p *Pool) refund(g *grant, now time.Time) {
+	p.account(g.ask.Customer).granted.add(-g.ask.cost, now, p.Rules.Window)
+}
+
 // Forget drops all that one router has waiting and running, when it is gone.
 func (p *Pool) Forget(router uint64, now time.Time) {
 	for id, ask := range p.asks {
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -257,3 +257,21 @@
 		So(submit(p, ask("1"), start)[0].(Grant).Missing, ShouldEqual, 13000)
 	})
 }
+
+func TestBrokenGrantsAreRefunded(t *testing.T) {
+	granted := func(begin bool) float64 {
+		p := newTestPool(9, 0)
+		submit(p, askOf("1", "a", start, Part{ID: 100, Tokens: 5000}), start)
+		if begin {
+			p.Begin("1", start)
+		}
+		p.End("1", Broken{}, start)
+		return p.account("a").granted.sum
+	}
+	Convey("A customer is not charged for what broke before it began", t, func() {
+		So(granted(false), ShouldEqual, 0)
+	})
+	Convey("It is for what broke after its first token", t, func() {
+		So(granted(true), ShouldBeGreaterThan, 5000)
+	})
+}
