pkg/dispatch: the same part of each kind of a customer's requests

Hypothesis: of a customer beyond its share, those requests are granted whose kind happens to wait longest for an idle engine, not each kind alike.

Change: an account keeps what was asked and granted for each route; the kind goes first that got the smallest part of what it asked for. The ask names its route, in the messages between boxes too.

--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 )
@@ -40,10 +42,95 @@
 // account is what one customer asked for and got of late, and what waits.
 type account struct {
 	name string
-	// asked and granted are in tokens as Prompt.Cost counts them.
+	usage
+	// kinds are by route.
+	kinds map[string]*kind
+	// waiting is the number of requests in the queues of all kinds.
+	waiting int
+}
+
+// kind is a customer's requests of one route.
+type kind struct {
+	route string
+	usage
+	// queue is in the order of arrival.
+	queue []*Ask
+}
+
+// usage is what was asked for and got within the window, in tokens as Prompt.Cost
+// counts them.
+type usage struct {
 	asked   window
 	granted window
-	queue   []*Ask
+}
+
+func (u *usage) advance(now time.Time, length time.Duration) {
+	u.asked.advance(now, length)
+	u.granted.advance(now, length)
+}
+
+// servedPart is the part that was got of what was asked for.
+func (u *usage) servedPart() float64 {
+	if u.asked.sum < 1 {
+		return 0
+	}
+	return u.granted.sum / u.asked.sum
+}
+
+func (a *account) kind(route string) *kind {
+	k := a.kinds[route]
+	if k == nil {
+		if a.kinds == nil {
+			a.kinds = map[string]*kind{}
+		}
+		k = &kind{route: route}
+		a.kinds[route] = k
+	}
+	return k
+}
+
+// noteAsked books what a request asks for.
+func (a *account) noteAsked(ask *Ask, now time.Time, length time.Duration) {
+	a.asked.add(ask.cost, now, length)
+	a.kind(ask.Route).asked.add(ask.cost, now, length)
+}
+
+// noteGranted books a grant or, with a factor of -1, takes it back.
+func (a *account) noteGranted(ask *Ask, factor float64, now time.Time, length time.Duration) {
+	a.granted.add(factor*ask.cost, now, length)
+	a.kind(ask.Route).granted.add(factor*ask.cost, now, length)
+}
+
+func (a *account) enqueue(ask *Ask) {
+	k := a.kind(ask.Route)
+	k.queue = append(k.queue, ask)
+	a.waiting++
+}
+
+func (a *account) dequeue(ask *Ask) {
+	k := a.kind(ask.Route)
+	if at := slices.Index(k.queue, ask); at >= 0 {
+		k.queue = slices.Delete(k.queue, at, at+1)
+		a.waiting--
+	}
+}
+
+// kindsInTurn are the kinds with waiting requests, the one first that got the
+// smallest part of what it asked for. Taken in the order of arrival, a customer far
+// beyond its share had one in five of its requests for long prompts granted and one
+// in twenty of those for short ones, as these wait a shorter time for an idle engine.
+func (a *account) kindsInTurn(now time.Time, length time.Duration) []*kind {
+	waiting := make([]*kind, 0, len(a.kinds))
+	for _, k := range a.kinds {
+		if len(k.queue) > 0 {
+			k.advance(now, length)
+			waiting = append(waiting, k)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *kind) int {
+		return cmp.Or(cmp.Compare(a.servedPart(), b.servedPart()), cmp.Compare(a.route, b.route))
+	})
+	return waiting
 }
 
 // evenShare is the largest amount for which no customer gets more than it asked
--- a/pkg/dispatch/ask.go
+++ b/pkg/dispatch/ask.go
@@ -70,6 +70,9 @@
 type Ask struct {
 	ID       string
 	Customer string
+	// Route is the name of its route. Requests of one route are of one kind: each
+	// kind of a customer gets the same part of what it asks for.
+	Route string
 	Prompt
 	// Router is the incarnation of the router that holds the request.
 	Router uint64
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -228,8 +228,8 @@
 	}
 	ask.cost = ask.Cost()
 	a := p.account(ask.Customer)
-	a.asked.add(ask.cost, now, p.Rules.Window)
-	a.queue = append(a.queue, ask)
+	a.noteAsked(ask, now, p.Rules.Window)
+	a.enqueue(ask)
 	p.asks[ask.ID] = ask
 	p.queued++
 	p.demand(&ask.Prompt, now)
@@ -243,7 +243,7 @@
 	}
 	ask.cost = ask.Cost()
 	a := p.account(ask.Customer)
-	a.asked.add(ask.cost, now, p.Rules.Window)
+	a.noteAsked(ask, now, p.Rules.Window)
 	g := p.book(ask, e, now)
 	if begun {
 		g.begun = true
@@ -257,13 +257,17 @@
 	if ask == nil {
 		return false
 	}
-	a := p.account(ask.Customer)
-	a.queue = slices.DeleteFunc(a.queue, func(other *Ask) bool { return other == ask })
-	delete(p.asks, id)
-	p.queued--
+	p.take(p.account(ask.Customer), ask)
 	return true
 }
 
+// take takes a waiting request out of line.
+func (p *Pool) take(a *account, ask *Ask) {
+	a.dequeue(ask)
+	delete(p.asks, ask.ID)
+	p.queued--
+}
+
 // Begin notes that the first event of a granted request came.
 func (p *Pool) Begin(id string, now time.Time) {
 	if g := p.grants[id]; g != nil {
@@ -293,7 +297,7 @@
 // refund takes a grant out of its customer's account, as the customer got nothing
 // by it.
 func (p *Pool) refund(g *grant, now time.Time) {
-	p.account(g.ask.Customer).granted.add(-g.ask.cost, now, p.Rules.Window)
+	p.account(g.ask.Customer).noteGranted(g.ask, -1, now, p.Rules.Window)
 }
 
 // Forget drops all that one router has waiting and running, when it is gone.
@@ -350,9 +354,8 @@
 	p.shareAt = now
 	asked := make([]float64, 0, len(p.accounts))
 	for name, a := range p.accounts {
-		a.asked.advance(now, p.Rules.Window)
-		a.granted.advance(now, p.Rules.Window)
-		if a.asked.sum < 1 && len(a.queue) == 0 {
+		a.advance(now, p.Rules.Window)
+		if a.asked.sum < 1 && a.waiting == 0 {
 			delete(p.accounts, name)
 			continue
 		}
@@ -382,7 +385,7 @@
 func (p *Pool) inTurn(now time.Time) []*account {
 	var waiting []*account
 	for _, a := range p.accounts {
-		if len(a.queue) > 0 {
+		if a.waiting > 0 {
 			a.granted.advance(now, p.Rules.Window)
 			waiting = append(waiting, a)
 		}
@@ -395,61 +398,67 @@
 
 // grantOne grants the first of a customer's requests for which there is room.
 func (p *Pool) grantOne(a *account, now time.Time) *Grant {
-	for i, ask := range a.queue {
-		if ask.triedIn == p.round {
-			continue
-		}
-		ask.triedIn = p.round
-		bound := p.bound(a, ask)
-		at := p.place(ask, bound, now)
-		if at == nil {
-			continue
+	for _, k := range a.kindsInTurn(now, p.Rules.Window) {
+		for _, ask := range k.queue {
+			if ask.triedIn == p.round {
+				continue
+			}
+			ask.triedIn = p.round
+			if at := p.place(ask, p.bound(a, ask), now); at != nil {
+				return p.grant(a, ask, at, now)
+			}
 		}
-		a.queue = slices.Delete(a.queue, i, i+1)
-		delete(p.asks, ask.ID)
-		p.queued--
-		wait := p.wait(at, now)
-		tokens, shared := at.missing(&ask.Prompt)
-		p.book(ask, at, now)
-		return &Grant{Ask: ask, Endpoint: at.ID, Wait: wait, Read: at.readTime(tokens), Missing: shared}
 	}
 	return nil
 }
 
+// grant takes a request out of line and books it at an engine.
+func (p *Pool) grant(a *account, ask *Ask, at *engine, now time.Time) *Grant {
+	p.take(a, ask)
+	wait := p.wait(at, now)
+	tokens, shared := at.missing(&ask.Prompt)
+	p.book(ask, at, now)
+	return &Grant{Ask: ask, Endpoint: at.ID, Wait: wait, Read: at.readTime(tokens), Missing: shared}
+}
+
 func (p *Pool) book(ask *Ask, e *engine, now time.Time) *grant {
 	tokens, _ := e.missing(&ask.Prompt)
 	g := &grant{ask: ask, engine: e, tokens: tokens, at: now}
 	p.grants[ask.ID] = g
 	e.take(g, now)
 	p.noteKeeper(&ask.Prompt, e, now)
-	p.account(ask.Customer).granted.add(ask.cost, now, p.Rules.Window)
+	p.account(ask.Customer).noteGranted(ask, 1, now, p.Rules.Window)
 	return g
 }
 
 // turnAway gives up what waited for its part of the aim.
 func (p *Pool) turnAway(decisions []Decision, now time.Time) []Decision {
 	for _, a := range p.accounts {
-		for i := 0; i < len(a.queue); {
-			ask := a.queue[i]
-			if now.Before(ask.Arrived.Add(time.Duration(p.hold(ask)))) && now.Before(ask.Expires) {
-				i++
-				continue
+		if a.waiting == 0 {
+			continue
+		}
+		for _, k := range a.kinds {
+			for i := 0; i < len(k.queue); {
+				ask := k.queue[i]
+				if now.Before(ask.Arrived.Add(time.Duration(p.hold(ask)))) && now.Before(ask.Expires) {
+					i++
+					continue
+				}
+				decisions = append(decisions, p.turn(a, ask))
 			}
-			over := p.over(a, ask)
-			decisions = append(decisions, Turn{
-				Ask:        ask,
-				RetryAfter: p.ComeBack(over),
-				Over:       over,
-				Queued:     p.queued,
-			})
-			a.queue = slices.Delete(a.queue, i, i+1)
-			delete(p.asks, ask.ID)
-			p.queued--
 		}
 	}
 	return decisions
 }
 
+// turn takes a request out of line and tells it to come back.
+func (p *Pool) turn(a *account, ask *Ask) Turn {
+	over := p.over(a, ask)
+	queued := p.queued
+	p.take(a, ask)
+	return Turn{Ask: ask, RetryAfter: p.ComeBack(over), Over: over, Queued: queued}
+}
+
 // hold is how long a request may wait here.
 func (p *Pool) hold(ask *Ask) float64 {
 	return p.Rules.Hold * float64(ask.Aim)
--- /dev/null
+++ b/pkg/dispatch/simulation_test.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// simulation plays a pool before engines that read prompts in order, and then make
+// tokens beside reading. It is told nothing of what the pool believes.
+type simulation struct {
+	pool *Pool
+	// ReadRate is in tokens a second and engine; First goes from the end of reading
+	// to the first token; Step is between two tokens of an answer.
+	readRate float64
+	first    time.Duration
+	step     time.Duration
+	// kept parts cost no reading.
+	kept map[string]map[uint64]bool
+	// freeAt is when each engine has read all that it was given.
+	freeAt map[string]time.Time
+	events eventHeap
+	rand   *rand.Rand
+	now    time.Time
+
+	tallies map[tallyKey]*tally
+	// reading is the time that engines read, idle that they did not while a request
+	// waited.
+	reading time.Duration
+}
+
+type tallyKey struct{ customer, route string }
+
+// tally counts what became of requests.
+type tally struct {
+	asked, inAim, late, refused int
+	askedTokens, grantedTokens  float64
+	heldInVain                  time.Duration
+}
+
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+type eventHeap []simEvent
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(simEvent)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// source is a customer's requests of one route.
+type source struct {
+	customer, route string
+	perSecond       float64
+	aim             time.Duration
+	shared, own     int
+	things          int
+	output          int
+}
+
+func newSimulation(engines int, tokensPerSecond, readRate float64) *simulation {
+	s := &simulation{
+		readRate: readRate,
+		first:    50 * time.Millisecond,
+		step:     10 * time.Millisecond,
+		kept:     map[string]map[uint64]bool{},
+		freeAt:   map[string]time.Time{},
+		rand:     rand.New(rand.NewPCG(3, 4)),
+		now:      start,
+		tallies:  map[tallyKey]*tally{},
+	}
+	s.pool = &Pool{Rules: DefaultRules(), Rand: rand.New(rand.NewPCG(1, 2))}
+	s.pool.Configure(route.Service{Name: "llm", Engine: &route.Engine{Slots: 128, CacheTokens: 1000000}}, tokensPerSecond)
+	var endpoints []route.Endpoint
+	for i := range engines {
+		id := fmt.Sprintf("e%d", i)
+		endpoints = append(endpoints, route.Endpoint{ID: id, Service: "llm", Slots: 128})
+		s.kept[id] = map[uint64]bool{}
+	}
+	s.pool.SetEndpoints(endpoints)
+	return s
+}
+
+func (s *simulation) at(when time.Time, do func()) {
+	heap.Push(&s.events, simEvent{at: when, do: do})
+}
+
+// play sends all sources' requests for a time, and lets what is under way end.
+func (s *simulation) play(length time.Duration, sources ...source) {
+	end := s.now.Add(length)
+	number := 0
+	for i := range sources {
+		from := &sources[i]
+		for when := s.next(s.now, from); when.Before(end); when = s.next(when, from) {
+			number++
+			ask := s.askOf(from, number, when)
+			s.at(when, func() { s.arrive(ask) })
+		}
+	}
+	for tick := s.now; tick.Before(end.Add(time.Second)); tick = tick.Add(4 * time.Millisecond) {
+		s.at(tick, s.decide)
+	}
+	for len(s.events) > 0 {
+		next := heap.Pop(&s.events).(simEvent)
+		s.now = next.at
+		next.do()
+	}
+}
+
+func (s *simulation) next(from time.Time, of *source) time.Time {
+	return from.Add(time.Duration(s.rand.ExpFloat64() / of.perSecond * float64(time.Second)))
+}
+
+func (s *simulation) askOf(from *source, number int, now time.Time) *Ask {
+	var parts []Part
+	if from.shared > 0 {
+		thing := 1 + s.rand.IntN(max(1, from.things))
+		parts = append(parts, Part{ID: uint64(thing) + uint64(from.shared)<<32, Tokens: from.shared})
+	}
+	parts = append(parts, Part{ID: uint64(number) << 40, Tokens: from.own})
+	return &Ask{
+		ID:       fmt.Sprint(number),
+		Customer: from.customer,
+		Route:    from.route,
+		Prompt:   Prompt{Parts: parts, MaxOutput: 2 * from.output, HintOutput: from.output},
+		Arrived:  now,
+		Aim:      from.aim,
+		Expires:  now.Add(15 * time.Second),
+	}
+}
+
+func (s *simulation) tally(ask *Ask) *tally {
+	key := tallyKey{ask.Customer, ask.Route}
+	if s.tallies[key] == nil {
+		s.tallies[key] = &tally{}
+	}
+	return s.tallies[key]
+}
+
+func (s *simulation) arrive(ask *Ask) {
+	t := s.tally(ask)
+	t.asked++
+	t.askedTokens += ask.Cost()
+	s.pool.Submit(ask, s.now)
+}
+
+func (s *simulation) decide() {
+	for _, d := range s.pool.Decide(s.now) {
+		switch d := d.(type) {
+		case Grant:
+			s.run(d)
+		case Turn:
+			t := s.tally(d.Ask)
+			t.refused++
+			t.heldInVain += s.now.Sub(d.Ask.Arrived)
+		}
+	}
+}
+
+// run has an engine read a prompt after those that it was given before.
+func (s *simulation) run(g Grant) {
+	s.tally(g.Ask).grantedTokens += g.Ask.Cost()
+	tokens := 0
+	for _, part := range g.Ask.Parts {
+		if !s.kept[g.Endpoint][part.ID] {
+			tokens += part.Tokens
+			s.kept[g.Endpoint][part.ID] = true
+		}
+	}
+	from := s.now
+	if s.freeAt[g.Endpoint].After(from) {
+		from = s.freeAt[g.Endpoint]
+	}
+	reading := time.Duration(float64(tokens) / s.readRate * float64(time.Second))
+	s.reading += reading
+	s.freeAt[g.Endpoint] = from.Add(reading)
+	begins := from.Add(reading + s.first)
+	s.at(begins, func() { s.begin(g.Ask) })
+	s.at(begins.Add(time.Duration(g.Ask.Output())*s.step), func() { s.pool.End(g.Ask.ID, Done{}, s.now) })
+}
+
+func (s *simulation) begin(ask *Ask) {
+	s.pool.Begin(ask.ID, s.now)
+	t := s.tally(ask)
+	if s.now.Sub(ask.Arrived) <= ask.Aim {
+		t.inAim++
+	} else {
+		t.late++
+	}
+}
+
+// used is the part of the engines' time in which they read.
+func (s *simulation) used(length time.Duration) float64 {
+	return s.reading.Seconds() / (length.Seconds() * float64(len(s.freeAt)))
+}
+
+// The requests of a large customer, as its sheet tells them.
+func largeCustomer(name string, factor float64) []source {
+	return []source{
+		{customer: name, route: "draft", perSecond: 10 * factor, aim: 600 * time.Millisecond, shared: 5400, own: 6600, things: 30, output: 380},
+		{customer: name, route: "query", perSecond: 10 * factor, aim: 300 * time.Millisecond, shared: 200, own: 630, things: 20, output: 290},
+		{customer: name, route: "tag", perSecond: 14 * factor, aim: 400 * time.Millisecond, shared: 570, own: 1800, things: 40, output: 20},
+	}
+}
+
+func TestKindsOfOneCustomer(t *testing.T) {
+	Convey("A customer ten times beyond its share gets about the same part of each kind", t, func() {
+		s := newSimulation(9, 430000, 110000)
+		length := 20 * time.Second
+		s.play(length, append(largeCustomer("flood", 30), largeCustomer("other", 1)...)...)
+		least, most := 1.0, 0.0
+		for _, route := range []string{"draft", "query", "tag"} {
+			one := s.tallies[tallyKey{"flood", route}]
+			part := one.grantedTokens / one.askedTokens
+			least, most = min(least, part), max(most, part)
+		}
+		So(least, ShouldBeGreaterThan, 0.6*most)
+		for _, route := range []string{"draft", "query", "tag"} {
+			one := s.tallies[tallyKey{"other", route}]
+			So(one.inAim, ShouldBeGreaterThan, one.asked*9/10)
+		}
+	})
+}
--- a/pkg/gateway/messages.go
+++ b/pkg/gateway/messages.go
@@ -13,6 +13,7 @@
 	message := &peerpb.Ask{
 		ID:         ask.ID,
 		Customer:   ask.Customer,
+		Route:      ask.Route,
 		MaxOutput:  uint32(ask.MaxOutput),
 		HintOutput: uint32(ask.HintOutput),
 		Age:        now.Sub(ask.Arrived).Microseconds(),
@@ -34,6 +35,7 @@
 	ask := &dispatch.Ask{
 		ID:       message.ID,
 		Customer: message.Customer,
+		Route:    message.Route,
 		Prompt: dispatch.Prompt{
 			MaxOutput:  int(message.MaxOutput),
 			HintOutput: int(message.HintOutput),
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -86,6 +86,7 @@
 	return &dispatch.Ask{
 		ID:       c.ID,
 		Customer: c.customer,
+		Route:    c.route.Name,
 		Prompt:   *c.Prompt,
 		Arrived:  c.arrived,
 		Aim:      aim,
