pkg/gateway: a dispatch stream is opened once, and answered on its own

Asks were answered 'queued' and verdicts dropped without a word; the queued words kept the router patient, so that it granted itself a second late for as long as its stream lasted.

A box that puts all in line and decides nothing is no reason to wait on, and a stream's end is known to the requests that wait on it at once. A grant that nobody used rests no engine any more (outcome Unused). The like of it: the silence of a peer could be reported after the first word of its next stream; the lock is held now.

--- a/pkg/dispatch/ask.go
+++ b/pkg/dispatch/ask.go
@@ -74,7 +74,8 @@
 	// kind of a customer gets the same part of what it asks for.
 	Route string
 	Prompt
-	// Router is the incarnation of the router that holds the request.
+	// Router numbers the way by which the request came. The verdict goes back by it,
+	// and Pool.Forget drops what came by it.
 	Router uint64
 	// Arrived is when the router took it.
 	Arrived time.Time
@@ -121,8 +122,8 @@
 func (Grant) decision() {}
 func (Turn) decision()  {}
 
-// Outcome is how a granted request ended: one of Done, NotRun, Unreachable and
-// Broken.
+// Outcome is how a granted request ended: one of Done, Unused, NotRun, Unreachable
+// and Broken.
 type Outcome interface {
 	outcome()
 }
@@ -130,6 +131,10 @@
 // Done requests were answered, or their caller went away.
 type Done struct{}
 
+// Unused grants came too late, or to nobody: nothing was sent, and the engine is not
+// to blame.
+type Unused struct{}
+
 // NotRun requests were refused by the engine, which ran nothing of them.
 type NotRun struct{}
 
@@ -140,6 +145,7 @@
 type Broken struct{}
 
 func (Done) outcome()        {}
+func (Unused) outcome()      {}
 func (NotRun) outcome()      {}
 func (Unreachable) outcome() {}
 func (Broken) outcome()      {}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -276,7 +276,7 @@
 	e.running--
 	e.own -= g.ask.Last().Tokens + g.ask.Output()
 	switch how.(type) {
-	case Done:
+	case Done, Unused:
 	case NotRun:
 		// It is full, or its entry is stale: a short rest, without doubt.
 		e.suspectUntil = now.Add(suspectFor / 5)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -221,11 +221,15 @@
 	}
 }
 
-// Submit puts a request in line.
+// Submit puts a request in line. One that is in line already is asked for anew, by
+// another way or as the verdict was lost: the later way counts, and a grant that the
+// router does not know of is void.
 func (p *Pool) Submit(ask *Ask, now time.Time) {
-	if p.asks[ask.ID] != nil || p.grants[ask.ID] != nil {
+	if known := p.asks[ask.ID]; known != nil {
+		known.Router = ask.Router
 		return
 	}
+	p.End(ask.ID, Unused{}, now)
 	ask.cost = ask.Cost()
 	a := p.account(ask.Customer)
 	a.noteAsked(ask, now, p.Rules.Window)
@@ -235,10 +239,15 @@
 	p.demand(&ask.Prompt, now)
 }
 
-// Adopt books a request that another dispatcher granted.
+// Adopt books a request that another dispatcher granted, or notes the new way by
+// which a router tells of one that is booked already.
 func (p *Pool) Adopt(ask *Ask, endpoint string, begun bool, now time.Time) {
+	if known := p.grants[ask.ID]; known != nil {
+		known.ask.Router = ask.Router
+		return
+	}
 	e := p.engines[endpoint]
-	if e == nil || p.grants[ask.ID] != nil {
+	if e == nil {
 		return
 	}
 	ask.cost = ask.Cost()
@@ -284,7 +293,7 @@
 	delete(p.grants, id)
 	g.engine.finish(g, how, now)
 	switch how.(type) {
-	case NotRun, Unreachable:
+	case Unused, NotRun, Unreachable:
 		p.refund(g, now)
 	case Broken:
 		if !g.begun {
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -178,6 +178,40 @@
 		So(p.Running(), ShouldEqual, 0)
 		So(p.engines["e0"].running, ShouldEqual, 0)
 	})
+	Convey("What came by one way is not forgotten with another way of the same box", t, func() {
+		p := newTestPool(1, 0)
+		first, second := askOf("1", "a", start, Part{ID: 1, Tokens: 10}), askOf("2", "a", start, Part{ID: 2, Tokens: 10})
+		first.Router, second.Router = 1, 2
+		submit(p, first, start)
+		submit(p, second, start)
+		p.Forget(2, start)
+		So(p.Running(), ShouldEqual, 1)
+		So(p.grants["1"], ShouldNotBeNil)
+	})
+	Convey("What is told again by a new way stays when the old way ends, running or in line", t, func() {
+		p := newTestPool(1, 0)
+		running, waiting := askOf("1", "a", start, Part{ID: 1, Tokens: 10}), askOf("2", "a", start, Part{ID: 2, Tokens: 10})
+		running.Router, waiting.Router = 1, 1
+		submit(p, running, start)
+		p.engines["e0"].Leaving = true
+		submit(p, waiting, start)
+		again, anew := askOf("1", "a", start, Part{ID: 1, Tokens: 10}), askOf("2", "a", start, Part{ID: 2, Tokens: 10})
+		again.Router, anew.Router = 2, 2
+		p.Adopt(again, "e0", false, start)
+		p.Submit(anew, start)
+		p.Forget(1, start)
+		So(p.Running(), ShouldEqual, 1)
+		So(p.Waits("2"), ShouldBeTrue)
+		p.Forget(2, start)
+		So(p.Running()+p.Waiting(), ShouldEqual, 0)
+	})
+	Convey("A request whose grant was lost on the way is granted again when it asks anew", t, func() {
+		p := newTestPool(1, 0)
+		submit(p, askOf("1", "a", start, Part{ID: 1, Tokens: 10}), start)
+		later := start.Add(time.Second)
+		So(submit(p, askOf("1", "a", later, Part{ID: 1, Tokens: 10}), later), ShouldHaveLength, 1)
+		So(p.engines["e0"].running, ShouldEqual, 1)
+	})
 	Convey("What another box granted is taken over once", t, func() {
 		p := newTestPool(1, 0)
 		ask := askOf("1", "a", start, Part{ID: 1, Tokens: 10})
--- a/pkg/gateway/messages.go
+++ b/pkg/gateway/messages.go
@@ -81,6 +81,8 @@
 	switch how.(type) {
 	case dispatch.Done:
 		end.How = peerpb.End_DONE
+	case dispatch.Unused:
+		end.How = peerpb.End_UNUSED
 	case dispatch.NotRun:
 		end.How = peerpb.End_NOT_RUN
 	case dispatch.Unreachable:
@@ -93,6 +95,8 @@
 
 func outcomeOf(how peerpb.End_Outcome) dispatch.Outcome {
 	switch how {
+	case peerpb.End_UNUSED:
+		return dispatch.Unused{}
 	case peerpb.End_NOT_RUN:
 		return dispatch.NotRun{}
 	case peerpb.End_UNREACHABLE:
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -17,6 +17,9 @@
 // errNoWord reports that the box that dispatches did not answer in time.
 var errNoWord = errors.New("no word from the box that dispatches")
 
+// errHungUp reports that its stream ended while a request waited for a verdict.
+var errHungUp = errors.New("the box that dispatches hung up")
+
 // errLateWord reports that it spoke, but not to this request: it lives.
 var errLateWord = errors.New("the word from the box that dispatches is late")
 
@@ -25,7 +28,7 @@
 
 // askRemote has another box decide. An error means that it is of no use now.
 func (s *scheduler) askRemote(ctx context.Context, ask *dispatch.Ask, box string) (verdict, error) {
-	r, err := s.connect(box)
+	r, err := s.connect(ctx, box)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -50,6 +53,9 @@
 			hold := time.Duration(s.pool.Rules.Hold * float64(ask.Aim))
 			due = time.Now().Add(hold + verdictSlack + patience)
 			timer.Reset(time.Until(due))
+		case <-r.ended:
+			s.forgetPending(ask.ID, p)
+			return verdict{}, errHungUp
 		case <-timer.C:
 			if s.waitsOn(r, p, due, patience) {
 				due = time.Now().Add(patience)
@@ -72,13 +78,24 @@
 // waitsOn tells whether a request whose word was due waits for it longer: the
 // box that dispatches has spoken to others since, or this box is itself late and
 // may not have read the word yet. Asking another box would only add to that, as
-// it has to be told all that runs.
+// it has to be told all that runs. Where the request is in line already, only
+// verdicts count: a box that queues all and decides nothing is of no use, and
+// without this each request there waited a second in vain.
 func (s *scheduler) waitsOn(r *remote, p *pending, due time.Time, patience time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	ownLate := now.Sub(due) > patience/2
-	return (ownLate || r.heardAt.After(p.asked)) && now.Sub(p.asked) < mostSilence
+	return (ownLate || r.spokeSince(p)) && now.Sub(p.asked) < mostSilence
+}
+
+// spokeSince tells whether the box said to others, since a request was asked, what
+// this one still waits for.
+func (r *remote) spokeSince(p *pending) bool {
+	if p.heard {
+		return r.decidedAt.After(p.asked)
+	}
+	return r.heardAt.After(p.asked)
 }
 
 // gaveUp notes that no word came in time, and tells whether the box spoke to other
@@ -87,49 +104,105 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.words.gaveUp(id, p.asked)
-	return r.heardAt.After(p.asked)
+	return r.spokeSince(p)
 }
 
-// connect returns the stream to the box that dispatches, and tells a new one
-// what runs already.
-func (s *scheduler) connect(box string) (r *remote, err error) {
-	s.mu.Lock()
-	r = s.remote
-	s.mu.Unlock()
-	if r != nil && r.box == box {
-		return r, nil
+// opening is a stream to a box that is being opened.
+type opening struct {
+	box string
+	// done is closed when remote or err is set.
+	done   chan struct{}
+	remote *remote
+	err    error
+}
+
+// connect returns the stream to the box that dispatches. Requests that come while
+// it is being opened wait for the same one: of two streams that race, the one that
+// loses would be closed, and with it end what the other box holds for this one.
+func (s *scheduler) connect(ctx context.Context, box string) (*remote, error) {
+	o, open := s.openingTo(box)
+	if open != nil {
+		return open, nil
 	}
-	stream, err := s.gateway.exchange.OpenDispatch(box, s.service)
-	if err != nil {
-		return nil, err
+	timer := time.NewTimer(openPatience)
+	defer timer.Stop()
+	select {
+	case <-o.done:
+		return o.remote, o.err
+	case <-timer.C:
+		return nil, errNoWord
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
 	}
+}
+
+// openPatience bounds the wait for a stream to another box. Opening one takes a
+// round of messages on a session that stands, about a millisecond.
+const openPatience = leastPatience
+
+// openingTo returns the open stream to a box, or else the one that is being opened.
+func (s *scheduler) openingTo(box string) (*opening, *remote) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.remote != nil && s.remote.box == box {
+		return nil, s.remote
+	}
+	if s.opening != nil && s.opening.box == box {
+		return s.opening, nil
+	}
+	o := &opening{box: box, done: make(chan struct{})}
+	s.opening = o
+	s.gateway.work.Go(func() error {
+		s.open(o)
+		return nil
+	})
+	return o, nil
+}
+
+// open opens a stream, and tells the box what runs already.
+func (s *scheduler) open(o *opening) {
+	defer close(o.done)
+	stream, err := s.gateway.exchange.OpenDispatch(o.box, s.service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	superseded := s.opening != o
+	if !superseded {
+		s.opening = nil
+	}
+	if err != nil {
+		o.err = err
+		return
+	}
+	if superseded {
 		stream.Close()
-		return s.remote, nil
+		o.err = errNoWord
+		return
 	}
+	s.adoptRemote(&remote{box: o.box, stream: stream, ended: make(chan struct{})})
+	o.remote = s.remote
+}
+
+// adoptRemote asks a box from now on. The lock is held.
+func (s *scheduler) adoptRemote(r *remote) {
 	if s.remote != nil {
 		s.remote.stream.Close()
 	}
-	r = &remote{box: box, stream: stream}
 	s.remote = r
 	for _, kept := range s.pool.Kept() {
-		stream.Send(keptMessage(kept))
+		r.stream.Send(keptMessage(kept))
 	}
 	for _, one := range s.running {
-		stream.Send(askMessage(one.ask, one.endpoint, one.begun))
+		r.stream.Send(askMessage(one.ask, one.endpoint, one.begun))
 	}
 	s.log.Info("another box dispatches",
 		zap.String("Service", s.service),
-		zap.String("Box", box),
+		zap.String("Box", r.box),
 		zap.Int("Running", len(s.running)))
-	s.gateway.work.Go(func() error { return stream.Write(s.gateway.over) })
+	s.gateway.work.Go(func() error { return r.stream.Write(s.gateway.over) })
 	s.gateway.work.Go(func() error {
 		s.hear(r)
 		return nil
 	})
-	return r, nil
 }
 
 // hear takes verdicts until the stream breaks.
@@ -142,6 +215,7 @@
 		}
 	}
 	r.stream.Close()
+	close(r.ended)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.remote == r {
@@ -170,10 +244,11 @@
 		}
 		return
 	}
+	r.decidedAt = r.heardAt
 	v := verdictOf(message)
 	v.by = r.box
 	if !s.settle(message.ID, r, v) && v.endpoint != "" {
-		r.stream.Send(endMessage(message.ID, dispatch.NotRun{}))
+		r.stream.Send(endMessage(message.ID, dispatch.Unused{}))
 	}
 }
 
@@ -184,23 +259,32 @@
 	if s == nil {
 		return trace.NotFound("no such group of engines here")
 	}
-	s.mu.Lock()
-	s.routers[from.Incarnation] = stream
-	s.log.Info("dispatching for a box",
-		zap.String("Service", service),
-		zap.String("Box", from.Box),
-		zap.Int("Routers", len(s.routers)))
-	s.mu.Unlock()
-	defer s.stopServing(from, stream)
+	router := s.startServing(from, stream)
+	defer s.stopServing(from, router)
 	for {
 		call := &peerpb.Call{}
 		if err := stream.Receive(call); err != nil {
 			return err
 		}
-		s.handle(from, call, stream)
+		s.handle(router, call, stream)
 	}
 }
 
+// startServing gives a stream its number. What is asked on a stream is answered on
+// it and forgotten with it, whatever other streams the same box opens and closes.
+func (s *scheduler) startServing(from peer.Sender, stream *peer.DispatchStream) (router uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastRouter++
+	s.routers[s.lastRouter] = stream
+	s.log.Info("dispatching for a box",
+		zap.String("Service", s.service),
+		zap.String("Box", from.Box),
+		zap.Uint64("Stream", s.lastRouter),
+		zap.Int("Streams", len(s.routers)))
+	return s.lastRouter
+}
+
 // groupNamed finds a group of engines by its name on the wire.
 func (g *Gateway) groupNamed(name string) *scheduler {
 	service := name[:max(0, strings.LastIndexByte(name, '/'))]
@@ -211,25 +295,25 @@
 	return p.named(name)
 }
 
-// stopServing forgets what a box had waiting and running.
-func (s *scheduler) stopServing(from peer.Sender, stream *peer.DispatchStream) {
+// stopServing forgets what a box had waiting and running by a stream.
+func (s *scheduler) stopServing(from peer.Sender, router uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.routers[from.Incarnation] != stream {
-		return
-	}
-	delete(s.routers, from.Incarnation)
-	s.pool.Forget(from.Incarnation, time.Now())
-	s.log.Info("no longer dispatching for a box", zap.String("Service", s.service), zap.String("Box", from.Box))
+	delete(s.routers, router)
+	s.pool.Forget(router, time.Now())
+	s.log.Info("no longer dispatching for a box",
+		zap.String("Service", s.service),
+		zap.String("Box", from.Box),
+		zap.Uint64("Stream", router))
 }
 
-func (s *scheduler) handle(from peer.Sender, call *peerpb.Call, stream *peer.DispatchStream) {
+func (s *scheduler) handle(router uint64, call *peerpb.Call, stream *peer.DispatchStream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	switch kind := call.Kind.(type) {
 	case *peerpb.Call_Ask:
-		s.handleAsk(from, kind.Ask, stream, now)
+		s.handleAsk(router, kind.Ask, stream, now)
 		return
 	case *peerpb.Call_Kept:
 		s.learnt = true
@@ -244,14 +328,14 @@
 		s.pool.End(kind.End.ID, outcomeOf(kind.End.How), now)
 	case *peerpb.Call_Withdraw:
 		if !s.pool.Withdraw(kind.Withdraw) {
-			s.pool.End(kind.Withdraw, dispatch.NotRun{}, now)
+			s.pool.End(kind.Withdraw, dispatch.Unused{}, now)
 		}
 	}
 	s.decide()
 }
 
-func (s *scheduler) handleAsk(from peer.Sender, message *peerpb.Ask, stream *peer.DispatchStream, now time.Time) {
-	ask := askOf(message, from.Incarnation, now)
+func (s *scheduler) handleAsk(router uint64, message *peerpb.Ask, stream *peer.DispatchStream, now time.Time) {
+	ask := askOf(message, router, now)
 	if message.Endpoint != "" {
 		s.pool.Adopt(ask, message.Endpoint, message.Begun, now)
 		return
--- a/pkg/gateway/remote_test.go
+++ b/pkg/gateway/remote_test.go
@@ -14,21 +14,28 @@
 		// late is how late this box looks; spokeAfter is when the other box spoke
 		// to another request, and 0 never.
 		late, spokeAfter time.Duration
-		want             bool
+		// inLine requests were told that they are; decided words were verdicts.
+		inLine, decided bool
+		want            bool
 	}{
 		{name: "the other box says nothing", want: false},
 		{name: "the other box speaks to others", spokeAfter: 20 * time.Millisecond, want: true},
 		{name: "this box is late itself", late: 300 * time.Millisecond, want: true},
+		{name: "it only puts others in line too", spokeAfter: 20 * time.Millisecond, inLine: true, want: false},
+		{name: "it decides about others", spokeAfter: 20 * time.Millisecond, inLine: true, decided: true, want: true},
 		{name: "it goes on for too long", late: mostSilence, spokeAfter: time.Millisecond, want: false},
 	} {
 		t.Run(is.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &scheduler{}
 				asked := time.Now()
-				r, p := &remote{}, &pending{asked: asked}
+				r, p := &remote{}, &pending{asked: asked, heard: is.inLine}
 				if is.spokeAfter > 0 {
 					r.heardAt = asked.Add(is.spokeAfter)
 				}
+				if is.decided {
+					r.decidedAt = r.heardAt
+				}
 				due := asked.Add(patience)
 				time.Sleep(patience + is.late)
 				if got := s.waitsOn(r, p, due, patience); got != is.want {
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -36,10 +36,14 @@
 	pending map[string]*pending
 	// running are this box's granted requests, told to a box that takes over.
 	running map[string]*running
-	// routers are the boxes that ask this one.
+	// routers are the streams on which other boxes ask this one, by number.
 	routers map[uint64]*peer.DispatchStream
+	// lastRouter is the number of the last of them; ownRouter is this box's.
+	lastRouter uint64
 	// remote is the box that is asked; nil when it is this one.
 	remote *remote
+	// opening is the stream that is being opened, if any.
+	opening *opening
 	// suspects are boxes that gave no word.
 	suspects map[string]suspicion
 	// floods are the customers beyond their share, with what waits here of each.
@@ -58,8 +62,11 @@
 type remote struct {
 	box    string
 	stream *peer.DispatchStream
-	// heardAt is when it last said something, to whichever request.
-	heardAt time.Time
+	// heardAt is when it last said something, to whichever request, and decidedAt
+	// when that was a verdict.
+	heardAt, decidedAt time.Time
+	// ended is closed with the stream.
+	ended chan struct{}
 	// absent counts the engines in a row that it granted and that are not there.
 	absent int
 }
@@ -203,15 +210,21 @@
 
 func (s *scheduler) deliver(ask *dispatch.Ask, v verdict) {
 	v.by = s.gateway.Settings.Name
-	if ask.Router == s.gateway.incarnation {
+	if ask.Router == ownRouter {
 		s.settle(ask.ID, nil, v)
 		return
 	}
-	if stream := s.routers[ask.Router]; stream != nil && stream.Send(verdictMessage(ask.ID, v)) {
+	stream := s.routers[ask.Router]
+	if stream != nil && stream.Send(verdictMessage(ask.ID, v)) {
 		return
 	}
+	s.log.Warn("verdict not delivered",
+		zap.String("Request", ask.ID),
+		zap.Uint64("Stream", ask.Router),
+		zap.Bool("StreamKnown", stream != nil),
+		zap.String("Endpoint", v.endpoint))
 	if v.endpoint != "" {
-		s.pool.End(ask.ID, dispatch.NotRun{}, time.Now())
+		s.pool.End(ask.ID, dispatch.Unused{}, time.Now())
 	}
 }
 
@@ -227,9 +240,12 @@
 	return true
 }
 
+// ownRouter stands for this box among those that ask.
+const ownRouter = 0
+
 // acquire waits until a request is granted an engine or turned away.
 func (s *scheduler) acquire(ctx context.Context, ask *dispatch.Ask) (verdict, error) {
-	ask.Router = s.gateway.incarnation
+	ask.Router = ownRouter
 	if why := s.enter(ask.Customer); why != admitted {
 		return s.turnHere(why), nil
 	}
@@ -342,14 +358,14 @@
 	}
 	if p.from == nil {
 		if !s.pool.Withdraw(id) {
-			s.pool.End(id, dispatch.NotRun{}, time.Now())
+			s.pool.End(id, dispatch.Unused{}, time.Now())
 		}
 		return
 	}
 	select {
 	case v := <-p.decided:
 		if v.endpoint != "" {
-			p.from.stream.Send(endMessage(id, dispatch.NotRun{}))
+			p.from.stream.Send(endMessage(id, dispatch.Unused{}))
 		}
 	default:
 		p.from.stream.Send(withdrawMessage(id))
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -48,7 +48,8 @@
 	// Heard takes a message. First marks the first one of a stream, which
 	// holds everything that the peer knows.
 	Heard(from Sender, news State, first bool)
-	// Silent reports that the peer's stream ended.
+	// Silent reports that the peer's streams have ended. It must not call the
+	// Exchange.
 	Silent(from Sender)
 }
 
--- a/pkg/peer/listening.go
+++ b/pkg/peer/listening.go
@@ -138,16 +138,14 @@
 }
 
 // countHeard counts the open streams of a sender, and reports its silence when
-// the last one ends.
+// the last one ends. The lock is held meanwhile, so that the first word of a stream
+// opened just then is heard after the silence, and not undone by it.
 func (e *Exchange) countHeard(from Sender, change int) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.heard[from.Incarnation] += change
-	silent := e.heard[from.Incarnation] == 0
-	if silent {
+	if e.heard[from.Incarnation] == 0 {
 		delete(e.heard, from.Incarnation)
-	}
-	e.mu.Unlock()
-	if silent {
 		e.Listener.Silent(from)
 	}
 }
