pkg/dispatch: prompts with short shared parts go where these are kept

Prompts with up to 1,000 shared tokens may go to any engine, and a difference of 15 ms of wait sends one of 570 to where they have to be read. There are 172 such prompts a second, against 70 with long parts.

Change: the time for reading their parts again counts ten times more than itself, in place of twice. TestPlacement's new case fails without it.

--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -40,10 +40,12 @@
 // a prompt's reading.
 const smallShared = 1000
 
+func hasLongShared(p *Prompt) bool { return sharedTokens(p) > smallShared }
+
 // PlaceKey decides, in a pool of many engines, among which of them a request is
 // placed: prompts with the same long part go together, others are spread.
 func (a *Ask) PlaceKey() uint64 {
-	if sharedTokens(&a.Prompt) > smallShared {
+	if hasLongShared(&a.Prompt) {
 		return homeKey(&a.Prompt)
 	}
 	return xxhash.Sum64String(a.ID)
@@ -59,7 +61,7 @@
 
 // demand notes a request for a part.
 func (p *Pool) demand(prompt *Prompt, now time.Time) {
-	if sharedTokens(prompt) <= smallShared {
+	if !hasLongShared(prompt) {
 		return
 	}
 	part := p.part(prompt, now)
@@ -185,7 +187,7 @@
 		return nil
 	}
 	among := p.inOrder
-	if sharedTokens(&ask.Prompt) > smallShared {
+	if hasLongShared(&ask.Prompt) {
 		among = p.candidates(ask, now)
 	}
 	var best *engine
@@ -224,7 +226,7 @@
 // noteKeeper remembers that an engine reads the part that decides where a
 // prompt is kept.
 func (p *Pool) noteKeeper(prompt *Prompt, e *engine, now time.Time) {
-	if sharedTokens(prompt) <= smallShared {
+	if !hasLongShared(prompt) {
 		return
 	}
 	p.part(prompt, now).keptAt(e)
@@ -258,6 +260,10 @@
 // readCost is the time for reading a prompt; shared parts that have to be read
 // again count more, as that time is taken from others.
 func (p *Pool) readCost(e *engine, ask *Ask) time.Duration {
+	factor := p.Rules.MissFactor
+	if !hasLongShared(&ask.Prompt) {
+		factor = p.Rules.ShortMissFactor
+	}
 	tokens, shared := e.missing(&ask.Prompt)
-	return e.readTime(tokens) + time.Duration(float64(e.readTime(shared))*p.Rules.MissFactor)
+	return e.readTime(tokens) + time.Duration(float64(e.readTime(shared))*factor)
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -31,8 +31,11 @@
 	// part may take before it gets one more home.
 	HomeLoad float64
 	// MissFactor weighs the time for reading shared parts again, beside the time
-	// itself.
-	MissFactor float64
+	// itself, for prompts that go to the homes of their parts only, and ShortMissFactor
+	// for those whose shared parts are short: they may go to any engine, and there are
+	// far more of them. With 2 for these, too, as much was read again of parts of 200
+	// to 600 tokens as of those of 5,000, 1.3 in place of 1.0 million tokens in 50 s.
+	MissFactor, ShortMissFactor float64
 	// Window is the time over which customers' shares are counted.
 	Window time.Duration
 }
@@ -49,6 +52,8 @@
 		HomeLoad:    0.25,
 		MissFactor:  2,
 		Window:      4 * time.Second,
+
+		ShortMissFactor: 10,
 	}
 }
 
--- a/pkg/dispatch/pool_test.go
+++ b/pkg/dispatch/pool_test.go
@@ -61,6 +61,17 @@
 		So(decided, ShouldHaveLength, 1)
 		So(decided[0].(Grant).Endpoint, ShouldEqual, home)
 	})
+	Convey("A prompt with a short shared part goes where that is kept, unless it waits far longer there", t, func() {
+		p := newTestPool(9, 0)
+		short := Part{ID: 7, Tokens: 500}
+		home := submit(p, askOf("1", "a", start, short, Part{ID: 100, Tokens: 100}), start)[0].(Grant).Endpoint
+		p.Begin("1", start.Add(firstLag))
+		later := start.Add(time.Second)
+		p.book(askOf("fill", "b", later, Part{ID: 200, Tokens: 4000}), p.engines[home], later)
+		So(submit(p, askOf("2", "a", later, short, Part{ID: 101, Tokens: 100}), later)[0].(Grant).Endpoint, ShouldEqual, home)
+		p.book(askOf("more", "b", later, Part{ID: 201, Tokens: 8000}), p.engines[home], later)
+		So(submit(p, askOf("3", "a", later, short, Part{ID: 102, Tokens: 100}), later)[0].(Grant).Endpoint, ShouldNotEqual, home)
+	})
 	Convey("Where its home is far behind, it goes to another one", t, func() {
 		p := newTestPool(9, 0)
 		home := submit(p, askOf("1", "a", start, shared(7), Part{ID: 100, Tokens: 100}), start)[0].(Grant).Endpoint
