pkg/dispatch: what can not be served while it may wait is refused at once

Hypothesis: requests of a customer beyond its share wait for a quarter of their aim and are refused then, though it was known on arrival that more of its kind waits than is granted in that time.

TestHopelessRequests: 105 ms held on average before, 21 after.

--- a/pkg/dispatch/ask.go
+++ b/pkg/dispatch/ask.go
@@ -88,6 +88,8 @@
 
 	// cost is Prompt.Cost, once.
 	cost float64
+	// hopeless requests are refused unless they can go at the next look.
+	hopeless bool
 	// triedIn is the last round in which an engine was looked for.
 	triedIn uint64
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -33,8 +33,9 @@
 	// MissFactor weighs the time for reading shared parts again, beside the time
 	// itself, for prompts that go to the homes of their parts only, and ShortMissFactor
 	// for those whose shared parts are short: they may go to any engine, and there are
-	// far more of them. With 2 for these, too, as much was read again of parts of 200
-	// to 600 tokens as of those of 5,000, 1.3 in place of 1.0 million tokens in 50 s.
+	// far more of them. With 2 for these, too, 0.48 in place of 0.45 million tokens were
+	// read again on a simulated calm day of 50 s, and 1.5 in 100 less of what was asked
+	// for was answered in time (2 pairs).
 	MissFactor, ShortMissFactor float64
 	// Window is the time over which customers' shares are counted.
 	Window time.Duration
@@ -249,6 +250,7 @@
 	ask.cost = ask.Cost()
 	a := p.account(ask.Customer)
 	a.noteAsked(ask, now, p.Rules.Window)
+	ask.hopeless = p.hopeless(a, ask, now)
 	a.enqueue(ask)
 	p.asks[ask.ID] = ask
 	p.queued++
@@ -372,6 +374,25 @@
 	return p.turnAway(decisions, now)
 }
 
+// hopeless tells that a request of a customer beyond its share can not be served
+// while it may wait here: as much of its kind waits before it as is granted in that
+// time. It is refused at once. Without this, those refused of a customer that asks
+// for ten times its share were held 105 ms on average, with it 21 ms (simulated). One
+// of each kind may always wait.
+func (p *Pool) hopeless(a *account, ask *Ask, now time.Time) bool {
+	k := a.kind(ask.Route)
+	if len(k.queue) == 0 || !p.over(a, ask) {
+		return false
+	}
+	k.granted.advance(now, p.Rules.Window)
+	waiting := 0.0
+	for _, other := range k.queue {
+		waiting += other.cost
+	}
+	granted := k.granted.sum * p.hold(ask) / float64(p.Rules.Window)
+	return waiting+ask.cost/2 > granted
+}
+
 // updateShare brings the even share of the window up to date.
 func (p *Pool) updateShare(now time.Time) {
 	const step = 50 * time.Millisecond
@@ -514,7 +535,7 @@
 		for _, k := range a.kinds {
 			for i := 0; i < len(k.queue); {
 				ask := k.queue[i]
-				if now.Before(ask.Arrived.Add(time.Duration(p.hold(ask)))) && now.Before(ask.Expires) {
+				if !ask.hopeless && now.Before(ask.Arrived.Add(time.Duration(p.hold(ask)))) && now.Before(ask.Expires) {
 					i++
 					continue
 				}
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -234,3 +234,21 @@
 		}
 	})
 }
+
+func TestHopelessRequests(t *testing.T) {
+	Convey("Of a customer ten times beyond its share, most of what is refused is not held", t, func() {
+		s := newSimulation(9, 430000, 110000)
+		s.play(10*time.Second, append(largeCustomer("flood", 30), largeCustomer("other", 1)...)...)
+		refused, held, served := 0, time.Duration(0), 0
+		for key, one := range s.tallies {
+			if key.customer == "flood" {
+				refused += one.refused
+				held += one.heldInVain
+				served += one.inAim
+			}
+		}
+		So(refused, ShouldBeGreaterThan, 5000)
+		So(held/time.Duration(refused), ShouldBeLessThan, 30*time.Millisecond)
+		So(served, ShouldBeGreaterThan, 500)
+	})
+}
