pkg/keepalive: connections that go silent for good are noticed

Cause: a connection may go silent without a reset while new ones work. Only sessions between boxes had a bound, on what they send; a call of the store that waits for changes waited for its whole time, a request on a kept connection to an endpoint until its deadline, and the next one on the next such connection.

When not a byte comes on a kept connection, the other idle ones to that endpoint are closed.

Tests: TestDoubtedSession (a proxy swallows what comes on open connections), TestSilentConnections, TestConnections (the options of both ends).

--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/pkg/keepalive"
 )
 
 // Check is asked again and again while an answer is awaited. An error ends the
@@ -23,6 +25,11 @@
 // checkInterval is the time between two calls of a Check.
 const checkInterval = 200 * time.Millisecond
 
+// silence is how long a connection may be without a sign of life from the endpoint's
+// machine. Callers of streams give up after 2 to 3.2 s without an event, so that an
+// answer that comes later is of no use, and a cut that heals sooner ends none.
+const silence = 4 * time.Second
+
 // maxIdleConns bounds the idle connections kept for one address.
 const maxIdleConns = 64
 
@@ -85,7 +92,7 @@
 }
 
 func (c *Client) dialContext(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: c.ConnectTimeout}
+	dialer := keepalive.Dialer(c.ConnectTimeout, silence)
 	raw, err := dialer.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
 		return nil, &DialError{Address: c.Address, Err: err}
--- a/pkg/endpoint/reply.go
+++ b/pkg/endpoint/reply.go
@@ -75,7 +75,7 @@
 // Do sends a request and waits for the head of its answer. When the context
 // ends, the connection is closed, which also tells the endpoint.
 func (c *Client) Do(ctx context.Context, call *Call) (reply *Reply, err error) {
-	open, err := c.obtain(ctx, call.Sure)
+	open, kept, err := c.obtain(ctx, call.Sure)
 	if err != nil {
 		return nil, err
 	}
@@ -102,6 +102,10 @@
 	sent = open.start(call)
 	reply, err = c.readReply(open, call, isHead)
 	if err != nil {
+		if ctx.Err() != nil && kept {
+			// Not a byte came. The idle ones may have gone silent with it.
+			c.Close()
+		}
 		return nil, &NoAnswerError{Address: c.Address, Err: err}
 	}
 	reply.detach = detach
@@ -110,15 +114,16 @@
 	return reply, nil
 }
 
-// obtain returns an idle connection that may be used, or a new one.
-func (c *Client) obtain(ctx context.Context, sure bool) (*conn, error) {
+// obtain returns an idle connection that may be used, or a new one. Kept tells which.
+func (c *Client) obtain(ctx context.Context, sure bool) (open *conn, kept bool, err error) {
 	for {
 		idle := c.pop()
 		if idle == nil {
-			return c.dialContext(ctx)
+			open, err = c.dialContext(ctx)
+			return open, false, err
 		}
 		if idle.fresh(sure) && idle.reader.Buffered() == 0 && IsQuiet(idle.Conn) {
-			return idle, nil
+			return idle, true, nil
 		}
 		idle.Close()
 	}
--- /dev/null
+++ b/pkg/endpoint/silence_test.go
@@ -0,0 +1,75 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// answerOnce answers the first request of a connection, and swallows the rest.
+func answerOnce(conn net.Conn) error {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	if _, err := readRequest(reader); err != nil {
+		return nil
+	}
+	if _, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")); err != nil {
+		return err
+	}
+	_, err := io.Copy(io.Discard, reader)
+	return err
+}
+
+func TestSilentConnections(t *testing.T) {
+	Convey("After one kept connection was silent, no other that was kept is used", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		group := errgroup.Group{}
+		group.Go(func() error {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return nil
+				}
+				group.Go(func() error { return answerOnce(conn) })
+			}
+		})
+		defer func() { _ = group.Wait() }()
+		defer listener.Close()
+		client := &Client{Address: listener.Addr().String(), ConnectTimeout: time.Second}
+		defer client.Close()
+		call := func(patience time.Duration) error {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			request := &fasthttp.Request{}
+			request.SetRequestURI("http://e/p")
+			request.Header.SetMethod(fasthttp.MethodPost)
+			request.SetBodyString("x")
+			reply, err := client.Do(ctx, &Call{Request: request, Sending: func() error { return nil }})
+			if err != nil {
+				return err
+			}
+			defer reply.Close()
+			_, err = reply.Whole(100)
+			return err
+		}
+		var kept []*conn
+		for range 3 {
+			So(call(20*time.Second), ShouldBeNil)
+			kept = append(kept, client.pop())
+		}
+		for _, one := range kept {
+			client.give(one)
+		}
+		So(call(100*time.Millisecond), ShouldNotBeNil)
+		So(client.idle, ShouldBeEmpty)
+		So(call(20*time.Second), ShouldBeNil)
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/quaylead/quaylead/pkg/box"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/interval"
+	"github.com/quaylead/quaylead/pkg/keepalive"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/registry"
@@ -181,7 +182,7 @@
 }
 
 func (g *Gateway) listenAt(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := keepalive.Listen(address, callerSilence)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -69,6 +69,9 @@
 	// idleTimeout closes connections of callers at rest. It is longer than the
 	// longest that callers reuse them for, so that no request crosses the close.
 	idleTimeout = 60 * time.Second
+	// callerSilence is how long a connection of callers, the balancer or other boxes
+	// may be at rest without a sign of life; each holds a descriptor and memory.
+	callerSilence = 15 * time.Second
 	// readTimeout bounds reading one request.
 	readTimeout = 30 * time.Second
 	// writeTimeout bounds writing one piece of an answer to a slow caller.
--- /dev/null
+++ b/pkg/keepalive/keepalive.go
@@ -0,0 +1,37 @@
+// Package keepalive makes connections that do not stay silent for good: a peer that
+// lost power or was cut off sends no reset, and new connections may work all the
+// while. The operating system then ends the connection with an error.
+package keepalive
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// probes are the questions that a silence holds, besides the time before the first.
+const probes = 2
+
+// config divides a silence among probes. The system counts in whole seconds and takes
+// parts of one for a whole one.
+func config(silence time.Duration) net.KeepAliveConfig {
+	step := silence / (probes + 1)
+	return net.KeepAliveConfig{Enable: true, Idle: step, Interval: step, Count: probes}
+}
+
+// Dialer connects within a time. Its connections end after a silence: with data that
+// is not acknowledged, or at rest.
+func Dialer(connect, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         connect,
+		KeepAliveConfig: config(silence),
+		Control:         userTimeout(silence),
+	}
+}
+
+// Listen listens on a TCP address. Its connections end after a silence while they are
+// at rest; what is not acknowledged is left to the deadlines of those who write.
+func Listen(address string, silence time.Duration) (net.Listener, error) {
+	listening := net.ListenConfig{KeepAliveConfig: config(silence)}
+	return listening.Listen(context.Background(), "tcp", address)
+}
--- /dev/null
+++ b/pkg/keepalive/keepalive_test.go
@@ -0,0 +1,49 @@
+package keepalive
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+)
+
+// option reads a TCP option of a connection.
+func option(conn net.Conn, name int) (value int) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	So(err, ShouldBeNil)
+	So(raw.Control(func(fd uintptr) {
+		value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name)
+	}), ShouldBeNil)
+	So(err, ShouldBeNil)
+	return value
+}
+
+func TestConnections(t *testing.T) {
+	Convey("Both ends ask in time whether the other one is there", t, func() {
+		listener, err := Listen("127.0.0.1:0", 9*time.Second)
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		accepted := make(chan net.Conn, 1)
+		group := errgroup.Group{}
+		group.Go(func() error {
+			conn, err := listener.Accept()
+			accepted <- conn
+			return err
+		})
+		conn, err := Dialer(time.Second, 3*time.Second).Dial("tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		So(group.Wait(), ShouldBeNil)
+		other := <-accepted
+		defer other.Close()
+		So(option(conn, unix.TCP_KEEPIDLE), ShouldEqual, 1)
+		So(option(conn, unix.TCP_KEEPINTVL), ShouldEqual, 1)
+		So(option(conn, unix.TCP_KEEPCNT), ShouldEqual, probes)
+		So(option(conn, unix.TCP_USER_TIMEOUT), ShouldEqual, 3000)
+		So(option(other, unix.TCP_KEEPIDLE), ShouldEqual, 3)
+		So(option(other, unix.TCP_KEEPINTVL), ShouldEqual, 3)
+	})
+}
--- a/pkg/peer/timeout_linux.go
+++ b/pkg/keepalive/silence_linux.go
@@ -1,4 +1,4 @@
-package peer
+package keepalive
 
 import (
 	"syscall"
--- a/pkg/peer/timeout_other.go
+++ b/pkg/keepalive/silence_other.go
@@ -1,14 +1,13 @@
 //go:build !linux
 
-package peer
+package keepalive
 
 import (
 	"syscall"
 	"time"
 )
 
-// userTimeout is only known on Linux; elsewhere the peer's silence is noticed by
-// the missing heartbeats alone.
+// userTimeout is only known on Linux; elsewhere probes alone tell of silence.
 func userTimeout(time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return nil
 }
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/quaylead/quaylead/pkg/interval"
+	"github.com/quaylead/quaylead/pkg/keepalive"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 	"github.com/quaylead/quaylead/pkg/settings"
 )
@@ -136,6 +137,8 @@
 	// redial ends the wait before the session is opened again. Capacity 1.
 	redial  chan struct{}
 	session atomic.Pointer[yamux.Session]
+	// doubted is set while the session is asked for a sign of life.
+	doubted atomic.Bool
 }
 
 // Run serves peers on the listener and keeps a session to each known peer,
@@ -233,6 +236,35 @@
 	}
 }
 
+// doubtTime is how long a doubted session may take to answer. On one that lives an
+// answer takes a millisecond, and from a box without processor time up to a tenth of
+// a second.
+const doubtTime = 500 * time.Millisecond
+
+// Doubt has a session to a peer closed, and opened anew, unless it gives a sign of
+// life: its connection may have gone silent while new ones work.
+func (e *Exchange) Doubt(box string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.peers[box]
+	if l == nil || e.ctx.Err() != nil {
+		return
+	}
+	session := l.session.Load()
+	if session == nil || !l.doubted.CompareAndSwap(false, true) {
+		return
+	}
+	e.group.Go(func() error {
+		defer l.doubted.Store(false)
+		silent := time.AfterFunc(doubtTime, func() { session.Close() })
+		defer silent.Stop()
+		if _, err := session.Ping(); err != nil {
+			e.Log.Warn("session to peer gave no sign of life", zap.String("Peer", box), zap.Error(err))
+		}
+		return nil
+	})
+}
+
 // Reaches tells whether there is a session to a peer.
 func (e *Exchange) Reaches(box string) bool { return e.session(box) != nil }
 
@@ -274,14 +306,11 @@
 }
 
 func (e *Exchange) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout: e.Box.Exchange.DialTimeout.Duration,
-		Control: userTimeout(e.Box.Exchange.Lapse.Duration),
-	}
+	dialer := keepalive.Dialer(e.Box.Exchange.DialTimeout.Duration, e.Box.Exchange.Lapse.Duration)
 	if e.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
-	secure := tls.Dialer{NetDialer: &dialer, Config: e.TLS}
+	secure := tls.Dialer{NetDialer: dialer, Config: e.TLS}
 	return secure.DialContext(ctx, "tcp", address)
 }
 
--- /dev/null
+++ b/pkg/peer/silence_test.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/settings"
+)
+
+// swallower passes connections on to an address. Those that are open when it is told
+// to swallow pass nothing any more and are not closed; new ones work.
+type swallower struct {
+	listener net.Listener
+	target   string
+	group    errgroup.Group
+
+	mu        sync.Mutex
+	conns     []net.Conn
+	swallowed map[net.Conn]bool
+}
+
+func (s *swallower) run() error {
+	for {
+		from, err := s.listener.Accept()
+		if err != nil {
+			return nil
+		}
+		to, err := net.Dial("tcp", s.target)
+		if err != nil {
+			from.Close()
+			continue
+		}
+		s.mu.Lock()
+		s.conns = append(s.conns, from, to)
+		s.mu.Unlock()
+		s.group.Go(func() error { return s.pass(from, to) })
+		s.group.Go(func() error { return s.pass(to, from) })
+	}
+}
+
+func (s *swallower) pass(from, to net.Conn) error {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		s.mu.Lock()
+		silent := s.swallowed[from]
+		s.mu.Unlock()
+		if err != nil && !silent {
+			to.Close()
+		}
+		if err != nil {
+			return nil
+		}
+		if !silent {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return nil
+			}
+		}
+	}
+}
+
+func (s *swallower) swallow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		s.swallowed[conn] = true
+	}
+}
+
+func (s *swallower) close() {
+	s.listener.Close()
+	s.mu.Lock()
+	for _, conn := range s.conns {
+		conn.Close()
+	}
+	s.mu.Unlock()
+	_ = s.group.Wait()
+}
+
+// lonelyBox tells nothing and hears nothing.
+type lonelyBox struct{}
+
+func (lonelyBox) State() State               { return State{} }
+func (lonelyBox) Snapshot() (uint64, []byte) { return 0, nil }
+func (lonelyBox) Heard(Sender, State, bool)  {}
+func (lonelyBox) Silent(Sender)              {}
+
+// answeringServer reads each stream until it ends.
+type answeringServer struct{}
+
+func (answeringServer) ServeDispatch(_ Sender, _ string, stream *DispatchStream) error {
+	_, err := io.Copy(io.Discard, stream.stream)
+	return err
+}
+
+func TestDoubtedSession(t *testing.T) {
+	Convey("A session whose connection went silent is opened anew when it is doubted", t, func() {
+		there, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		between, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		proxy := &swallower{listener: between, target: there.Addr().String(), swallowed: map[net.Conn]bool{}}
+		proxy.group.Go(proxy.run)
+		defer proxy.close()
+		ctx, cancel := context.WithCancel(context.Background())
+		group := errgroup.Group{}
+		defer func() { _ = group.Wait() }()
+		defer cancel()
+		exchange := func(name string, incarnation uint64) *Exchange {
+			own := settings.DefaultBox()
+			own.Name = name
+			return &Exchange{Box: own, Incarnation: incarnation, Teller: lonelyBox{}, Listener: lonelyBox{}, Dispatch: answeringServer{}, Log: zap.NewNop()}
+		}
+		far, near := exchange("far", 1), exchange("near", 2)
+		near.Box.Peers = map[string]settings.Peer{"far": {Address: between.Addr().String()}}
+		own, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		group.Go(func() error { return far.Run(ctx, there) })
+		group.Go(func() error { return near.Run(ctx, own) })
+		eventually := func(holds func() bool) bool {
+			for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+				if holds() {
+					return true
+				}
+				<-time.After(10 * time.Millisecond)
+			}
+			return false
+		}
+		So(eventually(func() bool { return near.Reaches("far") }), ShouldBeTrue)
+		first := near.session("far")
+		near.Doubt("far")
+		<-time.After(2 * doubtTime)
+		So(near.session("far"), ShouldEqual, first)
+		proxy.swallow()
+		near.Doubt("far")
+		So(eventually(func() bool {
+			now := near.session("far")
+			return now != nil && now != first
+		}), ShouldBeTrue)
+	})
+}
