pkg/endpoint: a test of early answers that went by the machine's speed

Cause: TestEarlyAnswer takes it that 32 MB are not written within 20 ms.

Change: the endpoint of the test reads on only after the answer was read, so that the answer is early at any speed; the same is expected as before.

--- a/pkg/endpoint/reply_test.go
+++ b/pkg/endpoint/reply_test.go
@@ -194,14 +194,19 @@
 
 func TestEarlyAnswer(t *testing.T) {
 	Convey("An answer before the body is in is passed on, and the connection not used again", t, func() {
+		// The endpoint reads on only after the answer was read: it must be an early one
+		// however fast the body could be written.
+		release := make(chan struct{})
 		s := serve(t, func(conn net.Conn, reader *bufio.Reader) {
 			if _, err := reader.ReadString('\n'); err != nil {
 				return
 			}
 			_, _ = conn.Write([]byte("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"))
+			<-release
 			_, _ = io.Copy(io.Discard, conn)
 		})
 		defer s.close()
+		defer close(release)
 		written := make(chan struct{})
 		call := callWith(make([]byte, 32<<20))
 		call.Written = func() { close(written) }
