--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -271,7 +271,9 @@
 		r.endpointsRead(time.Now())
 		r.take(entries, !known, fromStore, time.Now())
 		since, known = version, true
-		r.Looked()
+		if !r.lapsePending() {
+			r.Looked()
+		}
 		if r.awaitTurn(ctx) != nil {
 			return nil
 		}
@@ -279,6 +281,16 @@
 	return nil
 }
 
+// lapsePending tells whether this box still uses an endpoint whose entry went, as it
+// was itself without the store just then. Others may not have been, and have to judge
+// by looks of their own: told that they need not look, they sent requests to an
+// endpoint for 3.3 s after it had left, of 2 s allowed.
+func (r *Registry) lapsePending() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.lapsed) > 0
+}
+
 // awaitTurn waits until no box has looked at the endpoints for a while.
 func (r *Registry) awaitTurn(ctx context.Context) error {
 	bound := float64(cmp.Or(r.LeavingTime, defaultLeavingTime))
@@ -313,10 +325,7 @@
 // followLapses drops in time what did not come back.
 func (r *Registry) followLapses(ctx context.Context) error {
 	for interval.Wait(ctx, lapseLook) == nil {
-		r.mu.Lock()
-		pending := len(r.lapsed) > 0
-		r.mu.Unlock()
-		if pending {
+		if r.lapsePending() {
 			r.take(nil, false, fromStore, time.Now())
 		}
 	}
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -297,3 +297,39 @@
 		})
 	})
 }
+
+// TestLooksAfterOwnOutage has some boxes cut off from the store and one not. What they
+// put down to their own outage has to be found by the other one all the same, though
+// they read the store again and tell.
+func TestLooksAfterOwnOutage(t *testing.T) {
+	const cutOff, rounds = 3, 20
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			well := &fakeStore{}
+			well.change(func(s *fakeState) { s.put("a", 1) })
+			other, stop := start(t, well, func(*Registry) {})
+			defer stop()
+			stores := []*fakeStore{well}
+			for range cutOff {
+				store := &fakeStore{}
+				store.change(func(s *fakeState) { s.put("a", 1) })
+				_, stop := start(t, store, func(*Registry) { other.HeardLook() })
+				defer stop()
+				time.Sleep(time.Second)
+				store.change(func(s *fakeState) { s.failing = true })
+				stores = append(stores, store)
+			}
+			time.Sleep(5 * time.Second)
+			for _, store := range stores {
+				store.change(func(s *fakeState) {
+					s.remove("a", 2)
+					s.failing = false
+				})
+			}
+			time.Sleep(defaultLeavingTime)
+			if has(other, "a") {
+				t.Error("the box that was not cut off still uses the endpoint")
+			}
+		})
+	}
+}
