--- a/cmd/quayctl/cmds/commands.go
+++ b/cmd/quayctl/cmds/commands.go
@@ -128,6 +128,7 @@
 		rollbackCommand(opts),
 		statusCommand(opts),
 		drainCommand(opts),
+		lossesCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/cmd/quayctl/cmds/losses.go
@@ -0,0 +1,100 @@
+package cmds
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/quaylead/quaylead/pkg/loss"
+)
+
+// lossesOptions are those of quayctl losses.
+type lossesOptions struct {
+	// request is the ID whose lines are printed; empty prints the tables.
+	request string
+	// most is the number of rows of a table.
+	most int
+}
+
+// defaultRows fit a screen, with five tables.
+const defaultRows = 12
+
+func lossesCommand() *cobra.Command {
+	options := lossesOptions{}
+	command := &cobra.Command{
+		Use:   "losses [LOG...]",
+		Short: "Tell from boxes' logs which requests were not served well, and why",
+		Long: `Losses reads the logs of boxes, from files or from standard input, and prints how many
+requests were refused, late, cut or failed, by cause, customer, route, endpoint and
+second. With --request it prints all lines of one request, in order, of all boxes.
+Lines that are none of a box's log are counted and passed over.`,
+		RunE: func(command *cobra.Command, files []string) error {
+			return options.run(command.OutOrStdout(), command.InOrStdin(), files)
+		},
+	}
+	command.Flags().StringVar(&options.request, "request", "", "print the lines of this request")
+	command.Flags().IntVar(&options.most, "rows", defaultRows, "rows of each table")
+	return command
+}
+
+func (o *lossesOptions) run(out io.Writer, in io.Reader, files []string) error {
+	report := &loss.Report{}
+	var lines []loss.Line
+	take := func(line loss.Line) {
+		report.Add(line)
+		if o.request != "" && line.Fields["Request"] == o.request {
+			lines = append(lines, line)
+		}
+	}
+	bad, err := readLogs(in, files, take)
+	if err != nil {
+		return err
+	}
+	if o.request == "" {
+		err = report.Write(out, o.most)
+	} else {
+		printLines(out, lines)
+	}
+	if bad > 0 {
+		fmt.Fprintf(out, "\n%d lines were not of a box's log\n", bad)
+	}
+	return err
+}
+
+// readLogs reads files, each named like the box that wrote it, or standard input.
+func readLogs(in io.Reader, files []string, take func(loss.Line)) (bad int, err error) {
+	if len(files) == 0 {
+		return loss.Read(in, "", take)
+	}
+	for _, name := range files {
+		more, err := readLog(name, take)
+		if err != nil {
+			return bad, err
+		}
+		bad += more
+	}
+	return bad, nil
+}
+
+func readLog(name string, take func(loss.Line)) (bad int, err error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return 0, err
+	}
+	defer file.Close()
+	box := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
+	return loss.Read(file, box, take)
+}
+
+func printLines(out io.Writer, lines []loss.Line) {
+	slices.SortStableFunc(lines, func(a, b loss.Line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+	for _, line := range lines {
+		fmt.Fprintln(out, line.Box, line.Text)
+	}
+}
--- /dev/null
+++ b/pkg/loss/report.go
@@ -0,0 +1,118 @@
+package loss
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Report gathers losses.
+type Report struct {
+	losses []Loss
+	// first is the earliest line of any kind; seconds count from it.
+	first time.Time
+}
+
+// Add takes a line.
+func (r *Report) Add(line Line) {
+	if r.first.IsZero() || line.Time.Before(r.first) {
+		r.first = line.Time
+	}
+	if loss, ok := Of(&line); ok {
+		r.losses = append(r.losses, loss)
+	}
+}
+
+// Unknown is the part of the losses without a cause.
+func (r *Report) Unknown() float64 {
+	if len(r.losses) == 0 {
+		return 0
+	}
+	unknown := 0
+	for i := range r.losses {
+		if r.losses[i].Cause == UnknownCause {
+			unknown++
+		}
+	}
+	return float64(unknown) / float64(len(r.losses))
+}
+
+// grouping is one of the tables of a report.
+type grouping struct {
+	title string
+	key   func(*Loss) string
+}
+
+func (r *Report) groupings() []grouping {
+	return []grouping{
+		{"Cause", func(l *Loss) string { return string(l.Outcome) + ": " + l.Cause }},
+		{"Customer", func(l *Loss) string { return l.Customer }},
+		{"Route", func(l *Loss) string { return l.Route }},
+		{"Endpoint", func(l *Loss) string { return l.Endpoint }},
+		{"Second", func(l *Loss) string {
+			return fmt.Sprintf("%5d", int(l.Time.Sub(r.first).Seconds()))
+		}},
+	}
+}
+
+// count is one row of a table.
+type count struct {
+	key       string
+	total     int
+	byOutcome map[Outcome]int
+}
+
+var outcomes = []Outcome{Refused, Late, Cut, Failed}
+
+// Write prints the tables: of each grouping at most so many rows, the largest first.
+func (r *Report) Write(to io.Writer, most int) error {
+	fmt.Fprintf(to, "%d requests were refused, late, cut or failed; of %.1f in 100 the cause is unknown\n", len(r.losses), 100*r.Unknown())
+	for _, by := range r.groupings() {
+		fmt.Fprintln(to)
+		table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+		fmt.Fprintf(table, "%s\tTotal\tPart", by.title)
+		for _, outcome := range outcomes {
+			fmt.Fprintf(table, "\t%s", outcome)
+		}
+		fmt.Fprintln(table)
+		for _, row := range r.rows(by.key, most) {
+			fmt.Fprintf(table, "%s\t%d\t%.3f", row.key, row.total, float64(row.total)/float64(len(r.losses)))
+			for _, outcome := range outcomes {
+				fmt.Fprintf(table, "\t%d", row.byOutcome[outcome])
+			}
+			fmt.Fprintln(table)
+		}
+		if err := table.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Report) rows(key func(*Loss) string, most int) []*count {
+	byKey := map[string]*count{}
+	for i := range r.losses {
+		name := key(&r.losses[i])
+		if name == "" {
+			name = "-"
+		}
+		row := byKey[name]
+		if row == nil {
+			row = &count{key: name, byOutcome: map[Outcome]int{}}
+			byKey[name] = row
+		}
+		row.total++
+		row.byOutcome[r.losses[i].Outcome]++
+	}
+	rows := make([]*count, 0, len(byKey))
+	for _, row := range byKey {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b *count) int {
+		return cmp.Or(cmp.Compare(b.total, a.total), cmp.Compare(a.key, b.key))
+	})
+	return rows[:min(most, len(rows))]
+}
