--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -16,8 +16,8 @@
 // tokens beside reading. It is told nothing of what the pool believes.
 type simulation struct {
 	pool *Pool
-	// ReadRate is in tokens a second and engine; First goes from the end of reading
-	// to the first token; Step is between two tokens of an answer.
+	// readRate is in tokens a second and engine; first goes from the end of reading
+	// to the first token; step is between two tokens of an answer.
 	readRate float64
 	first    time.Duration
 	step     time.Duration
@@ -30,9 +30,6 @@
 	now    time.Time
 
 	tallies map[tallyKey]*tally
-	// reading is the time that engines read, idle that they did not while a request
-	// waited.
-	reading time.Duration
 }
 
 type tallyKey struct{ customer, route string }
@@ -185,7 +182,6 @@
 		from = s.freeAt[g.Endpoint]
 	}
 	reading := time.Duration(float64(tokens) / s.readRate * float64(time.Second))
-	s.reading += reading
 	s.freeAt[g.Endpoint] = from.Add(reading)
 	begins := from.Add(reading + s.first)
 	s.at(begins, func() { s.begin(g.Ask) })
@@ -202,11 +198,6 @@
 	}
 }
 
-// used is the part of the engines' time in which they read.
-func (s *simulation) used(length time.Duration) float64 {
-	return s.reading.Seconds() / (length.Seconds() * float64(len(s.freeAt)))
-}
-
 // The requests of a large customer, as its sheet tells them.
 func largeCustomer(name string, factor float64) []source {
 	return []source{
