--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -14,8 +14,8 @@
 	// BacklogPart is the longest predicted wait at an engine that gets new work, in
 	// parts of the shortest aim that is asked for: engines take requests in order, so
 	// what comes next is to have the rest of its aim. 300 ms for aims from 300 ms on
-	// had 2 in 100 less of what was asked for answered in time (8 pairs of simulated
-	// days with trouble).
+	// had 1 to 2 in 100 less of what was asked for answered in time (two times 8 pairs
+	// of simulated days with trouble).
 	BacklogPart float64
 	// BeyondPart is the same for customers beyond their share.
 	BeyondPart float64
@@ -25,7 +25,7 @@
 	// takes about twice as long, and a fault that takes all boxes finds twice as many
 	// under way. Of what was asked for on simulated days with such a fault, 0.5 and 0.7
 	// had 1 and 4 in 100 less answered in time than 0.4, 0.3 as much as 0.4, and calm
-	// days did not differ by more than 1 in 100 up to 0.5 (10 to 24 pairs of days).
+	// days did not differ by more than 2 in 100 up to 0.5 (8 to 24 pairs of days).
 	ReadPart float64
 	// Hold is the part of its aim for which a request may wait here.
 	Hold float64
