--- a/pkg/box/members.go
+++ b/pkg/box/members.go
@@ -17,8 +17,6 @@
 	HeardAt time.Time
 	// Revision is the revision of the settings in force there.
 	Revision uint64
-	// Looks is how often it looked at the endpoints in the store.
-	Looks uint64
 	// Leaving is set once it stops taking work.
 	Leaving bool
 	// Silent is set once its session ended.
@@ -36,9 +34,8 @@
 // keepSilent is how long a silent incarnation stays listed for operators.
 const keepSilent = 10 * time.Minute
 
-// Heard notes a message. First messages hold everything, later ones changes. It
-// reports whether the box has looked at the endpoints since the last message.
-func (m *Members) Heard(from peer.Sender, news peer.State, first bool, now time.Time) (looked bool) {
+// Heard notes a message. First messages hold everything, later ones changes.
+func (m *Members) Heard(from peer.Sender, news peer.State, first bool, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.members == nil {
@@ -52,14 +49,11 @@
 	member.HeardAt = now
 	member.Silent = false
 	member.Revision = news.Revision
-	looked = !first && news.Looks > member.Looks
-	member.Looks = news.Looks
 	member.Leaving = news.Leaving
 	for pool, state := range news.Pools {
 		member.Demand[pool] = state.Demand
 	}
 	m.forgetOld(now)
-	return looked
 }
 
 // Silent notes that a box's session ended.
--- /dev/null
+++ b/pkg/gateway/fetcher.go
@@ -0,0 +1,63 @@
+package gateway
+
+import "sync"
+
+// fetcher takes from other boxes what they know more of, one fetch at a time. Many
+// boxes tell of a new version within milliseconds; with a fetch from each of them, a
+// fleet of 100 boxes and 1,000 endpoints sent 250 kB a second of each box.
+type fetcher struct {
+	// known is the version that this box has.
+	known func() uint64
+	// fetch takes a version from a box.
+	fetch func(from string, version uint64)
+
+	mu      sync.Mutex
+	running bool
+	// sources are the boxes that told of higher versions, and which, since the
+	// fetches began.
+	sources map[string]uint64
+}
+
+// told notes that a box has a version. It reports whether run has to be started.
+func (f *fetcher) told(from string, version uint64) (start bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sources == nil {
+		f.sources = map[string]uint64{}
+	}
+	f.sources[from] = version
+	start = !f.running
+	f.running = true
+	return start
+}
+
+// run fetches until no box that told is ahead. A box from which a fetch fails is asked
+// again when it tells again.
+func (f *fetcher) run() error {
+	for {
+		from, version := f.next()
+		if from == "" {
+			return nil
+		}
+		f.fetch(from, version)
+	}
+}
+
+// next is the box with the highest version among those that are ahead.
+func (f *fetcher) next() (from string, version uint64) {
+	known := f.known()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version = known
+	for box, has := range f.sources {
+		if has > version {
+			from, version = box, has
+		}
+	}
+	delete(f.sources, from)
+	f.running = from != ""
+	if !f.running {
+		f.sources = nil
+	}
+	return from, version
+}
--- /dev/null
+++ b/pkg/gateway/fetcher_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+)
+
+// TestFetcher has many boxes tell of a version at once.
+func TestFetcher(t *testing.T) {
+	type play struct {
+		// failing sources give nothing.
+		failing map[string]bool
+		asked   int
+	}
+	for name, p := range map[string]*play{
+		"One fetch is made for what many boxes tell":                        {asked: 1},
+		"Where the first box fails, another one is asked, and only then":    {failing: map[string]bool{"box-8": true}, asked: 2},
+		"Boxes that all fail are asked once each, until they tell it again": {failing: map[string]bool{"box-7": true, "box-8": true, "box-9": true}, asked: 3},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(name, t, func() {
+				known, asked := uint64(1), 0
+				f := &fetcher{known: func() uint64 { return known }}
+				f.fetch = func(from string, version uint64) {
+					asked++
+					time.Sleep(10 * time.Millisecond)
+					if !p.failing[from] {
+						known = version
+					}
+				}
+				group := errgroup.Group{}
+				// The highest version is asked for first.
+				for version, box := range map[uint64]string{7: "box-7", 9: "box-8", 8: "box-9"} {
+					if len(p.failing) == 0 {
+						version = 9
+					}
+					if f.told(box, version) {
+						group.Go(func() error {
+							synctest.Wait()
+							return f.run()
+						})
+					}
+				}
+				So(group.Wait(), ShouldBeNil)
+				So(asked, ShouldEqual, p.asked)
+				So(f.told("box-1", 20), ShouldBeTrue)
+			})
+		})
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,11 +15,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/quaylead/quaylead/pkg/box"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/keepalive"
 	"github.com/quaylead/quaylead/pkg/logflags"
+	"github.com/quaylead/quaylead/pkg/membership"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/registry"
 	"github.com/quaylead/quaylead/pkg/settings"
@@ -37,10 +37,14 @@
 	incarnation uint64
 	registry    *registry.Registry
 	exchange    *peer.Exchange
-	members     box.Members
-	budget      *retryBudget
-	health      *health
-	load        load
+	fleet       *membership.View
+	// catalogs and directories fetch what other boxes know more of.
+	catalogs, directories fetcher
+	// contactsWake has the contacts chosen anew. Capacity 1.
+	contactsWake chan struct{}
+	budget       *retryBudget
+	health       *health
+	load         load
 	// work runs what serves callers; it outlives the order to stop.
 	work *errgroup.Group
 	// over ends what is still in flight when the time to stop is up.
@@ -55,13 +59,10 @@
 	// time of day may jump.
 	arrivedAfter atomic.Int64
 	inFlight     atomic.Int64
-	// looks counts this box's looks at the endpoints in the store.
-	looks atomic.Uint64
 
 	mu      sync.Mutex
 	pools   map[string]*pool
 	clients map[string]*endpoint.Client
-	peers   map[string]settings.Peer
 }
 
 // errStopTime ends requests that outlast a planned stop.
@@ -85,6 +86,7 @@
 	readyServer := g.readyServer()
 	group.Go(func() error { return g.exchange.Run(behind, peers) })
 	group.Go(func() error { return g.registry.Run(behind) })
+	group.Go(func() error { return g.keepContacts(behind) })
 	group.Go(func() error { return readyServer.Serve(ready) })
 	group.Go(func() error { return callerServer.Serve(callers) })
 	group.Go(func() error { return g.reportCounts(behind) })
@@ -120,7 +122,6 @@
 	g.startedAt = time.Now()
 	g.pools = map[string]*pool{}
 	g.clients = map[string]*endpoint.Client{}
-	g.peers = map[string]settings.Peer{}
 	g.health = &health{log: g.Logs.For(logflags.Pool)}
 	if g.Metrics == nil {
 		g.Metrics = &Metrics{}
@@ -130,14 +131,16 @@
 		Zone:        g.Settings.Zone,
 		PeerAddress: g.Settings.PeerAddress,
 	}
+	g.fleet = &membership.View{}
+	g.contactsWake = make(chan struct{}, 1)
 	g.registry = &registry.Registry{
 		Store:      g.Store,
 		Self:       self,
 		Log:        g.Logs.For(logflags.Platform),
 		Changed:    g.changed,
-		FoundBoxes: g.addPeers,
-		Looked:     g.looked,
-		Peers:      g.members.CountLive,
+		FoundBoxes: g.listed,
+		Looked:     func() { g.exchange.Wake() },
+		Peers:      g.fleet.CountLive,
 
 		LeavingTime: g.Settings.LeavingTime,
 	}
@@ -147,10 +150,14 @@
 		Teller:      g,
 		Listener:    g,
 		Directory:   g,
+		RowTeller:   g.fleet,
 		Dispatch:    g,
 		Cores:       g.Settings.Cores,
 		Log:         g.Logs.For(logflags.Peer),
 	}
+	g.fleet.Self = g.exchange.Self()
+	g.catalogs = fetcher{known: g.catalogVersion, fetch: g.fetchCatalog}
+	g.directories = fetcher{known: g.knownVersion, fetch: g.fetchDirectory}
 	g.budget = &retryBudget{settings: g.Settings, peers: g.registry.Peers, lot: rand.Float64()}
 }
 
@@ -259,7 +266,7 @@
 func (g *Gateway) stop(callers *fasthttp.Server) error {
 	began := time.Now()
 	g.stopping.Store(true)
-	g.exchange.Wake()
+	g.tellOwn()
 	g.log.Info("planned stop began", zap.Int64("InFlight", g.inFlight.Load()))
 	_ = interval.Wait(context.Background(), min(noticeTime, g.Settings.StopTime/2))
 	g.refusingStreams.Store(true)
@@ -299,7 +306,7 @@
 
 // changed brings the pools in line with a new catalog or directory.
 func (g *Gateway) changed() {
-	g.exchange.Wake()
+	g.tellOwn()
 	catalog, directory := g.registry.Catalog(), g.registry.Directory()
 	if catalog == nil || directory == nil {
 		return
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -1,16 +1,19 @@
 package gateway
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 	"github.com/quaylead/quaylead/pkg/registry"
 	"github.com/quaylead/quaylead/pkg/route"
-	"github.com/quaylead/quaylead/pkg/settings"
 )
 
 func addressKnown(endpoints map[string]route.Endpoint, address string) bool {
@@ -22,37 +25,89 @@
 	return false
 }
 
-// addPeers opens sessions to boxes that the store lists. A box that is missing
-// from the list is not taken for gone: its session tells.
-func (g *Gateway) addPeers(boxes []registry.Box) {
-	g.mu.Lock()
+// listed notes boxes that the store lists. A box that is missing from the list is not
+// taken for gone: the fleet tells.
+func (g *Gateway) listed(boxes []registry.Box) {
 	for _, found := range boxes {
-		g.peers[found.Name] = settings.Peer{Address: found.PeerAddress, Zone: found.Zone}
+		g.fleet.Listed(found.Name, found.PeerAddress, found.Zone)
+	}
+	g.chooseContacts()
+}
+
+// tellOwn has other boxes told at once what is in force here.
+func (g *Gateway) tellOwn() {
+	g.fleet.Configure(g.registry.Catalog() != nil, g.stopping.Load())
+	g.exchange.Wake()
+}
+
+const (
+	// contactsInterval is the mean time between two choices of contacts, without news.
+	contactsInterval = 200 * time.Millisecond
+	// contactsLeast is the least time between two: while a fleet starts, news comes
+	// every few milliseconds.
+	contactsLeast = 30 * time.Millisecond
+)
+
+// chooseContacts has the contacts chosen anew soon.
+func (g *Gateway) chooseContacts() {
+	select {
+	case g.contactsWake <- struct{}{}:
+	default:
 	}
-	peers := make(map[string]settings.Peer, len(g.peers))
-	for name, known := range g.peers {
-		peers[name] = known
+}
+
+// keepContacts keeps sessions to the boxes that the fleet's graph asks for, and to
+// those that dispatch, until the context ends.
+func (g *Gateway) keepContacts(ctx context.Context) error {
+	for {
+		contacts := g.fleet.Contacts(time.Now(), g.dispatchers(), g.exchange.Reached())
+		g.exchange.SetContacts(contacts)
+		if interval.Wait(ctx, contactsLeast) != nil {
+			return nil
+		}
+		if interval.WaitOr(ctx, interval.Jittered(contactsInterval), g.contactsWake) != nil {
+			return nil
+		}
 	}
+}
+
+// dispatchers are the boxes that dispatch for the groups of engines, and those that
+// take over from them: a session to these stands before it is needed.
+func (g *Gateway) dispatchers() (boxes []string) {
+	g.mu.Lock()
+	pools := slices.Collect(maps.Values(g.pools))
 	g.mu.Unlock()
-	g.exchange.SetPeers(peers)
+	for _, p := range pools {
+		for _, group := range p.current() {
+			boxes = append(boxes, group.firstRanked(dispatchersReady)...)
+		}
+	}
+	return boxes
 }
 
+// dispatchersReady is the number of boxes, of those that rank first for a group of
+// engines, to which a session is kept.
+const dispatchersReady = 2
+
 // State tells peers what is in force here.
 func (g *Gateway) State() peer.State {
-	state := peer.State{Leaving: g.stopping.Load(), Looks: g.looks.Load()}
-	if catalog := g.registry.Catalog(); catalog != nil {
-		state.Revision = catalog.Version
+	state := peer.State{
+		Leaving:  g.stopping.Load(),
+		Revision: g.catalogVersion(),
 	}
+	knowledge := g.registry.Knowledge()
+	state.Known, state.Looks = knowledge.Known, knowledge.Looks
 	if directory := g.registry.Directory(); directory != nil {
 		state.Directory = directory.Version
 	}
 	return state
 }
 
-// looked tells peers that they need not look at the endpoints themselves.
-func (g *Gateway) looked() {
-	g.looks.Add(1)
-	g.exchange.Wake()
+func (g *Gateway) catalogVersion() uint64 {
+	if catalog := g.registry.Catalog(); catalog != nil {
+		return catalog.Version
+	}
+	return 0
 }
 
 // Snapshot gives peers the configuration in force.
@@ -60,10 +115,11 @@
 	return g.registry.Content()
 }
 
-// Directory gives peers what is known of the endpoints.
-func (g *Gateway) Directory() *peerpb.Directory {
-	directory := &peerpb.Directory{}
-	for _, entry := range g.registry.Entries() {
+// Directory gives peers what changed of the endpoints after a version.
+func (g *Gateway) Directory(since uint64) *peerpb.Directory {
+	entries, then := g.registry.Since(since)
+	directory := &peerpb.Directory{Known: then.Known, Looks: then.Looks}
+	for _, entry := range entries {
 		directory.Endpoints = append(directory.Endpoints, &peerpb.Endpoint{
 			ID:      entry.ID,
 			Version: entry.Version,
@@ -80,26 +136,33 @@
 
 // Heard applies what a peer tells.
 func (g *Gateway) Heard(from peer.Sender, news peer.State, first bool) {
-	if g.members.Heard(from, news, first, time.Now()) {
-		g.registry.HeardLook()
+	if g.fleet.Hear(from, news) {
+		g.exchange.WakeSoon()
+		g.chooseContacts()
 	}
 	if first {
 		g.Logs.For(logflags.Peer).Info("peer heard", zap.String("Peer", from.Box), zap.Uint64("Incarnation", from.Incarnation))
-		g.addPeers([]registry.Box{{Name: from.Box, Zone: from.Zone, PeerAddress: from.PeerAddress}})
 		g.exchange.Redial(from.Box)
 	}
-	if news.Revision > g.State().Revision {
-		g.fetchCatalog(from.Box, news.Revision)
+	if news.Revision > g.catalogVersion() && g.catalogs.told(from.Box, news.Revision) {
+		g.work.Go(g.catalogs.run)
+	}
+	learnt, ask := g.registry.HeardKnowledge(registry.Knowledge{Known: news.Known, Looks: news.Looks}, news.Directory)
+	if ask && g.directories.told(from.Box, news.Known) {
+		g.work.Go(g.directories.run)
 	}
-	if news.Directory > g.State().Directory {
-		g.fetchDirectory(from.Box)
+	if learnt {
+		g.exchange.Wake()
 	}
 }
 
-// fetchCatalog takes a higher version from the peer that told of it, so that a
-// store that is out of reach does not stop its spread.
+// knownVersion is the version of the store up to which all endpoints are known.
+func (g *Gateway) knownVersion() uint64 { return g.registry.Knowledge().Known }
+
+// fetchCatalog takes a higher version from a peer that told of it, so that a store
+// that is out of reach does not stop its spread.
 func (g *Gateway) fetchCatalog(from string, version uint64) {
-	_, content, err := g.exchange.Fetch(from, version)
+	_, content, err := g.exchange.FetchFrom(from, version)
 	if err != nil {
 		g.Logs.For(logflags.Peer).Warn("configuration not taken from peer", zap.String("Peer", from), zap.Error(err))
 		return
@@ -107,8 +170,9 @@
 	g.registry.OfferCatalog(content, from)
 }
 
-func (g *Gateway) fetchDirectory(from string) {
-	directory, err := g.exchange.FetchDirectory(from)
+// fetchDirectory takes what changed of the endpoints since what is known here.
+func (g *Gateway) fetchDirectory(from string, _ uint64) {
+	directory, err := g.exchange.FetchDirectory(from, g.knownVersion())
 	if err != nil {
 		g.Logs.For(logflags.Peer).Warn("endpoints not taken from peer", zap.String("Peer", from), zap.Error(err))
 		return
@@ -128,11 +192,14 @@
 			},
 		})
 	}
-	g.registry.OfferEntries(entries, from)
+	g.registry.OfferEntries(entries, registry.Knowledge{Known: directory.Known, Looks: directory.Looks}, from)
+	g.exchange.Wake()
 }
 
 // Silent notes that a peer's session ended.
 func (g *Gateway) Silent(from peer.Sender) {
-	g.members.Silent(from)
+	if g.fleet.Silent(from) {
+		g.chooseContacts()
+	}
 	g.Logs.For(logflags.Peer).Warn("peer lost", zap.String("Peer", from.Box), zap.Uint64("Incarnation", from.Incarnation))
 }
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -138,6 +139,13 @@
 	return p.groups[best]
 }
 
+// current are the groups in use.
+func (p *pool) current() []*scheduler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.groups)
+}
+
 // named returns a group by the name it has on the wire.
 func (p *pool) named(name string) *scheduler {
 	p.mu.Lock()
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"github.com/quaylead/quaylead/pkg/box"
 	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/logflags"
@@ -44,6 +41,8 @@
 	remote *remote
 	// opening is the stream that is being opened, if any.
 	opening *opening
+	// ranking orders the boxes that may dispatch.
+	ranking ranking
 	// suspects are boxes that gave no word.
 	suspects map[string]suspicion
 	// floods are the customers beyond their share, with what waits here of each.
@@ -270,50 +269,9 @@
 		}
 		s.suspect(box, err)
 	}
-	return s.askOwn(ctx, ask, s.gateway.members.CountLive()+1)
+	return s.askOwn(ctx, ask, s.gateway.fleet.CountLive()+1)
 }
 
-// target is the box that dispatches for the group: the first by weighted
-// rendezvous hash among those that live and to which there is a session. A box
-// without one is not suspect: where all boxes start together, each would leave out
-// most of the others for 1.5 s, and as long several dispatch for the same engines.
-func (s *scheduler) target() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	own := s.gateway.Settings
-	best, bestScore := own.Name, math.Inf(-1)
-	now := time.Now()
-	consider := func(box string, cores float64, reached func() bool) {
-		if now.Before(s.suspects[box].until) {
-			return
-		}
-		if score := boxScore(s.service, box, cores); score > bestScore && reached() {
-			best, bestScore = box, score
-		}
-	}
-	if !s.gateway.stopping.Load() {
-		consider(own.Name, own.Cores, func() bool { return true })
-	}
-	s.gateway.members.EachLive(func(member *box.Member) {
-		if member.Revision > 0 {
-			consider(member.Box, member.Cores, func() bool { return s.gateway.exchange.Reaches(member.Box) })
-		}
-	})
-	return best
-}
-
-// coresPower makes large boxes far more likely to dispatch than their number of
-// cores: they have more to spare, and a small one that dispatches is late.
-const coresPower = 3
-
-func boxScore(service, box string, cores float64) float64 {
-	uniform := uniformOf(hashOf(xxhash.Sum64String(service), xxhash.Sum64String(box)))
-	return math.Log(uniform) / math.Pow(max(cores, leastCores), coresPower)
-}
-
-// leastCores stand for boxes that do not tell what they have.
-const leastCores = 0.05
-
 // askOwn has this box's own pool decide, which sees the requests of all routers
 // or, where it stands in for the box that dispatches, only its own.
 func (s *scheduler) askOwn(ctx context.Context, ask *dispatch.Ask, routers int) (verdict, error) {
--- /dev/null
+++ b/pkg/membership/fleet_test.go
@@ -0,0 +1,409 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/pkg/peer"
+)
+
+// The timing of the simulated fleet, after that of the gateway.
+const (
+	step       = 10 * time.Millisecond
+	chooseEach = 20 * step
+	tellEach   = 5 * step
+	heartbeat  = 100 * step
+	lapse      = 250 * step
+	// dialTime is how long an attempt to open a session takes where nobody answers.
+	dialTime = 50 * step
+)
+
+// node is a simulated box.
+type node struct {
+	View
+	down, frozen bool
+	// island is the part of the network that it is in.
+	island   int
+	contacts map[string]peer.Contact
+	// open are its sessions, by the other's name.
+	open map[string]*session
+	// dialled is when an attempt at a session began.
+	dialled map[string]time.Time
+	phase   int
+}
+
+// session carries one box's news to another.
+type session struct {
+	to *node
+	// incarnation is that of the other box at the opening.
+	incarnation uint64
+	from        peer.Sender
+	told        bool
+	mark        uint64
+	toldAt      time.Time
+	heardAt     time.Time
+}
+
+// fleet simulates boxes that tell each other over sessions, with clocks of synctest.
+type fleet struct {
+	rand  *rand.Rand
+	nodes []*node
+	names map[string]*node
+	steps int
+	next  uint64
+	// rows counts the rows that were sent.
+	rows int
+}
+
+func newFleet(boxes, zones int, seed uint64) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), names: map[string]*node{}}
+	for i := range boxes {
+		f.add(fmt.Sprintf("zone-%d-box-%d", i%zones, i), fmt.Sprintf("zone-%d", i%zones))
+	}
+	return f
+}
+
+// add starts a box that has read the list of the boxes that were there before.
+func (f *fleet) add(name, zone string) *node {
+	n := &node{phase: f.rand.IntN(1000)}
+	f.names[name] = n
+	f.nodes = append(f.nodes, n)
+	n.Self = peer.Sender{Box: name, Zone: zone, PeerAddress: name, Cores: 0.2}
+	f.start(n)
+	return n
+}
+
+// start gives a box a new incarnation that knows nothing but the list.
+func (f *fleet) start(n *node) {
+	f.next++
+	self := n.Self
+	self.Incarnation = f.next
+	n.View = View{Self: self}
+	n.Configure(true, false)
+	n.contacts, n.open, n.dialled = nil, map[string]*session{}, map[string]time.Time{}
+	n.down, n.frozen = false, false
+	for _, other := range f.nodes {
+		n.Listed(other.Self.Box, other.Self.PeerAddress, other.Self.Zone)
+	}
+}
+
+// kill ends a box's process: its sessions are reset.
+func (f *fleet) kill(n *node) {
+	n.down = true
+	for _, s := range n.open {
+		f.close(n, s)
+	}
+	for _, other := range f.nodes {
+		if s := other.open[n.Self.Box]; s != nil {
+			f.close(other, s)
+		}
+	}
+}
+
+func (f *fleet) close(n *node, s *session) {
+	delete(n.open, s.to.Self.Box)
+	if !s.to.down && s.told && s.to.Self.Incarnation == s.incarnation {
+		s.to.Silent(s.from)
+	}
+}
+
+func (f *fleet) connected(a, b *node) bool {
+	return !a.down && !b.down && !a.frozen && !b.frozen && a.island == b.island
+}
+
+// run passes time.
+func (f *fleet) run(length time.Duration) {
+	for range int(length / step) {
+		time.Sleep(step)
+		f.steps++
+		for _, n := range f.nodes {
+			if n.down || n.frozen {
+				continue
+			}
+			at := f.steps + n.phase
+			if at%int(chooseEach/step) == 0 {
+				f.choose(n)
+			}
+			f.dial(n)
+			if at%int(tellEach/step) == 0 {
+				f.tell(n)
+			}
+		}
+		f.lapse()
+	}
+}
+
+func (f *fleet) choose(n *node) {
+	reached := map[string]bool{}
+	for name := range n.open {
+		reached[name] = true
+	}
+	n.contacts = n.Contacts(time.Now(), nil, reached)
+	for name, s := range n.open {
+		if _, wanted := n.contacts[name]; !wanted {
+			f.close(n, s)
+		}
+	}
+}
+
+func (f *fleet) dial(n *node) {
+	for name := range n.contacts {
+		if n.open[name] != nil || time.Since(n.dialled[name]) < dialTime {
+			continue
+		}
+		n.dialled[name] = time.Now()
+		to := f.names[name]
+		if to == nil || !f.connected(n, to) {
+			continue
+		}
+		n.open[name] = &session{to: to, incarnation: to.Self.Incarnation, from: n.Self, heardAt: time.Now()}
+	}
+}
+
+func (f *fleet) tell(n *node) {
+	for name, s := range n.open {
+		contact := n.contacts[name]
+		if !contact.Told || !f.connected(n, s.to) || s.to.Self.Incarnation != s.incarnation {
+			continue
+		}
+		rows, mark := n.Rows(s.mark, name)
+		if len(rows) == 0 && s.told && time.Since(s.toldAt) < heartbeat {
+			continue
+		}
+		f.rows += len(rows)
+		s.mark, s.told, s.toldAt, s.heardAt = mark, true, time.Now(), time.Now()
+		s.to.Hear(n.Self, peer.State{Revision: 1, Chosen: contact.Chosen, Rows: rows})
+	}
+}
+
+// lapse closes the sessions over which nothing came for too long.
+func (f *fleet) lapse() {
+	for _, n := range f.nodes {
+		for _, s := range n.open {
+			if !f.connected(n, s.to) && time.Since(s.heardAt) > lapse {
+				f.close(n, s)
+			}
+		}
+	}
+}
+
+// agree tells whether each box that is up finds alive just those of its island.
+func (f *fleet) agree() bool {
+	up := map[int]int{}
+	for _, n := range f.nodes {
+		if !n.down && !n.frozen {
+			up[n.island]++
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.down && !n.frozen && n.CountLive() != up[n.island]-1 {
+			return false
+		}
+	}
+	return true
+}
+
+// agreeWithin runs until all agree, and tells how long that took.
+func (f *fleet) agreeWithin(most time.Duration) time.Duration {
+	began := time.Now()
+	for time.Since(began) < most && !f.agree() {
+		f.run(tellEach)
+	}
+	if !f.agree() {
+		return time.Hour
+	}
+	return time.Since(began)
+}
+
+func (f *fleet) mostSessions() int {
+	in := map[*node]int{}
+	for _, n := range f.nodes {
+		for _, s := range n.open {
+			in[s.to]++
+		}
+	}
+	counts := make([]int, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		counts = append(counts, len(n.open)+in[n])
+	}
+	return slices.Max(counts)
+}
+
+// shuffled are the boxes in random order.
+func (f *fleet) shuffled() []*node {
+	nodes := slices.Clone(f.nodes)
+	f.rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	return nodes
+}
+
+const (
+	// With 300 boxes and three seeds all tests passed as well; that took four minutes.
+	manyBoxes, zones = 120, 5
+	// seeds is the number of fleets with other luck that each test plays.
+	seeds = 1
+)
+
+func inFleet(t *testing.T, what string, check func(f *fleet)) {
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("%s (seed %d)", what, seed), t, func() {
+				f := newFleet(manyBoxes, zones, seed)
+				So(f.agreeWithin(2*time.Second), ShouldBeLessThan, time.Second)
+				f.run(2 * linger)
+				check(f)
+			})
+		})
+	}
+}
+
+func TestSessionsAreFew(t *testing.T) {
+	inFleet(t, "Boxes of a large fleet keep few sessions, and tell nothing but signs of life while nothing changes", func(f *fleet) {
+		So(f.mostSessions(), ShouldBeLessThanOrEqualTo, 32)
+		before := f.rows
+		f.run(5 * time.Second)
+		So(f.rows, ShouldEqual, before)
+	})
+}
+
+func TestManyBoxesLost(t *testing.T) {
+	inFleet(t, "A third of the boxes die at once: the others agree on who is left", func(f *fleet) {
+		for _, n := range f.shuffled()[:manyBoxes/3] {
+			f.kill(n)
+		}
+		So(f.agreeWithin(5*time.Second), ShouldBeLessThan, time.Second)
+	})
+}
+
+func TestZoneCutOff(t *testing.T) {
+	inFleet(t, "A zone is cut off: each side finds the other gone, and both find each other again", func(f *fleet) {
+		for _, n := range f.nodes {
+			if n.Self.Zone == "zone-1" {
+				n.island = 1
+			}
+		}
+		So(f.agreeWithin(10*time.Second), ShouldBeLessThan, lapse+time.Second)
+		f.run(30 * time.Second)
+		for _, n := range f.nodes {
+			n.island = 0
+		}
+		So(f.agreeWithin(20*time.Second), ShouldBeLessThan, 3*time.Second)
+	})
+}
+
+func TestLongCut(t *testing.T) {
+	inFleet(t, "A zone is cut off until its rows are forgotten: boxes that joined meanwhile learn of it too", func(f *fleet) {
+		for _, n := range f.nodes {
+			if n.Self.Zone == "zone-1" {
+				n.island = 1
+			}
+		}
+		f.run(30 * time.Second)
+		f.add("zone-0-late", "zone-0")
+		time.Sleep(keepLost + time.Minute)
+		f.run(5 * time.Second)
+		for _, n := range f.nodes {
+			n.island = 0
+		}
+		So(f.agreeWithin(20*time.Second), ShouldBeLessThan, 4*time.Second)
+	})
+}
+
+func TestAllKilled(t *testing.T) {
+	inFleet(t, "All boxes are killed and come back: they agree within a second", func(f *fleet) {
+		for _, n := range f.nodes {
+			f.kill(n)
+		}
+		f.run(time.Second)
+		for _, n := range f.nodes {
+			f.start(n)
+		}
+		So(f.agreeWithin(5*time.Second), ShouldBeLessThan, time.Second)
+	})
+}
+
+func TestManyBoxesJoin(t *testing.T) {
+	inFleet(t, "Four fifths more boxes join at once", func(f *fleet) {
+		for i := range manyBoxes * 4 / 5 {
+			f.add(fmt.Sprintf("zone-%d-new-%d", i%zones, i), fmt.Sprintf("zone-%d", i%zones))
+		}
+		So(f.agreeWithin(10*time.Second), ShouldBeLessThan, 2*time.Second)
+		f.run(2 * linger)
+		So(f.mostSessions(), ShouldBeLessThanOrEqualTo, 32)
+	})
+}
+
+func TestFrozenBoxes(t *testing.T) {
+	inFleet(t, "Frozen boxes are found gone, and their old beliefs change nothing when they wake", func(f *fleet) {
+		frozen := f.shuffled()[:manyBoxes/10]
+		for _, n := range frozen {
+			n.frozen = true
+		}
+		So(f.agreeWithin(10*time.Second), ShouldBeLessThan, lapse+time.Second)
+		gone := f.shuffled()[:manyBoxes/10]
+		for _, n := range gone {
+			if !n.frozen {
+				f.kill(n)
+			}
+		}
+		f.run(5 * time.Second)
+		for _, n := range frozen {
+			n.frozen = false
+		}
+		So(f.agreeWithin(10*time.Second), ShouldBeLessThan, 3*time.Second)
+	})
+}
+
+func TestRollingRestart(t *testing.T) {
+	inFleet(t, "Boxes restart one after the other, with the same names", func(f *fleet) {
+		for _, n := range f.shuffled()[:10] {
+			f.kill(n)
+			f.run(20 * step)
+			f.start(n)
+			f.run(5 * step)
+		}
+		So(f.agreeWithin(5*time.Second), ShouldBeLessThan, time.Second)
+	})
+}
+
+// TestLeaving holds that a box that leaves is not counted, wherever it is seen from.
+func TestLeaving(t *testing.T) {
+	inFleet(t, "A leaving box takes no work", func(f *fleet) {
+		leaving := f.nodes[f.rand.IntN(manyBoxes)]
+		leaving.Configure(true, true)
+		f.run(time.Second)
+		for _, n := range f.nodes {
+			expected := manyBoxes - 2
+			if n == leaving {
+				expected = manyBoxes - 1
+			}
+			So(n.CountLive(), ShouldEqual, expected)
+		}
+	})
+}
+
+// TestSmallFleet holds that all boxes of a small fleet keep sessions to all others.
+func TestSmallFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(9, 3, 1)
+		f.run(3 * time.Second)
+		for _, n := range f.nodes {
+			if len(n.open) != 8 {
+				names := slices.SortedFunc(func(yield func(string) bool) {
+					for name := range n.open {
+						if !yield(name) {
+							return
+						}
+					}
+				}, cmp.Compare[string])
+				t.Errorf("%s has sessions to %v", n.Self.Box, names)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/membership/view.go
@@ -0,0 +1,288 @@
+// Package membership keeps which boxes of a fleet are alive, where each box has
+// sessions to a few others only.
+//
+// Each box tells its neighbours a row of its own: whether it takes work, and which
+// boxes tell it of themselves. Only the box itself changes its row; the others pass
+// it on as it is. A box is alive where it is heard by a box that is alive, from this
+// box on. So no box has to declare another one dead, two accounts of a box can not
+// contradict each other, and a part of the fleet that is cut off drops out at once
+// with the last session to it. The cost of this to a box follows from the number of its
+// neighbours and from how often boxes come and go, not from the size of the fleet.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/peer"
+)
+
+// View is what one box knows of the fleet. Its exported fields are set before use. It
+// is safe for concurrent use.
+type View struct {
+	// Self introduces this box.
+	Self peer.Sender
+
+	mu sync.Mutex
+	// own is this box's row.
+	own entry
+	// rows are those of other incarnations, alive or not.
+	rows map[uint64]*entry
+	// heard are the boxes that tell this one of themselves.
+	heard map[uint64]*source
+	// clock counts what became news.
+	clock uint64
+	// log holds the changes in the order of the clock; that a row has changed again
+	// since is told by its own news.
+	log []change
+	// live holds the rows of the other boxes that are alive; nil after a change.
+	// Takers are those of them that take work.
+	live, takers []*entry
+	// boxes are all that were ever heard of, by name.
+	boxes map[string]*candidate
+	// probe is a lost box that is being tried, until probeUntil.
+	probe      string
+	probeUntil time.Time
+}
+
+// entry is a row with what this box needs for passing it on.
+type entry struct {
+	peer.Row
+	// news is the clock when it last changed.
+	news uint64
+	// from is the box that told the change.
+	from string
+	// reached marks that the last search found the box alive.
+	reached bool
+	// lostAt is when the box was first found not to be alive; zero while it is.
+	lostAt time.Time
+}
+
+// change is what became news when the clock stood at a value.
+type change struct {
+	news uint64
+	row  *entry
+}
+
+// source is a box with an open stream to this one.
+type source struct {
+	peer.Sender
+	// chosen is set where that box keeps the session by its own choice.
+	chosen bool
+}
+
+const (
+	// keepLost is how long the row of a box that is not alive is kept, so that an
+	// older account of it is known for what it is. Sessions that last from before a
+	// cut pass on changes only, and cuts of minutes are ordinary.
+	keepLost = 10 * time.Minute
+	// newsAfter is how long a box has to be lost for its return to be news to the
+	// neighbours, though its row is as it was: they may have forgotten it meanwhile.
+	// It is far from keepLost, as boxes start to count at different times.
+	newsAfter = keepLost / 10
+	// mostRows bounds the rows that are kept.
+	mostRows = 8192
+)
+
+// Configure notes what is in force at this box.
+func (v *View) Configure(configured, leaving bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.own.Configured != configured || v.own.Leaving != leaving {
+		v.own.Configured, v.own.Leaving = configured, leaving
+		v.changeOwn()
+	}
+}
+
+// changeOwn makes this box's row news. The lock is held.
+func (v *View) changeOwn() {
+	v.own.Sender = v.Self
+	v.own.Sequence++
+	v.own.from = ""
+	v.noteNews(&v.own)
+	v.own.Heard = v.own.Heard[:0:0]
+	for incarnation := range v.heard {
+		v.own.Heard = append(v.own.Heard, incarnation)
+	}
+	slices.Sort(v.own.Heard)
+}
+
+// noteNews has a row told to the neighbours. The lock is held.
+func (v *View) noteNews(row *entry) {
+	v.clock++
+	row.news = v.clock
+	if len(v.log) > 2*(len(v.rows)+1) {
+		v.log = slices.DeleteFunc(v.log, func(c change) bool { return c.row.news != c.news })
+	}
+	v.log = append(v.log, change{news: v.clock, row: row})
+}
+
+// Hear takes what a box tells on a stream to this one. It reports whether something
+// became news for the others.
+func (v *View) Hear(from peer.Sender, state peer.State) (news bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.prepare()
+	before := v.clock
+	if from.Incarnation == v.Self.Incarnation {
+		return false
+	}
+	known := v.heard[from.Incarnation]
+	if known == nil {
+		known = &source{Sender: from}
+		v.heard[from.Incarnation] = known
+		v.changeOwn()
+	}
+	known.chosen = state.Chosen
+	if v.rows[from.Incarnation] == nil {
+		v.merge(&peer.Row{Sender: from, Leaving: state.Leaving, Configured: state.Revision > 0}, from.Box)
+	}
+	for i := range state.Rows {
+		v.merge(&state.Rows[i], from.Box)
+	}
+	if v.clock != before {
+		v.live = nil
+	}
+	return v.clock != before
+}
+
+func (v *View) prepare() {
+	if v.rows == nil {
+		v.rows = map[uint64]*entry{}
+		v.heard = map[uint64]*source{}
+		v.boxes = map[string]*candidate{}
+	}
+}
+
+// merge takes a row if it is newer than what is known. The lock is held.
+func (v *View) merge(row *peer.Row, from string) {
+	if row.Incarnation == v.Self.Incarnation {
+		return
+	}
+	known := v.rows[row.Incarnation]
+	if known != nil && known.Sequence >= row.Sequence {
+		return
+	}
+	if known == nil {
+		if len(v.rows) >= mostRows {
+			return
+		}
+		known = &entry{}
+		v.rows[row.Incarnation] = known
+	}
+	known.Row = *row
+	known.from = from
+	v.noteNews(known)
+	v.meet(row.Box, row.PeerAddress, row.Zone)
+}
+
+// Silent notes that a box's last stream to this one has ended. It reports whether that
+// is news for the others.
+func (v *View) Silent(from peer.Sender) (news bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.heard[from.Incarnation] == nil {
+		return false
+	}
+	delete(v.heard, from.Incarnation)
+	v.changeOwn()
+	v.live = nil
+	return true
+}
+
+// Rows are those with news since a mark, but for what a box told itself.
+func (v *View) Rows(since uint64, to string) (rows []peer.Row, mark uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.own.Sequence == 0 {
+		v.changeOwn()
+	}
+	first, _ := slices.BinarySearchFunc(v.log, since, func(c change, since uint64) int { return cmp.Compare(c.news, since+1) })
+	for _, c := range v.log[first:] {
+		if c.row.news == c.news && c.row.from != to && c.row.Box != to {
+			rows = append(rows, c.row.Row)
+		}
+	}
+	return rows, v.clock
+}
+
+// search finds the boxes that are alive: those heard here, those that they hear, and
+// so on. The lock is held.
+func (v *View) search() []*entry {
+	if v.live != nil {
+		return v.live
+	}
+	for _, one := range v.rows {
+		one.reached = false
+	}
+	live := make([]*entry, 0, len(v.rows))
+	reach := func(incarnation uint64) {
+		if one := v.rows[incarnation]; one != nil && !one.reached {
+			one.reached = true
+			live = append(live, one)
+		}
+	}
+	for incarnation := range v.heard {
+		reach(incarnation)
+	}
+	for i := 0; i < len(live); i++ {
+		for _, incarnation := range live[i].Heard {
+			reach(incarnation)
+		}
+	}
+	v.live, v.takers = live, nil
+	for _, one := range live {
+		if !one.Leaving {
+			v.takers = append(v.takers, one)
+		}
+	}
+	v.noteLost(time.Now())
+	return live
+}
+
+// noteLost notes since when boxes are lost, and what their return makes news. The lock
+// is held.
+func (v *View) noteLost(now time.Time) {
+	for incarnation, one := range v.rows {
+		switch {
+		case !one.reached && one.lostAt.IsZero():
+			one.lostAt = now
+		case !one.reached && now.Sub(one.lostAt) > keepLost:
+			one.news = 0
+			delete(v.rows, incarnation)
+		case one.reached && !one.lostAt.IsZero():
+			if now.Sub(one.lostAt) > newsAfter {
+				v.noteNews(one)
+			}
+			one.lostAt = time.Time{}
+		}
+	}
+}
+
+// EachLive calls a function with each other box that is alive and takes work. The
+// function may keep nothing of it.
+func (v *View) EachLive(call func(*peer.Row)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.search()
+	for _, one := range v.takers {
+		call(&one.Row)
+	}
+}
+
+// CountLive is the number of other boxes that are alive and take work.
+func (v *View) CountLive() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.search()
+	return len(v.takers)
+}
+
+// Version rises with each change of the boxes that are alive or of what they say.
+func (v *View) Version() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.clock
+}
--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -26,16 +26,20 @@
 		Revision:  state.Revision,
 		Leaving:   state.Leaving,
 		Directory: state.Directory,
+		Known:     state.Known,
 		Looks:     state.Looks,
+		Chosen:    state.Chosen,
+		Rows:      encodeRows(state.Rows),
 	}
 	for name, pool := range state.Pools {
 		if poolUpdate := e.encodePool(update, name, pool); poolUpdate != nil {
 			update.Pools = append(update.Pools, poolUpdate)
 		}
 	}
-	changed = e.first || len(update.Pools) > 0 ||
+	changed = e.first || len(update.Pools) > 0 || len(update.Rows) > 0 ||
 		state.Revision != e.last.Revision || state.Leaving != e.last.Leaving ||
-		state.Directory != e.last.Directory || state.Looks != e.last.Looks
+		state.Directory != e.last.Directory || state.Known != e.last.Known || state.Looks != e.last.Looks ||
+		state.Chosen != e.last.Chosen
 	e.last = state
 	e.first = false
 	return update, changed
@@ -117,7 +121,10 @@
 		Revision:  update.Revision,
 		Leaving:   update.Leaving,
 		Directory: update.Directory,
+		Known:     update.Known,
 		Looks:     update.Looks,
+		Chosen:    update.Chosen,
+		Rows:      decodeRows(update.Rows),
 		Pools:     make(map[string]PoolState, len(update.Pools)),
 	}
 	for _, pool := range update.Pools {
@@ -129,6 +136,50 @@
 	return state, nil
 }
 
+func encodeRows(rows []Row) []*peerpb.Row {
+	encoded := make([]*peerpb.Row, 0, len(rows))
+	for i := range rows {
+		row := &rows[i]
+		encoded = append(encoded, &peerpb.Row{
+			Box:        helloOf(row.Sender),
+			Sequence:   row.Sequence,
+			Leaving:    row.Leaving,
+			Configured: row.Configured,
+			Heard:      row.Heard,
+		})
+	}
+	return encoded
+}
+
+// decodeRows leaves out rows that name no box.
+func decodeRows(encoded []*peerpb.Row) []Row {
+	rows := make([]Row, 0, len(encoded))
+	for _, row := range encoded {
+		if row.Box == nil {
+			continue
+		}
+		rows = append(rows, Row{
+			Sender:     senderOf(row.Box),
+			Sequence:   row.Sequence,
+			Leaving:    row.Leaving,
+			Configured: row.Configured,
+			Heard:      row.Heard,
+		})
+	}
+	return rows
+}
+
+func helloOf(sender Sender) *peerpb.Hello {
+	return &peerpb.Hello{
+		Box:             sender.Box,
+		Zone:            sender.Zone,
+		Incarnation:     sender.Incarnation,
+		OperatorAddress: sender.OperatorAddress,
+		PeerAddress:     sender.PeerAddress,
+		Cores:           uint32(sender.Cores * coreGrain),
+	}
+}
+
 func checkEven(pool *peerpb.PoolUpdate) error {
 	lengths := []int{len(pool.Served), len(pool.Pending), len(pool.Waiting)}
 	if leads := len(pool.Leads); leads > 0 {
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -1,6 +1,6 @@
-// Package peer keeps the boxes of a fleet informed of each other. Each box
-// tells every other one, over a session that it opens itself, what it has
-// served and what waits; it keeps nothing that another box depends on.
+// Package peer carries what the boxes of a fleet tell each other, over sessions
+// that a box opens to the contacts it is given; it keeps nothing that another box
+// depends on.
 package peer
 
 import (
@@ -35,7 +35,15 @@
 
 // DirectoryTeller gives peers what this box knows of the endpoints.
 type DirectoryTeller interface {
-	Directory() *peerpb.Directory
+	// Directory holds what changed after a version of the store.
+	Directory(since uint64) *peerpb.Directory
+}
+
+// RowTeller gives peers what boxes say of themselves.
+type RowTeller interface {
+	// Rows are those with news since a mark, but for what the named box told
+	// itself. The first mark of a stream is 0; the next is the one returned.
+	Rows(since uint64, to string) (rows []Row, mark uint64)
 }
 
 // DispatchServer answers routers that ask this box for engines.
@@ -67,6 +75,29 @@
 	Cores float64
 }
 
+// Row is what a box says of itself. Others pass it on unchanged.
+type Row struct {
+	Sender
+	// Sequence rises with each change by the box itself.
+	Sequence uint64
+	// Leaving is set once the box stops taking work.
+	Leaving bool
+	// Configured is set once a configuration is in force there.
+	Configured bool
+	// Heard are the incarnations of the boxes that tell this one of themselves.
+	Heard []uint64
+}
+
+// Contact is a box to which a session is kept.
+type Contact struct {
+	// Address is where the box is reached by others.
+	Address string
+	// Told contacts get this box's news; to others the session is kept for asking.
+	Told bool
+	// Chosen tells a told contact that it is not told for its own sake only.
+	Chosen bool
+}
+
 // State is what one box tells the others.
 type State struct {
 	// Revision is the revision of the settings in force.
@@ -75,8 +106,16 @@
 	Leaving bool
 	// Directory is the version of what is known of the endpoints.
 	Directory uint64
-	// Looks is how often the box looked at the endpoints in the store.
+	// Known is the store's version up to which all endpoints are known.
+	Known uint64
+	// Looks is the number of the latest look at the endpoints in the store, by any
+	// box, whose outcome is known.
 	Looks uint64
+	// Chosen is set where the box keeps the session by its own choice. It is set
+	// by the exchange.
+	Chosen bool
+	// Rows are what boxes say of themselves; in a received state, what is news.
+	Rows []Row
 	// Pools are by name. In a received state, only what changed is there.
 	Pools map[string]PoolState
 }
@@ -108,6 +147,8 @@
 	Listener    Listener
 	// Directory answers peers that ask for the endpoints; nil refuses them.
 	Directory DirectoryTeller
+	// RowTeller gives the rows that go with states; nil means none.
+	RowTeller RowTeller
 	// Dispatch answers routers that ask for engines; nil refuses them.
 	Dispatch DispatchServer
 	Log      *zap.Logger
@@ -132,8 +173,10 @@
 	name    string
 	address string
 	cancel  context.CancelFunc
-	// wake ends the wait for the next update. Capacity 1.
-	wake chan struct{}
+	// wake ends the wait for the next update, and soon shortens it. Capacity 1.
+	wake, soon chan struct{}
+	// told and chosen are those of the Contact.
+	told, chosen atomic.Bool
 	// redial ends the wait before the session is opened again. Capacity 1.
 	redial  chan struct{}
 	session atomic.Pointer[yamux.Session]
@@ -152,7 +195,7 @@
 	e.peers = map[string]*link{}
 	e.heard = map[uint64]int{}
 	e.mu.Unlock()
-	e.SetPeers(e.Box.Peers)
+	e.SetContacts(ContactsOf(e.Box.Peers))
 	group.Go(func() error {
 		<-ctx.Done()
 		return listener.Close()
@@ -161,37 +204,67 @@
 	return group.Wait()
 }
 
-// SetPeers says which peers to tell. Sessions to peers that are no longer
-// among them are closed.
-func (e *Exchange) SetPeers(peers map[string]settings.Peer) {
+// ContactsOf has all of a list of peers told.
+func ContactsOf(peers map[string]settings.Peer) map[string]Contact {
+	contacts := make(map[string]Contact, len(peers))
+	for name, peer := range peers {
+		contacts[name] = Contact{Address: peer.Address, Told: true, Chosen: true}
+	}
+	return contacts
+}
+
+// SetContacts says to which boxes sessions are kept. Those to boxes that are no
+// longer among them are closed.
+func (e *Exchange) SetContacts(contacts map[string]Contact) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.group == nil || e.ctx.Err() != nil {
 		return
 	}
 	for name, known := range e.peers {
-		if peer, ok := peers[name]; !ok || peer.Address != known.address {
+		if contact, ok := contacts[name]; !ok || contact.Address != known.address {
 			known.cancel()
 			delete(e.peers, name)
 		}
 	}
-	for name, peer := range peers {
-		if _, known := e.peers[name]; known || name == e.Box.Name {
+	for name, contact := range contacts {
+		if name == e.Box.Name {
 			continue
 		}
-		ctx, cancel := context.WithCancel(e.ctx)
-		added := &link{
-			name:    name,
-			address: peer.Address,
-			cancel:  cancel,
-			wake:    make(chan struct{}, 1),
-			redial:  make(chan struct{}, 1),
+		l := e.peers[name]
+		if l == nil {
+			l = e.addLink(name, contact.Address)
 		}
-		e.peers[name] = added
-		e.group.Go(func() error {
-			e.keep(ctx, added)
-			return nil
-		})
+		if l.told.Swap(contact.Told) != contact.Told || l.chosen.Swap(contact.Chosen) != contact.Chosen {
+			wakeUp(l.wake)
+		}
+	}
+}
+
+// addLink has a session opened. The lock is held.
+func (e *Exchange) addLink(name, address string) *link {
+	ctx, cancel := context.WithCancel(e.ctx)
+	added := &link{
+		name:    name,
+		address: address,
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		soon:    make(chan struct{}, 1),
+		redial:  make(chan struct{}, 1),
+	}
+	e.peers[name] = added
+	e.group.Go(func() error {
+		e.keep(ctx, added)
+		return nil
+	})
+	return added
+}
+
+// wakeUp sends without waiting on a channel of capacity 1.
+func wakeUp(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
 
@@ -230,10 +303,7 @@
 	if l == nil {
 		return
 	}
-	select {
-	case l.redial <- struct{}{}:
-	default:
-	}
+	wakeUp(l.redial)
 }
 
 // doubtTime is how long a doubted session may take to answer. On one that lives an
@@ -269,6 +339,19 @@
 // Reaches tells whether there is a session to a peer.
 func (e *Exchange) Reaches(box string) bool { return e.session(box) != nil }
 
+// Reached are the peers to which there is a session.
+func (e *Exchange) Reached() map[string]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reached := make(map[string]bool, len(e.peers))
+	for name, l := range e.peers {
+		if l.session.Load() != nil {
+			reached[name] = true
+		}
+	}
+	return reached
+}
+
 // tell opens a session and sends updates on it until it breaks.
 func (e *Exchange) tell(ctx context.Context, l *link) (err error) {
 	raw, err := e.dial(ctx, l.address)
@@ -285,12 +368,35 @@
 	defer l.session.Store(nil)
 	stop := context.AfterFunc(ctx, func() { session.Close() })
 	defer stop()
-	stream, err := session.Open()
-	if err != nil {
-		return err
-	}
 	e.Log.Info("session to peer opened", zap.String("Peer", l.name))
-	return e.sendUpdates(ctx, stream, l.wake)
+	for {
+		if err := e.awaitTold(ctx, l, session); err != nil {
+			return err
+		}
+		stream, err := session.Open()
+		if err != nil {
+			return err
+		}
+		err = e.sendUpdates(ctx, stream, l)
+		stream.Close()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// awaitTold waits until the peer is to be told.
+func (e *Exchange) awaitTold(ctx context.Context, l *link, session *yamux.Session) error {
+	for !l.told.Load() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-session.CloseChan():
+			return yamux.ErrSessionShutdown
+		case <-l.wake:
+		}
+	}
+	return nil
 }
 
 // Wake has what changed told to all peers at once. It is for news that can not
@@ -299,10 +405,22 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, l := range e.peers {
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		wakeUp(l.wake)
+	}
+}
+
+// rowsDelay is how long rows with news wait for others that come with them: after a
+// start or a loss of many boxes, each box has several rows to pass on within a few
+// milliseconds. News crosses a fleet of 300 boxes in four or five hops, so this delays
+// it by a quarter of a second.
+const rowsDelay = 50 * time.Millisecond
+
+// WakeSoon has what changed told to all peers within rowsDelay.
+func (e *Exchange) WakeSoon() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.peers {
+		wakeUp(l.soon)
 	}
 }
 
@@ -315,9 +433,9 @@
 	return secure.DialContext(ctx, "tcp", address)
 }
 
-// sendUpdates sends everything once and then what changed, at least a
-// heartbeat in each heartbeat interval.
-func (e *Exchange) sendUpdates(ctx context.Context, stream net.Conn, wake <-chan struct{}) error {
+// sendUpdates sends everything once and then what changed, at least a heartbeat in
+// each heartbeat interval, until the peer is no longer to be told.
+func (e *Exchange) sendUpdates(ctx context.Context, stream net.Conn, l *link) error {
 	timing := e.Box.Exchange
 	encoder := newEncoder()
 	hello := &peerpb.Opening{Purpose: &peerpb.Opening_Hello{Hello: e.hello()}}
@@ -325,52 +443,90 @@
 		return err
 	}
 	lastSent := time.Time{}
-	for {
-		update, changed := encoder.encode(e.Teller.State())
+	mark := uint64(0)
+	for l.told.Load() {
+		state := e.Teller.State()
+		state.Chosen = l.chosen.Load()
+		if e.RowTeller != nil {
+			state.Rows, mark = e.RowTeller.Rows(mark, l.name)
+		}
+		update, changed := encoder.encode(state)
 		if changed || time.Since(lastSent) >= timing.Heartbeat.Duration {
 			if err := send(stream, update, timing.Lapse.Duration); err != nil {
 				return err
 			}
 			lastSent = time.Now()
 		}
-		if err := interval.WaitOr(ctx, interval.Jittered(timing.Interval.Duration), wake); err != nil {
+		if err := e.awaitNews(ctx, l); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// awaitNews waits for the time of the next update.
+func (e *Exchange) awaitNews(ctx context.Context, l *link) error {
+	timer := time.NewTimer(interval.Jittered(e.Box.Exchange.Interval.Duration))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-l.wake:
+		return nil
+	case <-l.soon:
+		return interval.WaitOr(ctx, rowsDelay, l.wake)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // coreGrain is the part of a core in which boxes tell their processor time.
 const coreGrain = 1000
 
-// hello introduces this process.
-func (e *Exchange) hello() *peerpb.Hello {
-	return &peerpb.Hello{
+// Self introduces this process.
+func (e *Exchange) Self() Sender {
+	return Sender{
 		Box:             e.Box.Name,
 		Zone:            e.Box.Zone,
 		Incarnation:     e.Incarnation,
 		OperatorAddress: e.Box.OperatorAddress,
 		PeerAddress:     e.Box.PeerAddress,
-		Cores:           uint32(e.Cores * coreGrain),
+		Cores:           e.Cores,
 	}
 }
 
+func (e *Exchange) hello() *peerpb.Hello { return helloOf(e.Self()) }
+
 // Fetch asks peers for settings of at least a revision, one after the other,
 // the named one first, and returns the first that has them.
 func (e *Exchange) Fetch(first string, revision uint64) (found uint64, content []byte, err error) {
 	defer func() { err = trace.Wrap(err, "fetching settings from peers") }()
 	for _, l := range e.links(first) {
-		session := l.session.Load()
-		if session == nil {
-			continue
-		}
-		snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Revision: revision})
-		if err == nil && snapshot.Revision >= revision && snapshot.Revision > 0 {
-			return snapshot.Revision, snapshot.Content, nil
+		found, content, err := e.FetchFrom(l.name, revision)
+		if err == nil {
+			return found, content, nil
 		}
 	}
 	return 0, nil, trace.NotFound("no reachable peer has revision %d", revision)
 }
 
+// FetchFrom asks one peer for settings of at least a revision.
+func (e *Exchange) FetchFrom(box string, revision uint64) (found uint64, content []byte, err error) {
+	defer func() { err = trace.Wrap(err, "fetching settings from %s", box) }()
+	session := e.session(box)
+	if session == nil {
+		return 0, nil, trace.NotFound("no session to the peer")
+	}
+	snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Revision: revision})
+	if err != nil {
+		return 0, nil, err
+	}
+	if snapshot.Revision < revision || snapshot.Revision == 0 {
+		return 0, nil, trace.NotFound("the peer has revision %d, not %d", snapshot.Revision, revision)
+	}
+	return snapshot.Revision, snapshot.Content, nil
+}
+
 func (e *Exchange) links(first string) []*link {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -385,14 +541,14 @@
 	return links
 }
 
-// FetchDirectory asks one peer for what it knows of the endpoints.
-func (e *Exchange) FetchDirectory(from string) (directory *peerpb.Directory, err error) {
+// FetchDirectory asks one peer for what changed of the endpoints after a version.
+func (e *Exchange) FetchDirectory(from string, since uint64) (directory *peerpb.Directory, err error) {
 	defer func() { err = trace.Wrap(err, "fetching the directory from %s", from) }()
 	session := e.session(from)
 	if session == nil {
 		return nil, trace.NotFound("no session to the peer")
 	}
-	snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Directory: true})
+	snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Directory: true, Since: since})
 	if err != nil {
 		return nil, err
 	}
@@ -411,13 +567,18 @@
 	return l.session.Load()
 }
 
+// fetchTimeout bounds a fetch from one peer, before another one is asked. Some hundred
+// kilobytes take milliseconds; a box that is short of processor time may take half a
+// second.
+const fetchTimeout = time.Second
+
 func (e *Exchange) fetchFrom(session *yamux.Session, request *peerpb.SnapshotRequest) (snapshot *peerpb.Snapshot, err error) {
 	stream, err := session.Open()
 	if err != nil {
 		return nil, err
 	}
 	defer stream.Close()
-	timeout := e.Box.Exchange.Lapse.Duration
+	timeout := fetchTimeout
 	opening := &peerpb.Opening{Purpose: &peerpb.Opening_SnapshotRequest{
 		SnapshotRequest: request,
 	}}
--- a/pkg/peer/listening.go
+++ b/pkg/peer/listening.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -74,8 +76,11 @@
 	}
 	switch purpose := opening.Purpose.(type) {
 	case *peerpb.Opening_Hello:
-		defer session.Close()
-		return e.listen(stream, reader, purpose.Hello)
+		err := e.listen(stream, reader, purpose.Hello)
+		if !errors.Is(err, io.EOF) {
+			session.Close()
+		}
+		return err
 	case *peerpb.Opening_SnapshotRequest:
 		return e.sendSnapshot(stream, purpose.SnapshotRequest)
 	case *peerpb.Opening_DispatchHello:
@@ -90,7 +95,7 @@
 	case request.Directory && e.Directory == nil:
 		return trace.BadParameter("this box knows no endpoints")
 	case request.Directory:
-		reply.Content, err = proto.Marshal(e.Directory.Directory())
+		reply.Content, err = proto.Marshal(e.Directory.Directory(request.Since))
 	default:
 		reply.Revision, reply.Content = e.Teller.Snapshot()
 	}
@@ -111,8 +116,9 @@
 	}
 }
 
-// listen passes on a peer's updates until it is silent for too long. The
-// session is then closed, so that the peer starts again with everything.
+// listen passes on a peer's updates until it ends them or is silent for too long.
+// The session is then closed, so that the peer starts again with everything; one on
+// which the peer has ended its updates may still be used for asking.
 func (e *Exchange) listen(stream net.Conn, reader *bufio.Reader, hello *peerpb.Hello) error {
 	from := senderOf(hello)
 	if from.Incarnation == e.Incarnation {
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -20,21 +20,33 @@
 	version uint64
 }
 
-// take merges entries, the newer account of each going first. Whole marks that
-// they are all there are.
-func (r *Registry) take(entries []Entry, whole bool, from string, now time.Time) {
+// takeRead merges what the store says as of a version. Whole marks that the entries
+// are all there are, and not only those that changed.
+func (r *Registry) takeRead(entries []Entry, version uint64, whole bool, now time.Time) {
+	r.update(now, func() (changed bool) {
+		if whole {
+			entries = append(entries, r.absent(entries, version)...)
+		}
+		for i := range entries {
+			changed = r.merge(entries[i], fromStore, now) || changed
+		}
+		// What this box takes for lapsed, others may have to judge by themselves.
+		if len(r.lapsed) == 0 {
+			r.known = max(r.known, version)
+			r.looks++
+		}
+		return changed
+	})
+}
+
+// update changes the entries, and publishes them where that matters.
+func (r *Registry) update(now time.Time, change func() (changed bool)) {
 	r.mu.Lock()
 	if r.entries == nil {
 		r.entries = map[string]Entry{}
 		r.lapsed = map[string]lapse{}
 	}
-	if whole && from == fromStore {
-		entries = append(entries, r.absent(entries)...)
-	}
-	changed := false
-	for i := range entries {
-		changed = r.merge(entries[i], from, now) || changed
-	}
+	changed := change()
 	changed = r.endLapses(now) || changed
 	if changed || r.directory.Load() == nil {
 		r.publish()
@@ -45,8 +57,9 @@
 	}
 }
 
-// absent makes removals of the entries that a whole reading no longer has.
-func (r *Registry) absent(entries []Entry) []Entry {
+// absent makes removals of the entries that a whole reading as of a version no longer
+// has.
+func (r *Registry) absent(entries []Entry, version uint64) []Entry {
 	present := make(map[string]bool, len(entries))
 	for i := range entries {
 		present[entries[i].ID] = true
@@ -55,7 +68,7 @@
 	for id, known := range r.entries {
 		if !present[id] && !known.Gone {
 			known.Gone = true
-			known.Version++
+			known.Version = version
 			gone = append(gone, known)
 		}
 	}
@@ -76,11 +89,16 @@
 	if entry.Gone {
 		return r.remove(known, entry, from, now)
 	}
+	same := had && !known.Gone && entry.Endpoint == known.Endpoint
+	entry.Changed = entry.Version
+	if same {
+		entry.Changed = known.Changed
+	}
 	r.entries[entry.ID] = entry
 	if entry.Version > r.lapsed[entry.ID].version {
 		delete(r.lapsed, entry.ID)
 	}
-	if had && !known.Gone && entry.Endpoint == known.Endpoint {
+	if same {
 		return false
 	}
 	r.Log.Info("endpoint known",
@@ -121,7 +139,7 @@
 }
 
 func (r *Registry) bury(known Entry, version uint64) {
-	known.Version = version
+	known.Version, known.Changed = version, version
 	known.Gone = true
 	r.entries[known.ID] = known
 	delete(r.lapsed, known.ID)
@@ -147,7 +165,7 @@
 		directory.Version = before.Version
 	}
 	for id, entry := range r.entries {
-		directory.Version = max(directory.Version, entry.Version)
+		directory.Version = max(directory.Version, entry.Changed)
 		if !entry.Gone {
 			directory.Endpoints[id] = entry.Endpoint
 		}
@@ -155,18 +173,69 @@
 	r.directory.Store(directory)
 }
 
-// Entries are all accounts of endpoints, for peers.
-func (r *Registry) Entries() []Entry {
+// Knowledge tells how much a box knows of the endpoints.
+type Knowledge struct {
+	// Known is the version of the store up to which all changes are known.
+	Known uint64
+	// Looks numbers the looks of all boxes at the store: the one that looks counts on
+	// from the highest number it has heard. Two that look at once may take the same.
+	Looks uint64
+}
+
+// Knowledge is how much this box knows.
+func (r *Registry) Knowledge() Knowledge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Knowledge{Known: r.known, Looks: r.looks}
+}
+
+// Since are the accounts of endpoints that changed after a version, for a box that
+// knows all up to there, and how much it then knows.
+func (r *Registry) Since(version uint64) (entries []Entry, then Knowledge) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	entries := make([]Entry, 0, len(r.entries))
 	for entry := range maps.Values(r.entries) {
-		entries = append(entries, entry)
+		if entry.Changed > version {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, Knowledge{Known: r.known, Looks: r.looks}
+}
+
+// OfferEntries merges what a peer tells: all that changed after what was known here.
+func (r *Registry) OfferEntries(entries []Entry, then Knowledge, from string) {
+	now := time.Now()
+	looked := false
+	r.update(now, func() (changed bool) {
+		for i := range entries {
+			changed = r.merge(entries[i], from, now) || changed
+		}
+		r.known = max(r.known, then.Known)
+		looked = then.Looks > r.looks
+		r.looks = max(r.looks, then.Looks)
+		return changed
+	})
+	if looked {
+		r.HeardLook()
 	}
-	return entries
 }
 
-// OfferEntries merges what a peer knows.
-func (r *Registry) OfferEntries(entries []Entry, from string) {
-	r.take(entries, false, from, time.Now())
+// HeardKnowledge takes the word of a peer of how much it knows, and of the version at
+// which its directory last changed. Where that is more than is known here, without a
+// change, this box knows as much now, and news is set. Where something changed, the
+// peer has to be asked for it.
+func (r *Registry) HeardKnowledge(other Knowledge, directory uint64) (news, ask bool) {
+	r.mu.Lock()
+	ask = other.Known > r.known && directory > r.known
+	looked := !ask && other.Looks > r.looks
+	news = looked || !ask && other.Known > r.known
+	if !ask {
+		r.known = max(r.known, other.Known)
+		r.looks = max(r.looks, other.Looks)
+	}
+	r.mu.Unlock()
+	if looked {
+		r.HeardLook()
+	}
+	return news, ask
 }
--- /dev/null
+++ b/pkg/registry/knowledge_test.go
@@ -0,0 +1,122 @@
+package registry
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// versionedStore keeps all changes of entries, as the store's feed gives them.
+type versionedStore struct {
+	version uint64
+	entries map[string]Entry
+}
+
+func (s *versionedStore) write(id string, change func(*Entry)) {
+	s.version++
+	entry := s.entries[id]
+	entry.ID = id
+	change(&entry)
+	entry.Version = s.version
+	s.entries[id] = entry
+}
+
+func (s *versionedStore) since(version uint64) (changed []Entry) {
+	for _, entry := range s.entries {
+		if entry.Version > version {
+			changed = append(changed, entry)
+		}
+	}
+	return changed
+}
+
+// whole leaves out what is gone, as the store does.
+func (s *versionedStore) whole() (present []Entry) {
+	for _, entry := range s.entries {
+		if !entry.Gone {
+			present = append(present, entry)
+		}
+	}
+	return present
+}
+
+func (s *versionedStore) endpoints() map[string]route.Endpoint {
+	endpoints := map[string]route.Endpoint{}
+	for _, entry := range s.whole() {
+		endpoints[entry.ID] = entry.Endpoint
+	}
+	return endpoints
+}
+
+// reader is a box that looks at the store and tells others.
+type reader struct {
+	*Registry
+	since uint64
+}
+
+func (r *reader) look(store *versionedStore, whole bool) {
+	entries := store.since(r.since)
+	if whole || r.since == 0 {
+		entries = store.whole()
+	}
+	r.takeRead(entries, store.version, whole || r.since == 0, time.Now())
+	r.since = store.version
+}
+
+// hear takes what another box tells, as boxes do: what changed is asked for.
+func (r *reader) hear(other *reader) {
+	told := other.Knowledge()
+	directory := uint64(0)
+	if d := other.Directory(); d != nil {
+		directory = d.Version
+	}
+	if _, ask := r.HeardKnowledge(told, directory); ask {
+		entries, then := other.Since(r.Knowledge().Known)
+		r.OfferEntries(entries, then, "other")
+	}
+}
+
+// TestDifferencesAddUp holds that a box that knows all up to the store's version, by
+// looks of its own or by differences from others, has the directory that the store has.
+func TestDifferencesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &versionedStore{entries: map[string]Entry{}}
+		var boxes []*reader
+		for range 4 {
+			boxes = append(boxes, &reader{Registry: &Registry{Log: zap.NewNop(), Changed: func() {}}})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprintf("engine-%d", rapid.IntRange(0, 4).Draw(t, "engine"))
+			box := boxes[rapid.IntRange(0, 3).Draw(t, "box")]
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				store.write(id, func(e *Entry) { e.Gone, e.Address = false, fmt.Sprint(store.version) })
+			case 1:
+				store.write(id, func(e *Entry) { e.Gone, e.Leaving = false, true })
+			case 2:
+				store.write(id, func(e *Entry) { e.Gone = true })
+			case 3:
+				// A sign of life, or something that others wrote.
+				store.write(id, func(*Entry) {})
+			case 4:
+				box.look(store, rapid.Bool().Draw(t, "whole"))
+			default:
+				box.hear(boxes[rapid.IntRange(0, 3).Draw(t, "from")])
+			}
+			for i, box := range boxes {
+				if box.Knowledge().Known != store.version || store.version == 0 {
+					continue
+				}
+				if got := box.Directory().Endpoints; !maps.Equal(got, store.endpoints()) {
+					t.Fatalf("box %d has %v, the store %v", i, got, store.endpoints())
+				}
+			}
+		}
+	})
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -27,8 +27,9 @@
 // else but the ID and Version, when it can not be read.
 type Entry struct {
 	route.Endpoint
-	// Version is the store's counter at the entry's last change.
-	Version uint64
+	// Version is the store's counter at the entry's last change, and Changed that at
+	// its last change of more than the sign of life.
+	Version, Changed uint64
 	// Gone entries were removed.
 	Gone    bool
 	Problem error
@@ -91,6 +92,12 @@
 	// content is the catalog's, as it was accepted.
 	content []byte
 	entries map[string]Entry
+	// known is the version of the store up to which all changes of the entries are
+	// known here, by own looks or by what others told.
+	known uint64
+	// looks is the number of the latest look at the entries, by any box, whose outcome
+	// is known here.
+	looks uint64
 	// lapsed are entries that went while the store was unwell; they are used for
 	// a while, unless they come back.
 	lapsed map[string]lapse
@@ -269,7 +276,7 @@
 		}
 		again.reset()
 		r.endpointsRead(time.Now())
-		r.take(entries, !known, fromStore, time.Now())
+		r.takeRead(entries, version, !known, time.Now())
 		since, known = version, true
 		if !r.lapsePending() {
 			r.Looked()
@@ -326,7 +333,7 @@
 func (r *Registry) followLapses(ctx context.Context) error {
 	for interval.Wait(ctx, lapseLook) == nil {
 		if r.lapsePending() {
-			r.take(nil, false, fromStore, time.Now())
+			r.update(time.Now(), func() bool { return false })
 		}
 	}
 	return nil
--- a/pkg/router/follow.go
+++ b/pkg/router/follow.go
@@ -88,7 +88,7 @@
 	for name, known := range r.Box.Peers {
 		peers[name] = known
 	}
-	r.exchange.SetPeers(peers)
+	r.exchange.SetContacts(peer.ContactsOf(peers))
 	r.mu.Lock()
 	r.listed = leaving
 	r.mu.Unlock()
