pkg/registry, pkg/membership: what a box that starts or takes over has to wait for

Where answers of the store are lost at random, each change of a box's word about it crossed the fleet.

Change: a box that hears nobody though others are listed waits up to 3 s; a restarted one writes only if it is not listed; sessions for asking stay 3 s; listed boxes do not count among the first two; words about the store come once a second at most.

TestLooksOfManyBoxes read a variable that boxes still wrote, a race of the test since it was written (1 of 29 runs with the race detector); it reads its own copy, and checks the same.

--- a/cmd/quaybench/cmds/commands.go
+++ b/cmd/quaybench/cmds/commands.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), runCommand(), compareCommand(), experimentsCommand(), slopesCommand(), upCommand(), matrixCommand(), soakCommand())
+	root.AddCommand(demoCommand(), runCommand(), compareCommand(), experimentsCommand(), upCommand(), matrixCommand(), soakCommand())
 	return root
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -147,9 +147,7 @@
 		StoreLost:     g.noteStore,
 		LostElsewhere: g.fleet.StoreLost,
 		LeavingTime:   g.Settings.LeavingTime,
-	}
-	if g.Settings.FirstStart {
-		g.registry.StartWait = firstStartWait
+		FirstStart:    g.Settings.FirstStart,
 	}
 	g.exchange = &peer.Exchange{
 		Box:         g.peerSettings(),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -40,11 +40,6 @@
 	g.exchange.Wake()
 }
 
-// firstStartWait is how long a box of a fleet that starts for the first time waits for
-// others to tell it what the store holds. Sessions stand within half a second, and
-// callers come seconds later.
-const firstStartWait = 700 * time.Millisecond
-
 // noteStore tells the others whether this box reaches the store.
 func (g *Gateway) noteStore(lost bool) {
 	g.fleet.NoteStore(lost)
--- a/pkg/gateway/rank.go
+++ b/pkg/gateway/rank.go
@@ -26,6 +26,8 @@
 type rankedBox struct {
 	name  string
 	score float64
+	// heard is set where the box is known to be alive, and not only listed.
+	heard bool
 }
 
 // rankFor bounds the age of a ranking.
@@ -56,17 +58,17 @@
 	if s.ranking.version == version && now.Before(s.ranking.until) {
 		return s.ranking.first
 	}
-	boxes := []rankedBox{{g.Settings.Name, boxScore(s.service, g.Settings.Name, g.Settings.Cores)}}
+	boxes := []rankedBox{{g.Settings.Name, boxScore(s.service, g.Settings.Name, g.Settings.Cores), true}}
 	g.fleet.EachLive(func(row *peer.Row) {
 		if row.Configured {
-			boxes = append(boxes, rankedBox{row.Box, boxScore(s.service, row.Box, row.Cores)})
+			boxes = append(boxes, rankedBox{row.Box, boxScore(s.service, row.Box, row.Cores), true})
 		}
 	})
 	// After all boxes were gone, those that are back are ranked before they are heard:
 	// otherwise each asks whichever it heard first, and asks another one with each
 	// piece of news. A day with 295 boxes had five changes within 0.8 s of their return.
 	g.fleet.EachUnheard(now, func(box string, cores float64) {
-		boxes = append(boxes, rankedBox{box, boxScore(s.service, box, cores)})
+		boxes = append(boxes, rankedBox{box, boxScore(s.service, box, cores), false})
 	})
 	slices.SortFunc(boxes, func(a, b rankedBox) int {
 		switch {
@@ -104,17 +106,29 @@
 	return g.Settings.Name
 }
 
-// firstRanked are the other boxes among the first few that are not suspect.
+// mostUnheard bounds the boxes that are tried though they are only listed: after a start
+// they may all be gone.
+const mostUnheard = 4
+
+// firstRanked are the other boxes among the first few that are not suspect, and those
+// ahead of them that are only listed.
 func (s *scheduler) firstRanked(count int) (names []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	unheard := 0
 	for _, box := range s.rank() {
-		if now.Before(s.suspects[box.name].until) {
-			continue
-		}
-		if count--; count < 0 {
+		switch {
+		case count == 0:
 			return names
+		case now.Before(s.suspects[box.name].until):
+			continue
+		case box.heard:
+			count--
+		case unheard == mostUnheard:
+			continue
+		default:
+			unheard++
 		}
 		if box.name != s.gateway.Settings.Name {
 			names = append(names, box.name)
--- a/pkg/membership/contacts.go
+++ b/pkg/membership/contacts.go
@@ -20,8 +20,9 @@
 	// failures times in a row.
 	failedUntil time.Time
 	failures    int
-	// chosenUntil is how long its session is kept, after it was last a neighbour.
-	chosenUntil time.Time
+	// chosenUntil is how long its session is kept, after it was last a neighbour, and
+	// askedUntil the same after it was last wanted for asking.
+	chosenUntil, askedUntil time.Time
 	// alive and heardOf tell of its rows.
 	alive, heardOf bool
 }
@@ -46,7 +47,8 @@
 	failFor     = 2 * time.Second
 	failLongest = time.Minute
 	// linger is how long a session to a former neighbour is kept, so that the graph
-	// stays in one piece while the boxes learn of each other.
+	// stays in one piece while the boxes learn of each other, and one to a box that
+	// dispatched, so that nothing is cut where others that rank higher join.
 	linger = 3 * time.Second
 	// probeFor is how long one lost box is tried before the next one: each side of a
 	// cut tries some, so after it any two parts of a large fleet find each other
@@ -98,11 +100,7 @@
 	if box := v.probed(now); box != nil && contacts[box.name].Address == "" {
 		contacts[box.name] = peer.Contact{Address: box.address, Told: true, Chosen: true}
 	}
-	for _, name := range wanted {
-		if box := v.boxes[name]; box != nil && contacts[name].Address == "" {
-			contacts[name] = peer.Contact{Address: box.address}
-		}
-	}
+	v.addAsked(contacts, wanted, now)
 	v.noteWanted(contacts, now, reached)
 	return contacts
 }
@@ -217,6 +215,21 @@
 	}
 }
 
+// addAsked adds the boxes wanted for asking, and for a while those that were: requests
+// may be under way on their sessions. The lock is held.
+func (v *View) addAsked(contacts map[string]peer.Contact, wanted []string, now time.Time) {
+	for _, name := range wanted {
+		if box := v.boxes[name]; box != nil {
+			box.askedUntil = now.Add(linger)
+		}
+	}
+	for name, box := range v.boxes {
+		if now.Before(box.askedUntil) && contacts[name].Address == "" {
+			contacts[name] = peer.Contact{Address: box.address}
+		}
+	}
+}
+
 // probed is the lost box that is tried now; nil where none is lost. The lock is held.
 func (v *View) probed(now time.Time) *candidate {
 	if now.Before(v.probeUntil) {
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -462,3 +462,54 @@
 		f.run(time.Second / 2)
 	}
 }
+
+// TestSettled holds when a starting box believes that it knows the fleet.
+func TestSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A box knows the fleet once no news comes any more", t, func() {
+			alone := &View{Self: peer.Sender{Box: "a", Incarnation: 1}}
+			alone.Configure(true, false)
+			slow := &View{Self: peer.Sender{Box: "a", Incarnation: 1}}
+			slow.Listed(peer.Sender{Box: "b", PeerAddress: "b"})
+			slow.Configure(true, false)
+			So(alone.Settled(time.Now()), ShouldBeFalse)
+			time.Sleep(settleTime + step)
+			So(alone.Settled(time.Now()), ShouldBeTrue)
+			So(slow.Settled(time.Now()), ShouldBeFalse)
+			slow.Hear(peer.Sender{Box: "b", Incarnation: 2, PeerAddress: "b"}, peer.State{Revision: 1})
+			So(slow.Settled(time.Now()), ShouldBeFalse)
+			time.Sleep(settleTime + step)
+			So(slow.Settled(time.Now()), ShouldBeTrue)
+			unheard := 0
+			slow.Listed(peer.Sender{Box: "c", PeerAddress: "c"})
+			slow.EachUnheard(time.Now(), func(string, float64) { unheard++ })
+			So(unheard, ShouldEqual, 1)
+			never := &View{Self: peer.Sender{Box: "a", Incarnation: 1}}
+			never.Listed(peer.Sender{Box: "b", PeerAddress: "b"})
+			never.Configure(true, false)
+			time.Sleep(settleMost + step)
+			So(never.Settled(time.Now()), ShouldBeTrue)
+		})
+	})
+}
+
+// TestAskedBoxes holds that the session to a box that is asked outlasts its being wanted.
+func TestAskedBoxes(t *testing.T) {
+	inFleet(t, "A session for asking stands while it is wanted, and a while longer", func(f *fleet) {
+		n := f.nodes[0]
+		asked := ""
+		for _, other := range f.nodes {
+			if _, neighbour := n.contacts[other.Self.Box]; !neighbour && other != n {
+				asked = other.Self.Box
+			}
+		}
+		now := time.Now()
+		contact, there := n.Contacts(now, []string{asked}, nil)[asked]
+		So(there, ShouldBeTrue)
+		So(contact.Told, ShouldBeFalse)
+		_, there = n.Contacts(now.Add(linger-time.Millisecond), nil, nil)[asked]
+		So(there, ShouldBeTrue)
+		_, there = n.Contacts(now.Add(linger+time.Millisecond), nil, nil)[asked]
+		So(there, ShouldBeFalse)
+	})
+}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -354,10 +354,15 @@
 )
 
 // Settled tells whether this box, since it started, has had time to learn of the fleet.
+// One that hears nobody, though others are listed, has not: it may just be slow.
 func (v *View) Settled(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return now.Sub(v.startedAt) > settleMost || now.Sub(v.newsAt) > settleTime
+	if now.Sub(v.startedAt) > settleMost {
+		return true
+	}
+	alone := len(v.heard) == 0 && len(v.boxes) > 0
+	return !alone && now.Sub(v.newsAt) > settleTime
 }
 
 // Version rises with each change of the boxes that are alive or of what they say.
--- a/pkg/registry/duty.go
+++ b/pkg/registry/duty.go
@@ -11,6 +11,10 @@
 	// dutyLook is the time between two looks whether it falls to this box to follow the
 	// store. A fleet notices within a few seconds that a box is gone; this adds little.
 	dutyLook = 250 * time.Millisecond
+	// firstStartWait is how long a box of a fleet that starts for the first time waits
+	// for others to tell it what the store holds. Sessions stand within half a second,
+	// and callers come seconds later. After a restart callers wait already.
+	firstStartWait = 700 * time.Millisecond
 	// dutyPatience is how long a box that knows nothing yet lets others tell it.
 	dutyPatience = 3 * time.Second
 )
@@ -23,14 +27,14 @@
 		return ctx.Err()
 	}
 	began := time.Now()
-	if !informed {
-		if err := interval.Wait(ctx, r.StartWait); err != nil {
+	if !informed && r.FirstStart {
+		if err := interval.Wait(ctx, firstStartWait); err != nil {
 			return err
 		}
 	}
 	waited := false
 	for !r.Follows() {
-		if r.uninformed() && (r.StartWait == 0 || time.Since(began) > dutyPatience) {
+		if r.uninformed() && (!r.FirstStart || time.Since(began) > dutyPatience) {
 			return ctx.Err()
 		}
 		waited = true
@@ -49,10 +53,25 @@
 // uninformed tells whether this box still lacks what it needs for serving.
 func (r *Registry) uninformed() bool { return r.Catalog() == nil || r.Directory() == nil }
 
+// lostLeast is the least time between two words that the store is lost or back: where
+// answers are lost at random, calls fail and succeed by turns, and each word crosses the
+// fleet.
+const lostLeast = time.Second
+
 // noteCall notes whether this box's calls of the store work.
 func (r *Registry) noteCall(err error) {
+	if r.StoreLost == nil {
+		return
+	}
 	lost := err != nil && !isHistoryLost(err)
-	if r.lost.Swap(lost) != lost && r.StoreLost != nil {
+	now := time.Now()
+	r.mu.Lock()
+	told := lost != r.lost && now.Sub(r.lostAt) >= lostLeast
+	if told {
+		r.lost, r.lostAt = lost, now
+	}
+	r.mu.Unlock()
+	if told {
 		r.StoreLost(lost)
 	}
 }
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -113,8 +113,13 @@
 	if known.ID == "" {
 		known.ID = entry.ID
 	}
+	// While an entry counts as lapsed, its removal is read with each look.
+	lapsed, had := r.lapsed[entry.ID]
+	if had && from == fromStore && entry.Version <= lapsed.version {
+		return false
+	}
 	if !known.Gone && !known.Leaving && from == fromStore && now.Sub(r.unwellAt) < unwellFor {
-		if _, had := r.lapsed[entry.ID]; !had {
+		if !had {
 			r.lapsed[entry.ID] = lapse{until: r.returnedAt.Add(r.grace()), version: entry.Version}
 			r.Log.Info("entry lapsed during an outage, endpoint still used",
 				zap.String("Endpoint", entry.ID),
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,19 +93,16 @@
 	// again, and LostElsewhere tells whether those of another box fail.
 	StoreLost     func(lost bool)
 	LostElsewhere func() bool
-	// StartWait is how long a box that starts waits for other boxes to tell it what the
-	// store holds, before it looks for itself.
-	StartWait time.Duration
+	// FirstStart is set where no box of the fleet has run before.
+	FirstStart bool
 	// LeavingTime is the time within which an endpoint that leaves has to get no
 	// new work; 0 stands for two seconds.
 	LeavingTime time.Duration
 
 	// heardLooks counts the looks of other boxes.
 	heardLooks atomic.Int64
-	// lost is set while this box's calls of the store fail.
-	lost      atomic.Bool
-	catalog   atomic.Pointer[route.Catalog]
-	directory atomic.Pointer[route.Directory]
+	catalog    atomic.Pointer[route.Catalog]
+	directory  atomic.Pointer[route.Directory]
 
 	mu sync.Mutex
 	// content is the catalog's, as it was accepted.
@@ -115,6 +113,10 @@
 	knowledge route.Knowledge
 	// newest is the highest version of an entry.
 	newest uint64
+	// lost is set while this box's calls of the store fail; lostAt is when that last
+	// changed.
+	lost   bool
+	lostAt time.Time
 	// lapsed are entries that went while the store was unwell; they are used for
 	// a while, unless they come back.
 	lapsed map[string]lapse
@@ -404,8 +406,11 @@
 	return nil
 }
 
+// lookAtBoxes reads the list of boxes, with this one in it: each box finds all those
+// that were listed before it, or is found by them. Where the fleet has run before, this
+// box is likely to be listed still, and need not write.
 func (r *Registry) lookAtBoxes(ctx context.Context, announced *bool) error {
-	if !*announced {
+	if !*announced && r.FirstStart {
 		if err := r.Store.Announce(ctx, r.Self); err != nil {
 			return err
 		}
@@ -416,5 +421,17 @@
 		return err
 	}
 	r.FoundBoxes(boxes)
+	if *announced || slices.Contains(boxes, r.Self) {
+		*announced = true
+		return nil
+	}
+	if err := r.Store.Announce(ctx, r.Self); err != nil {
+		return err
+	}
+	*announced = true
+	if boxes, err = r.Store.Boxes(ctx); err != nil {
+		return err
+	}
+	r.FoundBoxes(boxes)
 	return nil
 }
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -288,12 +288,12 @@
 			}
 			time.Sleep(10 * time.Minute)
 			mu.Lock()
-			looks = slices.Clone(looks)
+			seen := slices.Clone(looks)
 			mu.Unlock()
-			for i := 1; i < len(looks); i++ {
-				So(looks[i].Sub(looks[i-1]), ShouldBeLessThan, 1500*time.Millisecond)
+			for i := 1; i < len(seen); i++ {
+				So(seen[i].Sub(seen[i-1]), ShouldBeLessThan, 1500*time.Millisecond)
 			}
-			So(len(looks), ShouldBeLessThan, 10*60*3)
+			So(len(seen), ShouldBeLessThan, 10*60*3)
 		})
 	})
 }
