pkg/registry: what lapsed and did not come back is told to others at once

Cause, found by reading: a box that follows the store does not tell of a look while entries count as lapsed after an outage. When their time was over it dropped them, but told the others with its next look only, up to six tenths of the time for leaving later; since the others no longer look for themselves, they went on using what had left.

Change: once nothing counts as lapsed, that look is part of what is known and told; it does not count as a new look.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -33,11 +33,33 @@
 		// What this box takes for lapsed, others may have to judge by themselves.
 		if len(r.lapsed) == 0 {
 			r.knowledge.Read(version, whole)
+			r.unjudged = unjudged{}
+		} else {
+			r.unjudged = unjudged{version: version, whole: whole || r.unjudged.whole}
 		}
 		return changed
 	})
 }
 
+// unjudged is a look whose outcome is not known yet, as entries count as lapsed.
+type unjudged struct {
+	version uint64
+	whole   bool
+}
+
+// judge takes that look as known once nothing counts as lapsed, so that others hear at
+// once of what did not come back. It is no new look: what it told is seconds old. The
+// lock is held.
+func (r *Registry) judge() {
+	if r.unjudged.version == 0 || len(r.lapsed) > 0 {
+		return
+	}
+	looks := r.knowledge.Looks
+	r.knowledge.Read(r.unjudged.version, r.unjudged.whole)
+	r.knowledge.Looks = looks
+	r.unjudged = unjudged{}
+}
+
 // update changes the entries, and publishes them where that matters.
 func (r *Registry) update(now time.Time, change func() (changed bool)) {
 	r.mu.Lock()
@@ -47,6 +69,7 @@
 	}
 	changed := change()
 	changed = r.endLapses(now) || changed
+	r.judge()
 	if changed || r.directory.Load() == nil {
 		r.publish()
 	}
--- a/pkg/registry/knowledge_test.go
+++ b/pkg/registry/knowledge_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -127,3 +128,42 @@
 		}
 	})
 }
+
+// TestLapsesAreTold has one box follow the store for another one. What went during an
+// outage, and does not come back, has to be dropped by both in the time for leaving.
+func TestLapsesAreTold(t *testing.T) {
+	const rounds = 20
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) {
+			store := &fakeStore{}
+			store.change(func(s *fakeState) { s.put("a", 1) })
+			follower, stop := start(t, store, func(*Registry) {})
+			defer stop()
+			other := &reader{Registry: &Registry{Log: zap.NewNop(), Changed: func() {}}}
+			pass := func(length time.Duration) {
+				for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					other.hear(&reader{Registry: follower})
+				}
+			}
+			pass(time.Second)
+			if !has(other.Registry, "a") {
+				t.Fatal("the other box was not told of the endpoint")
+			}
+			store.change(func(s *fakeState) { s.failing = true })
+			pass(5 * time.Second)
+			store.change(func(s *fakeState) {
+				s.remove("a", 2)
+				s.failing = false
+			})
+			pass(lapseGrace / 2)
+			if !has(other.Registry, "a") {
+				t.Error("the endpoint was dropped though it may come back")
+			}
+			// The longest wait after a failure, the grace, and a look whether it is over.
+			pass(retryMost*5/4 + defaultLeavingTime - lapseReserve + 2*lapseLook - lapseGrace/2)
+			if has(other.Registry, "a") {
+				t.Error("the other box still uses the endpoint")
+			}
+		})
+	}
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -120,6 +120,8 @@
 	// lapsed are entries that went while the store was unwell; they are used for
 	// a while, unless they come back.
 	lapsed map[string]lapse
+	// unjudged is the last look that is not part of the knowledge yet.
+	unjudged unjudged
 	// unwellAt is when a call about the endpoints last failed, and returnedAt when
 	// any box was first known to read them again after that.
 	unwellAt, returnedAt time.Time
