pkg/membership: where the store serves few boxes, one of them is found

Cause, found by reading: two boxes of a zone stand in for those ranked above them that do not reach the store, and no more; where a store turned most boxes of all zones away, nobody would have followed it, though some could.

Change: one more is passed over with every two seconds that the first of them stays out of reach; an outage for all has slowly more boxes trying.

--- a/pkg/membership/duty.go
+++ b/pkg/membership/duty.go
@@ -12,6 +12,10 @@
 	// followersEach. Where a third of the boxes is turned away, so are all four of a
 	// zone in 1 of 80 zones, and other zones follow.
 	mostPassedOver = 2
+	// passMore is the time after which they stand in for one more, while the first of
+	// these does not come back: where the store serves few boxes, one of them is found,
+	// and in an outage for all the number of those that try grows slowly.
+	passMore = 2 * time.Second
 	// dutyRing is the ring that ranks the boxes for it, other than those of contacts.
 	dutyRing = 1000
 )
@@ -21,19 +25,22 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.search()
-	ahead, passed := 0, 0
+	ahead, lost := 0, 0
+	var longest time.Duration
 	own := position(v.Self.Box, dutyRing)
 	for _, one := range v.takers {
 		if one.Zone != v.Self.Zone || position(one.Box, dutyRing) >= own {
 			continue
 		}
-		if one.StoreLost && passed < mostPassedOver {
-			passed++
+		if one.StoreLost {
+			lost++
+			longest = max(longest, time.Since(one.storeLostAt))
 			continue
 		}
 		ahead++
 	}
-	return ahead < followersEach
+	passedOver := min(lost, mostPassedOver+int(longest/passMore))
+	return ahead+lost-passedOver < followersEach
 }
 
 // Followers is the number of boxes that follow the store, or try to.
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -61,6 +61,8 @@
 	news uint64
 	// from are the boxes that told the change; they need not be told it.
 	from []string
+	// storeLostAt is since when the box says that it does not reach the store.
+	storeLostAt time.Time
 	// reached marks that the last search found the box alive.
 	reached bool
 	// lostAt is when the box was first found not to be alive; zero while it is.
@@ -221,6 +223,9 @@
 		known = &entry{}
 		v.rows[row.Incarnation] = known
 	}
+	if row.StoreLost && !known.StoreLost {
+		known.storeLostAt = time.Now()
+	}
 	known.Row = *row
 	known.from = append(known.from[:0], from)
 	v.noteNews(known)
