pkg/membership, pkg/registry: names and files of what follows the store

Read as a newcomer: 'duty' said nothing of what the boxes do, which is to follow the store, and the test of the fleet held its simulation too. Files and names say follow now, and the simulation has a file. Nothing else changed; both packages' tests pass.

--- a/pkg/membership/duty.go
+++ b/pkg/membership/followers.go
@@ -16,8 +16,9 @@
 	// these does not come back: where the store serves few boxes, one of them is found,
 	// and in an outage for all the number of those that try grows slowly.
 	passMore = 2 * time.Second
-	// dutyRing is the ring that ranks the boxes for it, other than those of contacts.
-	dutyRing = 1000
+	// followRing is the ring that ranks the boxes for following the store, other than
+	// those of contacts.
+	followRing = 1000
 )
 
 // Follows tells whether it falls to this box to follow the store.
@@ -27,9 +28,9 @@
 	v.search()
 	ahead, lost := 0, 0
 	var longest time.Duration
-	own := position(v.Self.Box, dutyRing)
+	own := position(v.Self.Box, followRing)
 	for _, one := range v.takers {
-		if one.Zone != v.Self.Zone || position(one.Box, dutyRing) >= own {
+		if one.Zone != v.Self.Zone || position(one.Box, followRing) >= own {
 			continue
 		}
 		if one.StoreLost {
--- /dev/null
+++ b/pkg/membership/simulation_test.go
@@ -0,0 +1,267 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/peer"
+)
+
+// The timing of the simulated fleet, after that of the gateway.
+const (
+	step       = 10 * time.Millisecond
+	chooseEach = 20 * step
+	tellEach   = 5 * step
+	heartbeat  = 100 * step
+	lapse      = 250 * step
+	// dialTime is how long an attempt to open a session takes where nobody answers.
+	dialTime = 50 * step
+)
+
+// node is a simulated box.
+type node struct {
+	View
+	down, frozen bool
+	// island is the part of the network that it is in.
+	island   int
+	contacts map[string]peer.Contact
+	// open are its sessions, by the other's name.
+	open map[string]*session
+	// dialled is when an attempt at a session began.
+	dialled map[string]time.Time
+	phase   int
+}
+
+// session carries one box's news to another.
+type session struct {
+	to *node
+	// incarnation is that of the other box at the opening.
+	incarnation uint64
+	from        peer.Sender
+	told        bool
+	mark        uint64
+	toldAt      time.Time
+	heardAt     time.Time
+}
+
+// fleet simulates boxes that tell each other over sessions, with clocks of synctest.
+type fleet struct {
+	rand  *rand.Rand
+	nodes []*node
+	names map[string]*node
+	steps int
+	next  uint64
+	// rows counts the rows that were sent.
+	rows int
+}
+
+func newFleet(boxes, zones int, seed uint64) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), names: map[string]*node{}}
+	for i := range boxes {
+		f.add(fmt.Sprintf("zone-%d-box-%d", i%zones, i), fmt.Sprintf("zone-%d", i%zones))
+	}
+	return f
+}
+
+// add starts a box that has read the list of the boxes that were there before.
+func (f *fleet) add(name, zone string) *node {
+	n := &node{phase: f.rand.IntN(1000)}
+	f.names[name] = n
+	f.nodes = append(f.nodes, n)
+	n.Self = peer.Sender{Box: name, Zone: zone, PeerAddress: name, Cores: 0.2}
+	f.start(n)
+	return n
+}
+
+// start gives a box a new incarnation that knows nothing but the list.
+func (f *fleet) start(n *node) {
+	f.next++
+	self := n.Self
+	self.Incarnation = f.next
+	n.View = View{Self: self}
+	n.Configure(true, false)
+	n.contacts, n.open, n.dialled = nil, map[string]*session{}, map[string]time.Time{}
+	n.down, n.frozen = false, false
+	for _, other := range f.nodes {
+		n.Listed(other.Self)
+	}
+}
+
+// kill ends a box's process: its sessions are reset.
+func (f *fleet) kill(n *node) {
+	n.down = true
+	for _, s := range n.open {
+		f.close(n, s)
+	}
+	for _, other := range f.nodes {
+		if s := other.open[n.Self.Box]; s != nil {
+			f.close(other, s)
+		}
+	}
+}
+
+func (f *fleet) close(n *node, s *session) {
+	delete(n.open, s.to.Self.Box)
+	if !s.to.down && s.told && s.to.Self.Incarnation == s.incarnation {
+		s.to.Silent(s.from)
+	}
+}
+
+func (f *fleet) connected(a, b *node) bool {
+	return !a.down && !b.down && !a.frozen && !b.frozen && a.island == b.island
+}
+
+// run passes time.
+func (f *fleet) run(length time.Duration) {
+	for range int(length / step) {
+		time.Sleep(step)
+		f.steps++
+		for _, n := range f.nodes {
+			if n.down || n.frozen {
+				continue
+			}
+			at := f.steps + n.phase
+			if at%int(chooseEach/step) == 0 {
+				f.choose(n)
+			}
+			f.dial(n)
+			if at%int(tellEach/step) == 0 {
+				f.tell(n)
+			}
+		}
+		f.lapse()
+	}
+}
+
+func (f *fleet) choose(n *node) {
+	reached := map[string]bool{}
+	for name := range n.open {
+		reached[name] = true
+	}
+	n.contacts = n.Contacts(time.Now(), nil, reached)
+	n.Refresh(time.Now())
+	for name, s := range n.open {
+		if _, wanted := n.contacts[name]; !wanted {
+			f.close(n, s)
+		}
+	}
+}
+
+func (f *fleet) dial(n *node) {
+	for name := range n.contacts {
+		if n.open[name] != nil || time.Since(n.dialled[name]) < dialTime {
+			continue
+		}
+		n.dialled[name] = time.Now()
+		to := f.names[name]
+		if to == nil || !f.connected(n, to) {
+			continue
+		}
+		n.open[name] = &session{to: to, incarnation: to.Self.Incarnation, from: n.Self, heardAt: time.Now()}
+	}
+}
+
+func (f *fleet) tell(n *node) {
+	for name, s := range n.open {
+		contact := n.contacts[name]
+		if !contact.Told || !f.connected(n, s.to) || s.to.Self.Incarnation != s.incarnation {
+			continue
+		}
+		rows, mark := n.Rows(s.mark, name)
+		if len(rows) == 0 && s.told && time.Since(s.toldAt) < heartbeat {
+			continue
+		}
+		f.rows += len(rows)
+		s.mark, s.told, s.toldAt, s.heardAt = mark, true, time.Now(), time.Now()
+		s.to.Hear(n.Self, peer.State{Revision: 1, Chosen: contact.Chosen, Rows: rows})
+	}
+}
+
+// lapse closes the sessions over which nothing came for too long.
+func (f *fleet) lapse() {
+	for _, n := range f.nodes {
+		for _, s := range n.open {
+			if !f.connected(n, s.to) && time.Since(s.heardAt) > lapse {
+				f.close(n, s)
+			}
+		}
+	}
+}
+
+// agree tells whether each box that is up finds alive just those of its island.
+func (f *fleet) agree() bool {
+	up := map[int]int{}
+	for _, n := range f.nodes {
+		if !n.down && !n.frozen {
+			up[n.island]++
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.down && !n.frozen && n.CountLive() != up[n.island]-1 {
+			return false
+		}
+	}
+	return true
+}
+
+// agreeWithin runs until all agree, and tells how long that took.
+func (f *fleet) agreeWithin(most time.Duration) time.Duration {
+	began := time.Now()
+	for time.Since(began) < most && !f.agree() {
+		f.run(tellEach)
+	}
+	if !f.agree() {
+		return time.Hour
+	}
+	return time.Since(began)
+}
+
+func (f *fleet) mostSessions() int {
+	in := map[*node]int{}
+	for _, n := range f.nodes {
+		for _, s := range n.open {
+			in[s.to]++
+		}
+	}
+	counts := make([]int, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		counts = append(counts, len(n.open)+in[n])
+	}
+	return slices.Max(counts)
+}
+
+// shuffled are the boxes in random order.
+func (f *fleet) shuffled() []*node {
+	nodes := slices.Clone(f.nodes)
+	f.rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	return nodes
+}
+
+// lastFollowers are the two boxes of a zone to which following the store falls last.
+func (f *fleet) lastFollowers(zone string) []*node {
+	var nodes []*node
+	for _, n := range f.nodes {
+		if n.Self.Zone == zone {
+			nodes = append(nodes, n)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b *node) int {
+		return cmp.Compare(position(b.Self.Box, followRing), position(a.Self.Box, followRing))
+	})
+	return nodes[:2]
+}
+
+// tryStore has the boxes that follow the store call it, for a few seconds.
+func (f *fleet) tryStore(away map[*node]bool) {
+	for range 10 {
+		for _, n := range f.nodes {
+			if n.Follows() && n.own.StoreLost != away[n] {
+				n.NoteStore(away[n])
+			}
+		}
+		f.run(time.Second / 2)
+	}
+}
--- a/pkg/registry/duty.go
+++ b/pkg/registry/follow.go
@@ -8,21 +8,21 @@
 )
 
 const (
-	// dutyLook is the time between two looks whether it falls to this box to follow the
+	// followLook is the time between two looks whether it falls to this box to follow the
 	// store. A fleet notices within a few seconds that a box is gone; this adds little.
-	dutyLook = 250 * time.Millisecond
+	followLook = 250 * time.Millisecond
 	// firstStartWait is how long a box of a fleet that starts for the first time waits
 	// for others to tell it what the store holds. Sessions stand within half a second,
 	// and callers come seconds later. After a restart callers wait already.
 	firstStartWait = 700 * time.Millisecond
-	// dutyPatience is how long a box that knows nothing yet lets others tell it.
-	dutyPatience = 3 * time.Second
+	// toldPatience is how long a box that knows nothing yet lets others tell it.
+	toldPatience = 3 * time.Second
 )
 
-// awaitDuty waits until it falls to this box to follow the store. A box that knows
+// awaitFollow waits until it falls to this box to follow the store. A box that knows
 // nothing, and is told nothing, looks for itself. It returns the context's error if
 // that ends first.
-func (r *Registry) awaitDuty(ctx context.Context, informed bool) error {
+func (r *Registry) awaitFollow(ctx context.Context, informed bool) error {
 	if r.Follows == nil {
 		return ctx.Err()
 	}
@@ -34,11 +34,11 @@
 	}
 	waited := false
 	for !r.Follows() {
-		if r.uninformed() && (!r.FirstStart || time.Since(began) > dutyPatience) {
+		if r.uninformed() && (!r.FirstStart || time.Since(began) > toldPatience) {
 			return ctx.Err()
 		}
 		waited = true
-		if err := interval.Wait(ctx, interval.Jittered(dutyLook)); err != nil {
+		if err := interval.Wait(ctx, interval.Jittered(followLook)); err != nil {
 			return err
 		}
 	}
--- a/pkg/registry/duty_test.go
+++ b/pkg/registry/follow_test.go
@@ -35,8 +35,8 @@
 	return c.fakeStore.EndpointsSince(ctx, version)
 }
 
-// TestDuty holds which boxes call the store, and when.
-func TestDuty(t *testing.T) {
+// TestFollowing holds which boxes call the store, and when.
+func TestFollowing(t *testing.T) {
 	type box struct {
 		*Registry
 		store                  *callsOf
@@ -60,7 +60,7 @@
 			So(b.store.catalog.Load()+b.store.endpoints.Load(), ShouldEqual, 0)
 		}},
 		{"a box that nobody tells anything looks for itself", false, func(b *box) {
-			time.Sleep(dutyPatience + time.Second + 2*dutyLook)
+			time.Sleep(toldPatience + time.Second + 2*followLook)
 			So(b.Catalog(), ShouldNotBeNil)
 			So(has(b.Registry, "a"), ShouldBeTrue)
 		}},
@@ -74,7 +74,7 @@
 			time.Sleep(time.Minute)
 			b.store.change(func(s *fakeState) { s.remove("a", 2) })
 			b.follows.Store(true)
-			time.Sleep(2 * dutyLook)
+			time.Sleep(2 * followLook)
 			So(has(b.Registry, "a"), ShouldBeFalse)
 			So(b.Knowledge().Known, ShouldEqual, 2)
 		}},
@@ -84,7 +84,7 @@
 			b.store.change(func(s *fakeState) { s.remove("a", 2) })
 			b.lostElsewhere.Store(true)
 			b.follows.Store(true)
-			time.Sleep(2 * dutyLook)
+			time.Sleep(2 * followLook)
 			So(has(b.Registry, "a"), ShouldBeTrue)
 			time.Sleep(2 * defaultLeavingTime)
 			So(has(b.Registry, "a"), ShouldBeFalse)
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -221,7 +221,7 @@
 func (r *Registry) followCatalog(ctx context.Context) error {
 	again := backoff{peers: r.Peers}
 	since, known := uint64(0), false
-	for r.awaitDuty(ctx, r.Catalog() != nil) == nil {
+	for r.awaitFollow(ctx, r.Catalog() != nil) == nil {
 		content, version, err := r.nextCatalog(ctx, since, known)
 		r.noteCall(err)
 		if err != nil {
@@ -282,7 +282,7 @@
 func (r *Registry) followEndpoints(ctx context.Context) error {
 	again := backoff{peers: r.Peers}
 	whole := false
-	for r.awaitDuty(ctx, r.Directory() != nil) == nil {
+	for r.awaitFollow(ctx, r.Directory() != nil) == nil {
 		since := r.Knowledge().Known
 		whole = whole || since == 0
 		entries, version, err := r.nextEndpoints(ctx, since, whole)
@@ -395,7 +395,7 @@
 		if err == nil {
 			again.reset()
 			length := interval.Jittered(boxesInterval + boxesPart*time.Duration(r.Peers()))
-			if interval.Wait(ctx, length) != nil || r.awaitDuty(ctx, true) != nil {
+			if interval.Wait(ctx, length) != nil || r.awaitFollow(ctx, true) != nil {
 				return nil
 			}
 			continue
