pkg/dispatch, pkg/gateway, quayctl: what each customer asked for and got, by second

Of two customers beyond their share, logs could not tell why one got less: each refusal has its line, but what was asked, granted, given back and begun, and by which box, had none, and a flood of refusals fills the logs within seconds. A token is counted by the pool that granted it and by no other.

No decision changes.

--- a/cmd/quayctl/cmds/commands.go
+++ b/cmd/quayctl/cmds/commands.go
@@ -129,6 +129,7 @@
 		statusCommand(opts),
 		drainCommand(opts),
 		lossesCommand(),
+		sharesCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/cmd/quayctl/cmds/shares.go
@@ -0,0 +1,41 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/quaylead/quaylead/pkg/loss"
+)
+
+func sharesCommand() *cobra.Command {
+	shares := &loss.Shares{}
+	command := &cobra.Command{
+		Use:   "shares [LOG...]",
+		Short: "Tell from boxes' logs what customers asked for and got, by second",
+		Long: `Shares reads the logs of boxes, from files or from standard input, and prints for each
+customer and second, in thousands of tokens: what was asked of the box that dispatches,
+what a box refused without asking (beyond the customer's share, or as it was busy), what
+was refused on arrival and after a wait, what was withdrawn, granted and given back, what
+began and what was answered; and which boxes granted and refused it. Boxes write of the
+customers that ask for most, in seconds in which something is refused.`,
+		RunE: func(command *cobra.Command, files []string) error {
+			return writeShares(command.OutOrStdout(), command.InOrStdin(), files, shares)
+		},
+	}
+	command.Flags().StringSliceVar(&shares.Customers, "customer", nil, "print these customers only")
+	return command
+}
+
+func writeShares(out io.Writer, in io.Reader, files []string, shares *loss.Shares) error {
+	bad, err := readLogs(in, files, shares.Add)
+	if err != nil {
+		return err
+	}
+	err = shares.Write(out)
+	if bad > 0 {
+		fmt.Fprintf(out, "\n%d lines were not of a box's log\n", bad)
+	}
+	return err
+}
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -63,6 +63,7 @@
 // grant takes a request out of line and books it at an engine.
 func (p *Pool) grant(a *account, ask *Ask, at *engine, now time.Time) *Grant {
 	p.take(a, ask)
+	p.tally(a.name).Granted += ask.cost
 	wait := p.wait(at, now)
 	tokens, shared := at.missing(&ask.Prompt)
 	p.book(ask, at, now)
@@ -106,6 +107,11 @@
 	over := p.over(a, ask)
 	queued := p.queued
 	p.take(a, ask)
+	if t := p.tally(a.name); ask.hopeless {
+		t.Hopeless += ask.cost
+	} else {
+		t.Turned += ask.cost
+	}
 	return Turn{Ask: ask, RetryAfter: p.comeBack(a, ask, over, now), Over: over, Queued: queued}
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -107,6 +107,8 @@
 	// as engines have to read them.
 	granted, read window
 	aims          aims
+	// tallies are by customer, since they were last taken.
+	tallies map[string]*Tally
 }
 
 // Configure sets what the pool serves. Capacity 0 means that it is not known.
@@ -117,6 +119,7 @@
 		p.asks = map[string]*Ask{}
 		p.grants = map[string]*grant{}
 		p.parts = map[uint64]*partDemand{}
+		p.tallies = map[string]*Tally{}
 		p.round = 1
 	}
 	p.service = service
@@ -186,6 +189,7 @@
 	p.aims.note(ask.Aim, now, p.Rules.Window)
 	a := p.account(ask.Customer)
 	a.noteAsked(ask, now, p.Rules.Window)
+	p.tally(ask.Customer).Asked += ask.cost
 	ask.hopeless = p.hopeless(a, ask, now)
 	a.enqueue(ask)
 	p.asks[ask.ID] = ask
@@ -222,6 +226,7 @@
 		return false
 	}
 	p.take(p.account(ask.Customer), ask)
+	p.tally(ask.Customer).Withdrawn += ask.cost
 	return true
 }
 
@@ -234,9 +239,14 @@
 
 // Begin notes that the first event of a granted request came.
 func (p *Pool) Begin(id string, now time.Time) {
-	if g := p.grants[id]; g != nil {
-		g.engine.begin(g, now)
+	g := p.grants[id]
+	if g == nil {
+		return
 	}
+	if !g.begun && !g.adopted {
+		p.tally(g.ask.Customer).Begun += g.ask.cost
+	}
+	g.engine.begin(g, now)
 }
 
 // End settles a granted request.
@@ -255,12 +265,18 @@
 			p.refund(g, now)
 		}
 	case Done:
+		if g.begun && !g.adopted {
+			p.tally(g.ask.Customer).Answered += g.ask.cost
+		}
 	}
 }
 
 // refund takes a grant out of its customer's account, as the customer got nothing
 // by it.
 func (p *Pool) refund(g *grant, now time.Time) {
+	if !g.adopted {
+		p.tally(g.ask.Customer).GivenBack += g.ask.cost
+	}
 	p.account(g.ask.Customer).noteGranted(g.ask, -1, now, p.Rules.Window)
 }
 
--- a/pkg/gateway/floods.go
+++ b/pkg/gateway/floods.go
@@ -116,6 +116,7 @@
 func (s *scheduler) turnHere(why admission, ask *dispatch.Ask) verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteTurnedHere(ask.Customer, ask.Cost(), why)
 	v := verdict{over: why == beyondShare, waiting: floodMost, by: s.gateway.Settings.Name}
 	if v.over {
 		// What waits here is decided in that time, and no sooner is there room for more.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -90,6 +90,7 @@
 	group.Go(func() error { return readyServer.Serve(ready) })
 	group.Go(func() error { return callerServer.Serve(callers) })
 	group.Go(func() error { return g.reportCounts(behind) })
+	group.Go(func() error { return g.reportServices(behind) })
 	group.Go(func() error { return g.sweepIdle(behind) })
 	group.Go(func() error { return g.load.measure(behind, g.overloaded) })
 	g.log.Info("box started",
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -83,13 +81,8 @@
 // dispatchers are the boxes that dispatch for the groups of engines, and those that
 // take over from them: a session to these stands before it is needed.
 func (g *Gateway) dispatchers() (boxes []string) {
-	g.mu.Lock()
-	pools := slices.Collect(maps.Values(g.pools))
-	g.mu.Unlock()
-	for _, p := range pools {
-		for _, group := range p.current() {
-			boxes = append(boxes, group.firstRanked(dispatchersReady)...)
-		}
+	for _, group := range g.schedulers() {
+		boxes = append(boxes, group.firstRanked(dispatchersReady)...)
 	}
 	return boxes
 }
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -146,6 +147,17 @@
 	return slices.Clone(p.groups)
 }
 
+// schedulers are the groups in use of all pools.
+func (g *Gateway) schedulers() (groups []*scheduler) {
+	g.mu.Lock()
+	pools := slices.Collect(maps.Values(g.pools))
+	g.mu.Unlock()
+	for _, p := range pools {
+		groups = append(groups, p.current()...)
+	}
+	return groups
+}
+
 // named returns a group by the name it has on the wire.
 func (p *pool) named(name string) *scheduler {
 	p.mu.Lock()
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -47,6 +47,8 @@
 	suspects map[string]suspicion
 	// floods are the customers beyond their share, with what waits here of each.
 	floods floods
+	// turnedHere is what this box refused itself since that was last told, by customer.
+	turnedHere map[string]*turnedHere
 	// learnt is set once the engines were asked what they keep, or a router told.
 	learnt bool
 	// words are the times that first words take to come.
--- /dev/null
+++ b/pkg/gateway/service_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/pkg/dispatch"
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+func TestTakeServices(t *testing.T) {
+	start := time.Unix(1000, 0)
+	scheduled := func(customers int) *scheduler {
+		s := &scheduler{pool: &dispatch.Pool{Rules: dispatch.DefaultRules()}}
+		s.pool.Configure(route.Service{Name: "llm", Engine: &route.Engine{}}, 0)
+		for i := range customers {
+			for n := range i + 1 {
+				s.pool.Submit(&dispatch.Ask{
+					ID:       fmt.Sprint(i, "/", n),
+					Customer: fmt.Sprint("c", i),
+					Prompt:   dispatch.Prompt{Parts: []dispatch.Part{{ID: 1, Tokens: 100}}},
+					Expires:  start.Add(time.Minute),
+				}, start)
+			}
+		}
+		return s
+	}
+	Convey("A second in which nothing is refused has no line", t, func() {
+		So(scheduled(3).takeServices(), ShouldBeEmpty)
+	})
+	Convey("A refusal of this box's own shows, beside what others asked for", t, func() {
+		s := scheduled(1)
+		s.noteTurnedHere("flood", 500, beyondShare)
+		s.noteTurnedHere("flood", 30, boxBusy)
+		services := s.takeServices()
+		So(services, ShouldHaveLength, 2)
+		So(services[0].Customer, ShouldEqual, "flood")
+		So(services[0].turnedHere, ShouldResemble, turnedHere{share: 500, busy: 30})
+		So(services[1].Customer, ShouldEqual, "c0")
+		So(s.takeServices(), ShouldBeEmpty)
+	})
+	Convey("However many customers there are, a second has few lines, of those that ask for most", t, func() {
+		s := scheduled(5 * shown)
+		s.noteTurnedHere("c0", 1, beyondShare)
+		services := s.takeServices()
+		So(services, ShouldHaveLength, shown)
+		So(services[0].Customer, ShouldEqual, fmt.Sprint("c", 5*shown-1))
+	})
+}
--- /dev/null
+++ b/pkg/loss/shares.go
@@ -0,0 +1,132 @@
+package loss
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// eventService is the line that boxes write about a customer's second.
+const eventService = "customer's service"
+
+// sharesColumns are the amounts of that line in the order of a request's way; all are
+// tokens, and sums of what several boxes tell.
+var sharesColumns = []string{
+	"Asked", "TurnedShare", "TurnedBusy", "Hopeless", "Turned", "Withdrawn", "Granted", "GivenBack", "Begun", "Answered",
+}
+
+// Shares gathers what customers asked for and got, by second.
+type Shares struct {
+	// Customers are shown; all when it is empty.
+	Customers []string
+
+	rows map[sharesKey]*sharesRow
+	// first is the earliest line of any kind; seconds count from it.
+	first time.Time
+}
+
+// sharesKey is one customer's second. It is counted from the epoch, as the earliest line
+// may be read last.
+type sharesKey struct {
+	second   int64
+	customer string
+}
+
+type sharesRow struct {
+	sharesKey
+	amounts map[string]int64
+	// deciders are the boxes that granted something, and turners those that refused
+	// something without asking.
+	deciders, turners []string
+}
+
+// Add takes a line.
+func (s *Shares) Add(line Line) {
+	if s.first.IsZero() || line.Time.Before(s.first) {
+		s.first = line.Time
+	}
+	customer := line.Fields["Customer"]
+	if line.Fields["Event"] != eventService || (len(s.Customers) > 0 && !slices.Contains(s.Customers, customer)) {
+		return
+	}
+	row := s.row(sharesKey{line.Time.Unix(), customer})
+	for _, column := range sharesColumns {
+		row.amounts[column] += line.amount(column)
+	}
+	if line.amount("Granted") > 0 {
+		row.deciders = addOnce(row.deciders, line.Box)
+	}
+	if line.amount("TurnedShare")+line.amount("TurnedBusy") > 0 {
+		row.turners = addOnce(row.turners, line.Box)
+	}
+}
+
+func (s *Shares) row(key sharesKey) *sharesRow {
+	if s.rows == nil {
+		s.rows = map[sharesKey]*sharesRow{}
+	}
+	row := s.rows[key]
+	if row == nil {
+		row = &sharesRow{sharesKey: key, amounts: map[string]int64{}}
+		s.rows[key] = row
+	}
+	return row
+}
+
+func addOnce(names []string, name string) []string {
+	if slices.Contains(names, name) {
+		return names
+	}
+	return append(names, name)
+}
+
+// amount is a field's whole number; 0 where it is none.
+func (l *Line) amount(field string) int64 {
+	amount, err := strconv.ParseInt(l.Fields[field], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return amount
+}
+
+// kilo is the unit of the table: a large customer asks for millions of tokens a second.
+const kilo = 1000
+
+// Write prints a row for each customer and second, in thousands of tokens.
+func (s *Shares) Write(to io.Writer) error {
+	rows := make([]*sharesRow, 0, len(s.rows))
+	for _, row := range s.rows {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b *sharesRow) int {
+		return cmp.Or(cmp.Compare(a.second, b.second), cmp.Compare(a.customer, b.customer))
+	})
+	fmt.Fprintln(to, "thousands of tokens, by customer and second in which something was refused")
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "Second\tCustomer\t%s\tGrantedBy\tTurnedBy\n", strings.Join(sharesColumns, "\t"))
+	for _, row := range rows {
+		fmt.Fprintf(table, "%d\t%s", row.second-s.first.Unix(), row.customer)
+		for _, column := range sharesColumns {
+			fmt.Fprintf(table, "\t%d", row.amounts[column]/kilo)
+		}
+		fmt.Fprintf(table, "\t%s\t%s\n", boxes(row.deciders), boxes(row.turners))
+	}
+	return table.Flush()
+}
+
+// boxes names a few boxes, and counts many.
+func boxes(names []string) string {
+	const few = 3
+	switch {
+	case len(names) == 0:
+		return "-"
+	case len(names) > few:
+		return fmt.Sprintf("%d boxes", len(names))
+	}
+	return strings.Join(names, ",")
+}
