pkg/dispatch, pkg/gateway: what a router refuses itself stands beside the pool

The bound on a flood's requests that wait at a box decides, together with the pool, what a customer gets; in pkg/gateway it could not be played before the pool without a network. Moved as it is, with its test; no decision changes.

--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -46,7 +46,7 @@
 	// suspects are boxes that gave no word.
 	suspects map[string]suspicion
 	// floods are the customers beyond their share, with what waits here of each.
-	floods floods
+	floods dispatch.Floods
 	// turnedHere is what this box refused itself since that was last told, by customer.
 	turnedHere map[string]*turnedHere
 	// learnt is set once the engines were asked what they keep, or a router told.
@@ -247,7 +247,7 @@
 // acquire waits until a request is granted an engine or turned away.
 func (s *scheduler) acquire(ctx context.Context, ask *dispatch.Ask) (verdict, error) {
 	ask.Router = ownRouter
-	if why := s.enter(ask.Customer); why != admitted {
+	if why := s.enter(ask.Customer); why != dispatch.Admitted {
 		return s.turnHere(why, ask), nil
 	}
 	v, err := s.ask(ctx, ask)
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -31,7 +31,7 @@
 }
 
 // noteTurnedHere books a refusal of this box's own. The lock is held.
-func (s *scheduler) noteTurnedHere(customer string, tokens float64, why admission) {
+func (s *scheduler) noteTurnedHere(customer string, tokens float64, why dispatch.Admission) {
 	if s.turnedHere == nil {
 		s.turnedHere = map[string]*turnedHere{}
 	}
@@ -40,7 +40,7 @@
 		one = &turnedHere{}
 		s.turnedHere[customer] = one
 	}
-	if why == beyondShare {
+	if why == dispatch.BeyondShare {
 		one.share += tokens
 	} else {
 		one.busy += tokens
--- a/pkg/gateway/service_test.go
+++ b/pkg/gateway/service_test.go
@@ -33,8 +33,8 @@
 	})
 	Convey("A refusal of this box's own shows, beside what others asked for", t, func() {
 		s := scheduled(1)
-		s.noteTurnedHere("flood", 500, beyondShare)
-		s.noteTurnedHere("flood", 30, boxBusy)
+		s.noteTurnedHere("flood", 500, dispatch.BeyondShare)
+		s.noteTurnedHere("flood", 30, dispatch.RouterBusy)
 		services := s.takeServices()
 		So(services, ShouldHaveLength, 2)
 		So(services[0].Customer, ShouldEqual, "flood")
@@ -44,7 +44,7 @@
 	})
 	Convey("However many customers there are, a second has few lines, of those that ask for most", t, func() {
 		s := scheduled(5 * shown)
-		s.noteTurnedHere("c0", 1, beyondShare)
+		s.noteTurnedHere("c0", 1, dispatch.BeyondShare)
 		services := s.takeServices()
 		So(services, ShouldHaveLength, shown)
 		So(services[0].Customer, ShouldEqual, fmt.Sprint("c", 5*shown-1))
