pkg/dispatch: the benchmark of a look has a line that waits

With aims of an hour every request was granted, or refused on arrival, with the first look, and the rest measured an empty line (2 ns).

--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -18,7 +18,7 @@
 	for i := range 400 {
 		part := Part{ID: uint64(i % 100), Tokens: 13000 * (i % 2)}
 		ask := askOf(fmt.Sprint(i), fmt.Sprint("c", i%10), now, part, Part{ID: uint64(50000 + i), Tokens: 3000})
-		ask.Aim = time.Hour
+		ask.Aim = 600 * time.Millisecond
 		ask.Expires = now.Add(time.Hour)
 		p.Submit(ask, now)
 		// Refused on arrival, it would leave the line with the first look.
