--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -22,8 +22,8 @@
 	}
 	seconds := p.Rules.Window.Seconds() / float64(max(1, p.Routers))
 	p.share = evenShare(asked, p.tokensPerSecond*seconds)
-	// What the engines are seen to do is not told apart from what the most served
-	// customer alone takes of it: what it got, others may have nearly as well.
+	// What one customer got, others may have nearly as well, however little the engines
+	// are believed to do: see BehindPart.
 	p.realShare = max(evenShare(asked, p.capacity(now)*seconds), p.Rules.BehindPart*most)
 }
 
@@ -88,9 +88,9 @@
 const (
 	// within its share, a customer's requests wait for nobody beyond it.
 	within standing = iota
-	// beyond it, they go where they delay little. All customers that are beyond it may do
-	// so which got clearly less than the most served one: of two with idle engines only,
-	// the one with the longer line finds them more often, whose turn it ever is.
+	// beyond it, they go where they delay little. So do those of every customer that got
+	// clearly less than the most served one: of two that get idle engines only, the one
+	// with the longer line finds them more often, whichever is first in turn.
 	beyond
 	// farBeyond it, they get idle engines only.
 	farBeyond
