pkg/gateway: the first word of the box that dispatches may take a third of the aim

Cause: a flood of 4,000 requests a second by 59 boxes holds up the box that dispatches, which then says nothing for more than 80 ms now and then.

Change: patience for a first word is at least a third of the request's aim, up to 300 ms as before.

--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -36,7 +36,7 @@
 	s.mu.Lock()
 	s.pending[ask.ID] = p
 	sent := r.stream.Send(askMessage(ask, "", false))
-	patience := s.words.patience()
+	patience := s.words.patience(ask.Aim)
 	if r.heardAt.IsZero() {
 		patience = mostPatience
 	}
--- a/pkg/gateway/suspicion.go
+++ b/pkg/gateway/suspicion.go
@@ -53,7 +53,7 @@
 		zap.String("Service", s.service),
 		zap.String("Box", box),
 		zap.Duration("For", next.length),
-		zap.Duration("Patience", s.words.patience()),
+		zap.Duration("Words", s.words.mean),
 		zap.Error(err))
 }
 
--- a/pkg/gateway/word.go
+++ b/pkg/gateway/word.go
@@ -16,6 +16,15 @@
 	// leastPatience is for a word that takes about 2 ms: a box whose processor
 	// time is a quota may stand still for most of a tenth of a second.
 	leastPatience = 80 * time.Millisecond
+	// patienceAims is the part of a request's aim, as its divisor, that a word may take at
+	// least. A box that dispatches under a flood stands still for longer than a tenth of a
+	// second now and then, and turning away from it costs far more than waiting: routers
+	// that turn to another box and back hand over all that runs and is kept, and two boxes
+	// that dispatch at once each know half of what a customer got. On a simulated day with
+	// two floods by 59 boxes, 170 turns in 20 s and 0.66 of what was due earned with
+	// leastPatience alone, 2 turns and 0.83 with 200 ms (one play each); with a third of
+	// the aim 0.006 more (error 0.002, 12 pairs of days with floods and faults).
+	patienceAims = 3
 	// mostPatience still leaves time to decide alone within a request's aim. A box that
 	// has said nothing yet gets all of it: where a whole fleet turns to it at once, it
 	// has hundreds of streams to open, and turning away from it only moves them on.
@@ -28,9 +37,9 @@
 	mostGivenUp = 1000
 )
 
-// patience is how long to wait for a first word.
-func (w *wordTimes) patience() time.Duration {
-	return min(max(patienceMeans*w.mean, leastPatience), mostPatience)
+// patience is how long to wait for the first word of a request with an aim.
+func (w *wordTimes) patience(aim time.Duration) time.Duration {
+	return min(max(patienceMeans*w.mean, aim/patienceAims, leastPatience), mostPatience)
 }
 
 // came notes the time that a word took.
