pkg/lifecycle: what may be sent to an endpoint now, in one pure type

Four packages each held a part of the answer; evacuated zones, cold endpoints and new starts under an old ID would have been added to all of them. Property: boxes whose parts add up to one send a cold endpoint no more than its bound in any second; one box sends it 0.7 of the bound at least.

--- /dev/null
+++ b/pkg/lifecycle/life_test.go
@@ -0,0 +1,122 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	bound = Bound{For: 3 * time.Second, Most: 14.1}
+)
+
+// mostInASecond is the largest number of times within any second.
+func mostInASecond(times []time.Time) (most int) {
+	for first := range times {
+		count := 0
+		for _, at := range times[first:] {
+			if at.Sub(times[first]) < time.Second {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// sendAll sends what the life takes, each millisecond.
+func sendAll(l *Life, from time.Time, length time.Duration, part float64) (sent []time.Time) {
+	for now := from; now.Before(from.Add(length)); now = now.Add(time.Millisecond) {
+		if l.Takes(bound, part, now) {
+			l.NoteSent(now)
+			sent = append(sent, now)
+		}
+	}
+	return sent
+}
+
+func TestCold(t *testing.T) {
+	Convey("A cold endpoint gets no more than its bound in any second, and 0.7 of it at least", t, func() {
+		l := &Life{Facts: Facts{ColdUntil: start.Add(time.Minute)}}
+		sent := sendAll(l, start, 10*time.Second, 1)
+		So(mostInASecond(sent), ShouldBeLessThanOrEqualTo, 14)
+		So(len(sent), ShouldBeGreaterThanOrEqualTo, int(0.7*bound.Most*10))
+	})
+	Convey("A warm one gets all, and what it got counts once it is cold", t, func() {
+		l := &Life{}
+		So(sendAll(l, start, 100*time.Millisecond, 1), ShouldHaveLength, 100)
+		l.Learn(Facts{ColdUntil: start.Add(time.Minute)}, bound, start)
+		So(l.Takes(bound, 1, start.Add(time.Second)), ShouldBeFalse)
+		So(l.Takes(bound, 1, start.Add(2*time.Second)), ShouldBeTrue)
+	})
+	Convey("Where the service has no bound, it gets all", t, func() {
+		l := &Life{Facts: Facts{ColdUntil: start.Add(time.Minute)}}
+		So(l.Takes(Bound{}, 1, start), ShouldBeTrue)
+	})
+	Convey("It counts as cold by conclusions, which end; its word that it is warm does not end them", t, func() {
+		l := &Life{}
+		l.Suppose(Returned, start.Add(3*time.Second))
+		l.Learn(Facts{}, bound, start)
+		cold, source := l.Cold(start.Add(2999 * time.Millisecond))
+		So(cold, ShouldBeTrue)
+		So(source, ShouldEqual, Returned)
+		cold, _ = l.Cold(start.Add(3 * time.Second))
+		So(cold, ShouldBeFalse)
+	})
+	Convey("It counts as cold once its zone's evacuation is withdrawn", t, func() {
+		l := &Life{Facts: Facts{Evacuated: true}}
+		So(l.Takes(bound, 1, start), ShouldBeFalse)
+		l.Learn(Facts{}, bound, start)
+		cold, source := l.Cold(start.Add(time.Second))
+		So(cold, ShouldBeTrue)
+		So(source, ShouldEqual, Restored)
+	})
+}
+
+func TestAdmits(t *testing.T) {
+	for name, facts := range map[string]Facts{"leaving": {Leaving: true}, "evacuated": {Evacuated: true}} {
+		Convey("Nothing is sent to an endpoint that is "+name, t, func() {
+			So(facts.Admits(), ShouldBeFalse)
+			So((&Life{Facts: facts}).Takes(Bound{}, 1, start), ShouldBeFalse)
+		})
+	}
+	Convey("A later start supersedes an earlier one; without a word of its start, none does", t, func() {
+		early, late, unknown := Facts{Born: 5}, Facts{Born: 6}, Facts{}
+		So(late.Supersedes(&early), ShouldBeTrue)
+		So(early.Supersedes(&late), ShouldBeFalse)
+		So(early.Outdated(&late), ShouldBeTrue)
+		So(unknown.Supersedes(&early), ShouldBeFalse)
+		So(early.Supersedes(&unknown), ShouldBeFalse)
+	})
+}
+
+// TestColdBound holds that drawn boxes, whose parts add up to 1, keep within the bound
+// together, whenever facts come and whatever they conclude.
+func TestColdBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.Float64Range(0, 1), 1, 5).Draw(t, "parts")
+		total := 0.0
+		for _, part := range parts {
+			total += part
+		}
+		lives := make([]*Life, len(parts))
+		for i := range lives {
+			lives[i] = &Life{Facts: Facts{ColdUntil: start.Add(time.Hour)}}
+		}
+		var sent []time.Time
+		for now := start; now.Before(start.Add(4 * time.Second)); now = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond) {
+			for i, l := range lives {
+				for l.Takes(bound, parts[i]/max(1, total), now) {
+					l.NoteSent(now)
+					sent = append(sent, now)
+				}
+			}
+		}
+		if most := mostInASecond(sent); float64(most) > bound.Most {
+			t.Fatalf("%d requests in one second, of %.1f", most, bound.Most)
+		}
+	})
+}
