--- a/pkg/dispatch/ask.go
+++ b/pkg/dispatch/ask.go
@@ -85,6 +85,8 @@
 	Expires time.Time
 	// Excluded are the endpoints that it must not go to again.
 	Excluded []string
+	// Zones are the availability zones that it may go to; none means any.
+	Zones []string
 
 	// cost is Prompt.Cost, once.
 	cost float64
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -89,7 +89,7 @@
 		for _, k := range a.kindsInTurn(now, p.Rules.Window) {
 			for i := 0; i < len(k.queue); {
 				ask := k.queue[i]
-				if !ask.hopeless && now.Before(ask.Arrived.Add(time.Duration(p.hold(ask)))) && now.Before(ask.Expires) {
+				if p.admitting && !ask.hopeless && now.Before(ask.Arrived.Add(time.Duration(p.hold(ask)))) && now.Before(ask.Expires) {
 					i++
 					continue
 				}
--- /dev/null
+++ b/pkg/dispatch/endpoints.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/lifecycle"
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// SetEndpoints says which engines there are. Those that are gone get nothing
+// new; what runs there ends as its router says. One of a later start is another engine:
+// all that was known of the one before ends with it.
+func (p *Pool) SetEndpoints(endpoints []route.Endpoint, now time.Time) {
+	first := len(p.engines) == 0
+	engines := make(map[string]*engine, len(endpoints))
+	changed := len(endpoints) != len(p.engines)
+	for _, endpoint := range endpoints {
+		e := p.engines[endpoint.ID]
+		switch {
+		case e == nil || endpoint.Renews(&e.Endpoint):
+			e = newEngine(endpoint, p.service.Engine.CacheTokens)
+			changed = true
+			if !first {
+				e.life.Suppose(lifecycle.Started, now.Add(p.bound.For))
+			}
+		case endpoint.Outdated(&e.Facts):
+			engines[endpoint.ID] = e
+			continue
+		}
+		p.teach(e, endpoint, now)
+		engines[endpoint.ID] = e
+	}
+	if !changed {
+		return
+	}
+	p.engines = engines
+	p.order()
+}
+
+// teach has an engine take a newer account of it.
+func (p *Pool) teach(e *engine, endpoint route.Endpoint, now time.Time) {
+	e.Endpoint = endpoint
+	e.bound = p.bound
+	e.life.Learn(endpoint.Facts, p.bound, now)
+	if e.Slots == 0 {
+		e.Slots = p.service.Engine.Slots
+	}
+}
+
+// order brings what depends on the set of engines up to date.
+func (p *Pool) order() {
+	p.inOrder = p.inOrder[:0]
+	for _, e := range p.engines {
+		p.inOrder = append(p.inOrder, e)
+	}
+	slices.SortFunc(p.inOrder, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	for _, part := range p.parts {
+		part.ranked = nil
+	}
+}
+
+// engineOf is the engine that a word about one of its starts is about; nil where there is
+// none, or where that start is over. A later start than the known one begins here. Born is
+// 0 where the word does not say.
+func (p *Pool) engineOf(id string, born int64, now time.Time) *engine {
+	e := p.engines[id]
+	if e == nil {
+		return nil
+	}
+	told := lifecycle.Facts{Born: born}
+	switch {
+	case told.Outdated(&e.Facts):
+		return nil
+	case told.Supersedes(&e.Facts):
+		endpoint := e.Endpoint
+		endpoint.Born = born
+		e = newEngine(endpoint, p.service.Engine.CacheTokens)
+		e.life.Suppose(lifecycle.Started, now.Add(p.bound.For))
+		p.teach(e, endpoint, now)
+		p.engines[id] = e
+		p.order()
+	}
+	return e
+}
+
+// admits tells whether any engine takes a request at all: not where all zones that it may
+// go to are evacuated, or all engines leave. What no engine takes is refused at once.
+func (p *Pool) admits(ask *Ask) bool {
+	return slices.ContainsFunc(p.inOrder, func(e *engine) bool {
+		return e.life.Admits() && ask.allows(e)
+	})
+}
+
+// allows tells whether a request may go to an engine's availability zone.
+func (a *Ask) allows(e *engine) bool {
+	return len(a.Zones) == 0 || slices.Contains(a.Zones, e.Zone)
+}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"time"
 
+	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -11,6 +12,9 @@
 // routers told of it.
 type engine struct {
 	route.Endpoint
+	// life says whether and how much may be sent; bound is what it takes while cold.
+	life     lifecycle.Life
+	bound    lifecycle.Bound
 	capacity int
 
 	// unread are the granted requests whose first token has not come, in the
@@ -150,9 +154,10 @@
 	return now.Sub(since) > e.lag+e.readTime(first.tokens)+stallAfter
 }
 
-// usable tells whether the engine may get new work.
+// usable tells whether the engine is well and may get new work. While cold, it may have
+// had enough for now.
 func (e *engine) usable(now time.Time) bool {
-	return !e.Leaving && now.After(e.suspectUntil) && !e.stalled(now)
+	return e.life.Admits() && now.After(e.suspectUntil) && !e.stalled(now)
 }
 
 // fits tells whether the engine has a slot and memory for a prompt.
@@ -170,6 +175,7 @@
 		e.progressAt, e.readFrom = now, now
 	}
 	e.seen = view{}
+	e.life.NoteSent(now)
 	e.unread = append(e.unread, g)
 	e.running++
 	e.own += g.ask.Last().Tokens + g.ask.Output()
@@ -284,6 +290,8 @@
 	rest := min(suspectFor<<min(e.failures, 8), suspectLongest)
 	e.failures++
 	e.suspectUntil = now.Add(rest)
+	// It may be back after a new start, before its entry says so.
+	e.life.Suppose(lifecycle.Returned, e.suspectUntil.Add(e.bound.For))
 }
 
 func (e *engine) succeed() {
--- a/pkg/dispatch/kept.go
+++ b/pkg/dispatch/kept.go
@@ -24,7 +24,9 @@
 // Kept are parts in an engine's memory, the latest used first.
 type Kept struct {
 	Endpoint string
-	Parts    []Part
+	// Born is the start of the engine that keeps them; 0 means unknown.
+	Born  int64
+	Parts []Part
 }
 
 // mostKept bounds the parts told of one engine: more than its memory holds of
@@ -35,7 +37,7 @@
 // over. Short parts are left out.
 func (p *Pool) Kept() (all []Kept) {
 	for _, e := range p.inOrder {
-		kept := Kept{Endpoint: e.ID}
+		kept := Kept{Endpoint: e.ID, Born: e.Born}
 		for at := e.kept.Front(); at != nil && len(kept.Parts) < mostKept; at = at.Next() {
 			if part := at.Value.(keptPart).Part; part.Tokens >= smallShared {
 				kept.Parts = append(kept.Parts, part)
@@ -50,7 +52,7 @@
 
 // Learn takes over what another router believes of an engine's memory.
 func (p *Pool) Learn(kept Kept, now time.Time) {
-	e := p.engines[kept.Endpoint]
+	e := p.engineOf(kept.Endpoint, kept.Born, now)
 	if e == nil {
 		return
 	}
@@ -62,7 +64,7 @@
 
 // List takes an engine's own account of its memory.
 func (p *Pool) List(kept Kept, now time.Time) {
-	e := p.engines[kept.Endpoint]
+	e := p.engineOf(kept.Endpoint, kept.Born, now)
 	if e == nil {
 		return
 	}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/quaylead/quaylead/pkg/lifecycle"
 )
 
 // partDemand is the traffic of a shared part, and where it is kept.
@@ -109,13 +111,13 @@
 }
 
 // homes are the engines that a part should be kept at.
-func (p *Pool) homes(prompt *Prompt, now time.Time) []*engine {
-	part := p.part(prompt, now)
+func (p *Pool) homes(ask *Ask, now time.Time) []*engine {
+	part := p.part(&ask.Prompt, now)
 	part.decay(now)
 	most := p.Rules.Homes + int(part.load/p.Rules.HomeLoad)
 	homes := make([]*engine, 0, most)
 	for _, e := range part.ranked {
-		if p.look(e, now).usable {
+		if p.look(e, now).usable && ask.allows(e) {
 			homes = append(homes, e)
 		}
 		if len(homes) == most {
@@ -156,7 +158,7 @@
 // look finds out about an engine, once in a round unless it was granted since.
 func (p *Pool) look(e *engine, now time.Time) view {
 	if e.seen.round != p.round {
-		e.seen = view{round: p.round, usable: e.usable(now)}
+		e.seen = view{round: p.round, usable: p.usable(e, now)}
 		if e.seen.usable {
 			e.seen.wait = p.wait(e, now)
 			e.seen.idle = len(e.unread) == 0
@@ -165,11 +167,22 @@
 	return e.seen
 }
 
+// usable tells whether an engine may get one more request now. One that stopped beginning
+// requests may have started again by the time that it goes on.
+func (p *Pool) usable(e *engine, now time.Time) bool {
+	if e.stalled(now) {
+		e.life.Suppose(lifecycle.Returned, now.Add(e.bound.For))
+	}
+	return e.usable(now) && e.life.Takes(e.bound, p.ColdPart, now)
+}
+
 // findLeast is the best that is seen of any engine; an hour of wait where none may
 // get new work.
 func (p *Pool) findLeast(now time.Time) view {
 	least := view{wait: time.Hour}
+	p.admitting = false
 	for _, e := range p.inOrder {
+		p.admitting = p.admitting || e.life.Admits()
 		if seen := p.look(e, now); seen.usable {
 			least.wait = min(least.wait, seen.wait)
 			least.idle = least.idle || seen.idle
@@ -209,7 +222,7 @@
 
 // candidates are the homes of a prompt, and the engines that keep its parts.
 func (p *Pool) candidates(ask *Ask, now time.Time) []*engine {
-	among := p.homes(&ask.Prompt, now)
+	among := p.homes(ask, now)
 	part := p.part(&ask.Prompt, now)
 	part.keepers = slices.DeleteFunc(part.keepers, func(e *engine) bool {
 		_, shared := e.missing(&ask.Prompt)
@@ -254,7 +267,7 @@
 
 // takes tells whether a request may go to an engine at all.
 func (p *Pool) takes(e *engine, ask *Ask, now time.Time) bool {
-	return p.look(e, now).usable && e.fits(&ask.Prompt) && !slices.Contains(ask.Excluded, e.ID)
+	return p.look(e, now).usable && ask.allows(e) && e.fits(&ask.Prompt) && !slices.Contains(ask.Excluded, e.ID)
 }
 
 // readCost is the time for reading a prompt; shared parts that have to be read
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -1,11 +1,10 @@
 package dispatch
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -54,6 +53,9 @@
 	MissFactor, ShortMissFactor float64
 	// Window is the time over which customers' shares are counted.
 	Window time.Duration
+	// ColdFactor and ColdMore are by how much the fleet may go beyond what the operator
+	// states of cold engines, in any second: a factor, and requests.
+	ColdFactor, ColdMore float64
 }
 
 // DefaultRules are from measured rounds; docs/design/dispatch.md and
@@ -88,9 +90,15 @@
 	// only its own requests; 1 where all ask the same dispatcher.
 	Routers int
 
+	// ColdPart is the part of what cold engines take that is this pool's to use: that of
+	// the routers that ask it, of all. It is set before each decision.
+	ColdPart float64
+
 	service         route.Service
 	tokensPerSecond float64
-	engines         map[string]*engine
+	// bound is what a cold engine takes.
+	bound   lifecycle.Bound
+	engines map[string]*engine
 	// inOrder are the engines by ID, so that decisions do not depend on the
 	// order of a map.
 	inOrder  []*engine
@@ -103,8 +111,9 @@
 	// later in it: engines only fill up.
 	round uint64
 	// least is the shortest wait at any engine when the round began, and whether any
-	// was idle.
-	least view
+	// was idle; admitting tells whether any takes work at all, by the order of things.
+	least     view
+	admitting bool
 
 	// warmUntil ends that belief; by then, parts in use have been seen.
 	warmUntil time.Time
@@ -137,35 +146,7 @@
 	}
 	p.service = service
 	p.tokensPerSecond = tokensPerSecond
-}
-
-// SetEndpoints says which engines there are. Those that are gone get nothing
-// new; what runs there ends as its router says.
-func (p *Pool) SetEndpoints(endpoints []route.Endpoint) {
-	now := map[string]*engine{}
-	for _, endpoint := range endpoints {
-		e := p.engines[endpoint.ID]
-		if e == nil {
-			e = newEngine(endpoint, p.service.Engine.CacheTokens)
-		}
-		e.Endpoint = endpoint
-		if e.Slots == 0 {
-			e.Slots = p.service.Engine.Slots
-		}
-		now[endpoint.ID] = e
-	}
-	if sameKeys(p.engines, now) {
-		return
-	}
-	p.engines = now
-	p.inOrder = p.inOrder[:0]
-	for _, e := range now {
-		p.inOrder = append(p.inOrder, e)
-	}
-	slices.SortFunc(p.inOrder, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
-	for _, part := range p.parts {
-		part.ranked = nil
-	}
+	p.bound = service.Cold.Bound(p.Rules.ColdFactor, p.Rules.ColdMore)
 }
 
 // Endpoints are the engines, by ID.
@@ -177,18 +158,6 @@
 	return endpoints
 }
 
-func sameKeys(a, b map[string]*engine) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for key := range a {
-		if b[key] == nil {
-			return false
-		}
-	}
-	return true
-}
-
 // Submit puts a request in line. One that is in line already is asked for anew, by
 // another way or as the verdict was lost: the later way counts, and a grant that the
 // router does not know of is void.
@@ -203,7 +172,7 @@
 	a := p.account(ask.Customer)
 	a.noteAsked(ask, now, p.Rules.Window)
 	p.tally(ask.Customer).Asked += ask.cost
-	ask.hopeless = p.hopeless(a, ask, now)
+	ask.hopeless = !p.admits(ask) || p.hopeless(a, ask, now)
 	a.enqueue(ask)
 	p.asks[ask.ID] = ask
 	p.queued++
--- a/pkg/dispatch/refusal.go
+++ b/pkg/dispatch/refusal.go
@@ -33,7 +33,8 @@
 	// comeBackSoonest is the least time that is predicted: some looks at the line.
 	comeBackSoonest = 30 * time.Millisecond
 	// comeBackLatest is the most; nothing is known beyond the time over which shares
-	// are counted.
+	// are counted. It is told where no engine takes work by the operator's order, which
+	// holds for seconds.
 	comeBackLatest = 4 * time.Second
 	// comeBackUnknown is for where no engine may get new work: how long one that
 	// failed rests at first.
@@ -55,6 +56,9 @@
 
 // roomIn is the predicted time until there is room for a request that is refused.
 func (p *Pool) roomIn(a *account, ask *Ask, over bool, now time.Time) time.Duration {
+	if !p.admitting {
+		return comeBackLatest
+	}
 	if p.least.wait >= time.Hour {
 		return comeBackUnknown
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -20,6 +20,9 @@
 	route.Endpoint
 	// finish settles the attempt.
 	finish func(outcome)
+	// settle does so with the time that the answer took; it is only set for plain
+	// endpoints.
+	settle func(how outcome, took time.Duration)
 	// begin notes the first event; it is only set for engines.
 	begin func()
 	// granted is what was predicted, and at when it was granted; both are only
@@ -40,7 +43,12 @@
 	reply, err := c.gateway.client(to.Address).Do(ctx, &endpoint.Call{
 		Request: out,
 		Sure:    !c.route.Repeatable,
-		Sending: func() error { return c.life.Advance(request.Sending) },
+		Sending: func() error {
+			if !c.gateway.admits(&to.Endpoint) {
+				return errTakenBack
+			}
+			return c.life.Advance(request.Sending)
+		},
 		Belongs: func(head *fasthttp.ResponseHeader) bool {
 			id := c.gateway.Translator.Answered(head).ID
 			return id == "" || id == c.ID
@@ -139,7 +147,8 @@
 	}
 }
 
-// mostUnreachable bounds the endpoints that are tried in vain for a connection.
+// mostUnreachable bounds the endpoints that are tried in vain for a connection, or that
+// get nothing any more when it stands.
 const mostUnreachable = 3
 
 // judge tells what a failure says of the endpoint, and whether the request may
@@ -150,6 +159,9 @@
 	switch {
 	case c.ctx.Err() != nil:
 		return outcomeUnknown, false
+	case errors.Is(err, errTakenBack):
+		c.unreachable++
+		return outcomeUnused, c.unreachable < mostUnreachable
 	case errors.As(err, &unreached):
 		c.unreachable++
 		return outcomeUnreachable, c.unreachable < mostUnreachable
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -36,7 +36,9 @@
 	route    *route.Route
 	service  route.Service
 	customer string
-	life     request.Life
+	// zones are the availability zones in which it may be served; none means any.
+	zones []string
+	life  request.Life
 
 	// ctx ends with the deadline, or when the caller goes away.
 	ctx    context.Context
@@ -136,8 +138,10 @@
 	if c.route == nil {
 		return notRun(request.NoSuchPath, "there is no such route", 0)
 	}
+	homes := [][]string{c.route.Homes}
 	if customer := catalog.CustomerOf(c.Key); customer != nil {
 		c.customer = customer.Name
+		homes = append(homes, customer.Homes)
 	} else if !c.route.Anonymous && len(catalog.Customers) > 0 {
 		return notRun(request.InvalidKey, "the key is not known", 0)
 	}
@@ -147,6 +151,10 @@
 		service = route.Service{Name: name}
 	}
 	c.service = service
+	var served bool
+	if c.zones, served = c.gateway.Settings.homeZones(homes...); !served {
+		return notRun(request.NoEndpoint, "no availability zone lies in a region in which the request may be served", comeBackNowhere)
+	}
 	return nil
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/quaylead/quaylead/pkg/membership"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/registry"
+	"github.com/quaylead/quaylead/pkg/route"
 	"github.com/quaylead/quaylead/pkg/settings"
 )
 
@@ -38,13 +39,19 @@
 	registry    *registry.Registry
 	exchange    *peer.Exchange
 	fleet       *membership.View
-	// catalogs and directories fetch what other boxes know more of.
-	catalogs, directories fetcher
+	// catalogs, directories and orders fetch what other boxes know more of.
+	catalogs, directories, orders fetcher
 	// contactsWake has the contacts chosen anew. Capacity 1.
 	contactsWake chan struct{}
 	budget       *retryBudget
 	health       *health
-	load         load
+	// lives are the attempts under way, and coldSends the plain endpoints that this box
+	// sends to while they are cold.
+	lives     lives
+	coldSends coldChoice
+	// directory is the last one that the pools were brought in line with.
+	directory *route.Directory
+	load      load
 	// work runs what serves callers; it outlives the order to stop.
 	work *errgroup.Group
 	// over ends what is still in flight when the time to stop is up.
@@ -92,6 +99,10 @@
 	group.Go(func() error { return g.reportCounts(behind) })
 	group.Go(func() error { return g.reportServices(behind) })
 	group.Go(func() error { return g.sweepIdle(behind) })
+	group.Go(func() error {
+		interval.Every(behind, coldLook, g.chooseColdSenders)
+		return nil
+	})
 	group.Go(func() error { return g.load.measure(behind, g.overloaded) })
 	g.log.Info("box started",
 		zap.String("Box", g.Settings.Name),
@@ -123,7 +134,7 @@
 	g.startedAt = time.Now()
 	g.pools = map[string]*pool{}
 	g.clients = map[string]*endpoint.Client{}
-	g.health = &health{log: g.Logs.For(logflags.Pool)}
+	g.health = &health{log: g.Logs.For(logflags.Pool), coldPart: g.coldSends.part}
 	if g.Metrics == nil {
 		g.Metrics = &Metrics{}
 	}
@@ -156,6 +167,7 @@
 		Teller:      g,
 		Listener:    g,
 		Directory:   g,
+		Orders:      g,
 		RowTeller:   g.fleet,
 		Dispatch:    g,
 		Cores:       g.Settings.Cores,
@@ -164,6 +176,7 @@
 	g.fleet.Self = g.exchange.Self()
 	g.catalogs = fetcher{known: g.catalogVersion, fetch: g.fetchCatalog}
 	g.directories = fetcher{known: g.knownVersion, fetch: g.fetchDirectory}
+	g.orders = fetcher{known: g.registry.OrdersVersion, fetch: g.fetchOrders}
 	g.budget = &retryBudget{settings: g.Settings, peers: g.fleet.CountLive, lot: rand.Float64()}
 }
 
@@ -313,14 +326,16 @@
 // changed brings the pools in line with a new catalog or directory.
 func (g *Gateway) changed() {
 	g.tellOwn()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	catalog, directory := g.registry.Catalog(), g.registry.Directory()
 	if catalog == nil || directory == nil {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	for name, service := range catalog.Services {
 		if service.Engine == nil {
+			bound := service.Cold.Bound(g.Settings.ColdFactor, g.Settings.ColdMore)
+			g.health.learn(directory.Of(name), bound, time.Now())
 			continue
 		}
 		p := g.pools[name]
@@ -330,8 +345,26 @@
 		}
 		p.configure(service, catalog.Limits.TokensPerSecond, directory.Of(name))
 	}
+	g.health.forget(directory.Endpoints)
+	g.lives.end(directory)
+	g.closeConnections(directory)
+	g.directory = directory
+}
+
+// closeConnections closes idle connections to endpoints that are gone, or of an earlier
+// start than the one known now: what is sent on them is lost. The lock is held.
+func (g *Gateway) closeConnections(directory *route.Directory) {
+	current := make(map[string]bool, len(directory.Endpoints))
+	for id, endpoint := range directory.Endpoints {
+		renewed := false
+		if g.directory != nil {
+			before, known := g.directory.Endpoints[id]
+			renewed = known && endpoint.Supersedes(&before.Facts)
+		}
+		current[endpoint.Address] = !renewed
+	}
 	for address, client := range g.clients {
-		if !addressKnown(directory.Endpoints, address) {
+		if !current[address] {
 			client.Close()
 			delete(g.clients, address)
 		}
--- a/pkg/gateway/guard.go
+++ b/pkg/gateway/guard.go
@@ -4,14 +4,20 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/quaylead/quaylead/pkg/route"
 )
 
 // errStalled ends an attempt whose endpoint says nothing for far too long. Only
 // requests that may be repeated are given up so; they go to another endpoint.
 var errStalled = errors.New("the endpoint said nothing for too long")
 
-// guard ends an attempt that stalls. A nil guard does nothing.
+// guard ends an attempt that stalls, or whose endpoint has started again. A nil guard does
+// nothing.
 type guard struct {
+	lives    *lives
+	endpoint route.Endpoint
+	// timer is nil for attempts that may take as long as they like.
 	timer  *time.Timer
 	cancel context.CancelCauseFunc
 }
@@ -30,24 +36,21 @@
 	pauseStallLeast = time.Second
 )
 
-// guarded returns the context of an attempt. It is given up only where another
-// one may follow: otherwise an answer that comes late is better than none.
+// guarded returns the context of an attempt. One that stalls is given up only where
+// another one may follow: otherwise an answer that comes late is better than none.
 func (c *call) guarded(to destination) context.Context {
 	c.guard.stop()
-	c.guard = nil
-	last := c.life.Attempts()+1 >= c.route.MaxAttempts
-	if !c.route.Repeatable || last {
-		return c.ctx
-	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
-	c.guard = &guard{
-		cancel: cancel,
-		timer: time.AfterFunc(c.firstPatience(to), func() {
+	c.guard = &guard{lives: &c.gateway.lives, endpoint: to.Endpoint, cancel: cancel}
+	last := c.life.Attempts()+1 >= c.route.MaxAttempts
+	if c.route.Repeatable && !last {
+		c.guard.timer = time.AfterFunc(c.firstPatience(to), func() {
 			if c.gateway.budget.has(c.service.Name) {
 				cancel(errStalled)
 			}
-		}),
+		})
 	}
+	c.gateway.lives.enter(c.guard)
 	return ctx
 }
 
@@ -64,7 +67,7 @@
 
 // extend gives the attempt more time, as something came.
 func (g *guard) extend(length time.Duration) {
-	if g != nil {
+	if g != nil && g.timer != nil {
 		g.timer.Reset(length)
 	}
 }
@@ -74,6 +77,9 @@
 	if g == nil {
 		return
 	}
-	g.timer.Stop()
+	g.lives.leave(g)
+	if g.timer != nil {
+		g.timer.Stop()
+	}
 	g.cancel(nil)
 }
--- a/pkg/gateway/health.go
+++ b/pkg/gateway/health.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -8,12 +9,15 @@
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
 // health judges the endpoints of plain services by what callers see of them.
 type health struct {
 	log *zap.Logger
+	// coldPart is the part of a cold endpoint's bound that is this box's to use.
+	coldPart func(endpoint string, now time.Time) float64
 
 	mu     sync.Mutex
 	states map[string]*endpointHealth
@@ -21,6 +25,9 @@
 
 // endpointHealth is one endpoint's.
 type endpointHealth struct {
+	// life says whether and how much may be sent; bound is what it takes while cold.
+	life  lifecycle.Life
+	bound lifecycle.Bound
 	// running counts this box's requests there.
 	running int
 	// failing is a mean of the outcomes: 0 all well, 1 all failed.
@@ -58,30 +65,64 @@
 	return state
 }
 
-// choose picks the endpoint where a request is likely to be answered soonest.
-// Where all rest, the one whose rest ends first is used. It books a request.
-func (h *health) choose(endpoints []route.Endpoint, excluded []string, zone string) (chosen route.Endpoint, ok bool) {
+// learn takes a newer account of a service's endpoints. Those that started again are
+// judged anew.
+func (h *health) learn(endpoints []route.Endpoint, bound lifecycle.Bound, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := len(h.states) == 0
+	for i := range endpoints {
+		endpoint := &endpoints[i]
+		state := h.states[endpoint.ID]
+		if state == nil || endpoint.Supersedes(&state.life.Facts) {
+			delete(h.states, endpoint.ID)
+			state = h.of(endpoint.ID)
+			if !first {
+				state.life.Suppose(lifecycle.Started, now.Add(bound.For))
+			}
+		}
+		state.bound = bound
+		state.life.Learn(endpoint.Facts, bound, now)
+	}
+}
+
+// forget drops the endpoints that are gone.
+func (h *health) forget(known map[string]route.Endpoint) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.states, func(id string, _ *endpointHealth) bool {
+		_, there := known[id]
+		return !there
+	})
+}
+
+// choose picks the endpoint where a request is likely to be answered soonest, of those
+// that take one now. Where all rest, the one whose rest ends first is used. It books a
+// request; a state of nil means that there is none.
+func (h *health) choose(endpoints []route.Endpoint, excluded []string, zone string) (chosen route.Endpoint, state *endpointHealth) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	best := 0.0
 	for _, candidate := range endpoints {
-		if slices.Contains(excluded, candidate.ID) {
+		one := h.of(candidate.ID)
+		if slices.Contains(excluded, candidate.ID) || !candidate.Admits() || !one.life.Takes(one.bound, h.coldPart(candidate.ID, now), now) {
 			continue
 		}
-		cost := h.of(candidate.ID).cost(now)
+		cost := one.cost(now)
 		if candidate.Zone != zone {
 			cost += zoneCost
 		}
 		cost *= 0.9 + 0.2*rand.Float64()
-		if !ok || cost < best {
-			chosen, best, ok = candidate, cost, true
+		if state == nil || cost < best {
+			chosen, best, state = candidate, cost, one
 		}
 	}
-	if ok {
-		h.of(chosen.ID).running++
+	if state != nil {
+		state.running++
+		state.life.NoteSent(now)
 	}
-	return chosen, ok
+	return chosen, state
 }
 
 // zoneCost is added, in milliseconds, for another availability zone: the way
@@ -102,13 +143,12 @@
 
 // finish notes an outcome. Unloaded marks requests that tell nothing of the
 // endpoint, such as those whose caller left.
-func (h *health) finish(id string, how outcome, took time.Duration) {
+func (h *health) finish(id string, s *endpointHealth, how outcome, took time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := h.of(id)
 	s.running--
 	switch how {
-	case outcomeUnknown:
+	case outcomeUnknown, outcomeUnused:
 		return
 	case outcomeGood:
 		s.failing *= 1 - healthGain
@@ -128,6 +168,8 @@
 	if s.failing >= failingMost {
 		s.rest = min(max(restLeast, 2*s.rest), restMost)
 		s.restUntil = time.Now().Add(s.rest)
+		// It may be back after a new start, before its entry says so.
+		s.life.Suppose(lifecycle.Returned, s.restUntil.Add(s.bound.For))
 		h.log.Info("endpoint rests",
 			zap.String("Endpoint", id),
 			zap.Float64("Failing", s.failing),
@@ -140,6 +182,8 @@
 
 const (
 	outcomeUnknown outcome = iota
+	// outcomeUnused: nothing was sent, for no fault of the endpoint.
+	outcomeUnused
 	outcomeGood
 	// outcomeFull: the endpoint refused, and ran nothing.
 	outcomeFull
--- /dev/null
+++ b/pkg/gateway/lives.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"errors"
+	"sync"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// errRestarted ends an attempt whose endpoint has started again: no answer to it comes.
+var errRestarted = errors.New("the endpoint has started again since")
+
+// errTakenBack ends an attempt of which nothing was sent, as its endpoint has meanwhile
+// become one that gets nothing.
+var errTakenBack = errors.New("the endpoint gets nothing any more")
+
+// lives are the attempts under way, so that those at an endpoint that starts again can be
+// ended. Without it a stream at an engine that came back behind a cut waited for its
+// caller's patience, seconds long.
+type lives struct {
+	mu       sync.Mutex
+	attempts map[*guard]struct{}
+}
+
+func (l *lives) enter(g *guard) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.attempts == nil {
+		l.attempts = map[*guard]struct{}{}
+	}
+	l.attempts[g] = struct{}{}
+}
+
+func (l *lives) leave(g *guard) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.attempts, g)
+}
+
+// end ends the attempts at endpoints that have started again by a directory. Those that
+// are gone from it may still answer what they have.
+func (l *lives) end(directory *route.Directory) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for attempt := range l.attempts {
+		now, known := directory.Endpoints[attempt.endpoint.ID]
+		if known && now.Supersedes(&attempt.endpoint.Facts) {
+			attempt.cancel(errRestarted)
+		}
+	}
+}
+
+// admits tells whether a request may still be sent to the endpoint that was chosen for it.
+func (g *Gateway) admits(chosen *route.Endpoint) bool {
+	now, known := g.registry.Directory().Endpoints[chosen.ID]
+	return known && now.Admits() && !now.Renews(chosen)
+}
--- a/pkg/gateway/memory.go
+++ b/pkg/gateway/memory.go
@@ -81,14 +81,14 @@
 	began := time.Now()
 	for _, engine := range engines {
 		group.Go(func() error {
-			parts, err := s.gateway.listMemory(engine)
+			kept, err := s.gateway.listMemory(engine)
 			if err != nil {
 				s.log.Warn("memory of an engine not listed", zap.String("Endpoint", engine.ID), zap.Error(err))
 				return nil
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.pool.List(dispatch.Kept{Endpoint: engine.ID, Parts: parts}, time.Now())
+			s.pool.List(kept, time.Now())
 			return nil
 		})
 	}
@@ -100,7 +100,7 @@
 }
 
 // listMemory asks one engine what it keeps.
-func (g *Gateway) listMemory(engine route.Endpoint) (parts []dispatch.Part, err error) {
+func (g *Gateway) listMemory(engine route.Endpoint) (kept dispatch.Kept, err error) {
 	defer func() { err = trace.Wrap(err, "asking engine %s what it keeps", engine.ID) }()
 	ctx, cancel := context.WithTimeout(g.over, listTime)
 	defer cancel()
@@ -113,15 +113,17 @@
 		Written: func() { fasthttp.ReleaseRequest(request) },
 	})
 	if err != nil {
-		return nil, err
+		return kept, err
 	}
 	defer reply.Close()
 	if status := reply.Head.StatusCode(); status != fasthttp.StatusOK {
-		return nil, trace.BadParameter("status %d", status)
+		return kept, trace.BadParameter("status %d", status)
 	}
 	body, err := reply.Whole(answerBytes)
 	if err != nil {
-		return nil, err
+		return kept, err
 	}
-	return g.Translator.Kept(body)
+	kept.Endpoint = engine.ID
+	kept.Born, kept.Parts, err = g.Translator.Kept(body)
+	return kept, err
 }
--- a/pkg/gateway/messages.go
+++ b/pkg/gateway/messages.go
@@ -22,6 +22,7 @@
 		Excluded:   ask.Excluded,
 		Endpoint:   endpoint,
 		Begun:      begun,
+		Zones:      ask.Zones,
 	}
 	for _, part := range ask.Parts {
 		message.PartIDs = append(message.PartIDs, part.ID)
@@ -45,6 +46,7 @@
 		Aim:      time.Duration(message.Aim) * time.Microsecond,
 		Expires:  now.Add(time.Duration(message.Remaining) * time.Microsecond),
 		Excluded: message.Excluded,
+		Zones:    message.Zones,
 	}
 	ask.Parts = partsOf(message.PartIDs, message.PartTokens)
 	return ask
@@ -60,7 +62,7 @@
 }
 
 func keptMessage(kept dispatch.Kept) *peerpb.Call {
-	message := &peerpb.Kept{Endpoint: kept.Endpoint}
+	message := &peerpb.Kept{Endpoint: kept.Endpoint, Born: kept.Born}
 	for _, part := range kept.Parts {
 		message.PartIDs = append(message.PartIDs, part.ID)
 		message.PartTokens = append(message.PartTokens, uint32(part.Tokens))
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/quaylead/quaylead/pkg/interval"
+	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
@@ -14,15 +15,6 @@
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
-func addressKnown(endpoints map[string]route.Endpoint, address string) bool {
-	for _, endpoint := range endpoints {
-		if endpoint.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // listed notes boxes that the store lists. A box that is missing from the list is not
 // taken for gone: the fleet tells.
 func (g *Gateway) listed(boxes []registry.Box) {
@@ -98,6 +90,7 @@
 		Revision:  g.catalogVersion(),
 		Knowledge: g.registry.Knowledge(),
 		Directory: g.registry.Newest(),
+		Orders:    g.registry.OrdersVersion(),
 	}
 }
 
@@ -113,25 +106,52 @@
 	return g.registry.Content()
 }
 
+// Orders gives peers the operator's orders in force.
+func (g *Gateway) Orders() *route.Orders { return g.registry.Orders() }
+
 // Directory gives peers what changed of the endpoints after a version.
 func (g *Gateway) Directory(since uint64) *peerpb.Directory {
 	entries, then := g.registry.Since(since)
 	directory := &peerpb.Directory{Knowledge: peer.KnowledgeMessage(then)}
-	for _, entry := range entries {
-		directory.Endpoints = append(directory.Endpoints, &peerpb.Endpoint{
-			ID:      entry.ID,
-			Version: entry.Version,
-			Service: entry.Service,
-			Address: entry.Address,
-			Zone:    entry.Zone,
-			Slots:   uint32(entry.Slots),
-			Leaving: entry.Leaving,
-			Gone:    entry.Gone,
-		})
+	now := time.Now()
+	for i := range entries {
+		directory.Endpoints = append(directory.Endpoints, endpointMessage(&entries[i], now))
 	}
 	return directory
 }
 
+func endpointMessage(entry *registry.Entry, now time.Time) *peerpb.Endpoint {
+	return &peerpb.Endpoint{
+		ID:      entry.ID,
+		Version: entry.Version,
+		Service: entry.Service,
+		Address: entry.Address,
+		Zone:    entry.Zone,
+		Slots:   uint32(entry.Slots),
+		Leaving: entry.Leaving,
+		Gone:    entry.Gone,
+		Born:    entry.Born,
+		ColdFor: max(0, entry.ColdUntil.Sub(now)).Microseconds(),
+	}
+}
+
+// entryOf is the reverse of endpointMessage.
+func entryOf(message *peerpb.Endpoint) registry.Entry {
+	return registry.Entry{
+		Version: message.Version,
+		Gone:    message.Gone,
+		ColdFor: time.Duration(message.ColdFor) * time.Microsecond,
+		Endpoint: route.Endpoint{
+			ID:      message.ID,
+			Service: message.Service,
+			Address: message.Address,
+			Zone:    message.Zone,
+			Slots:   int(message.Slots),
+			Facts:   lifecycle.Facts{Born: message.Born, Leaving: message.Leaving},
+		},
+	}
+}
+
 // Heard applies what a peer tells.
 func (g *Gateway) Heard(from peer.Sender, news peer.State, first bool) {
 	if g.fleet.Hear(from, news) {
@@ -145,6 +165,9 @@
 	if news.Revision > g.catalogVersion() && g.catalogs.told(from.Box, news.Revision) {
 		g.work.Go(g.catalogs.run)
 	}
+	if news.Orders > g.registry.OrdersVersion() && g.orders.told(from.Box, news.Orders) {
+		g.work.Go(g.orders.run)
+	}
 	learnt, ask := g.registry.HeardKnowledge(news.Knowledge, news.Directory)
 	if ask && g.directories.told(from.Box, news.Knowledge.Known) {
 		g.work.Go(g.directories.run)
@@ -160,12 +183,30 @@
 // fetchCatalog takes a higher version from a peer that told of it, so that a store
 // that is out of reach does not stop its spread.
 func (g *Gateway) fetchCatalog(from string, version uint64) {
-	_, content, err := g.exchange.FetchFrom(from, version)
+	snapshot, err := g.exchange.FetchFrom(from, version)
 	if err != nil {
 		g.Logs.For(logflags.Peer).Warn("configuration not taken from peer", zap.String("Peer", from), zap.Error(err))
 		return
 	}
-	g.registry.OfferCatalog(content, from)
+	// The orders go first: a box that has a configuration serves.
+	g.offerOrders(snapshot.Orders, from)
+	g.registry.OfferCatalog(snapshot.Content, from)
+}
+
+// fetchOrders takes later orders of the operator from a peer that told of them.
+func (g *Gateway) fetchOrders(from string, _ uint64) {
+	orders, err := g.exchange.FetchOrders(from)
+	if err != nil {
+		g.Logs.For(logflags.Peer).Warn("orders not taken from peer", zap.String("Peer", from), zap.Error(err))
+		return
+	}
+	g.offerOrders(orders, from)
+}
+
+func (g *Gateway) offerOrders(orders *peerpb.Orders, from string) {
+	if orders != nil {
+		g.registry.OfferOrders(route.Orders{Version: orders.Version, Evacuated: orders.Evacuated}, from)
+	}
 }
 
 // fetchDirectory takes what changed of the endpoints since what is known here.
@@ -176,19 +217,8 @@
 		return
 	}
 	entries := make([]registry.Entry, 0, len(directory.Endpoints))
-	for _, entry := range directory.Endpoints {
-		entries = append(entries, registry.Entry{
-			Version: entry.Version,
-			Gone:    entry.Gone,
-			Endpoint: route.Endpoint{
-				ID:      entry.ID,
-				Service: entry.Service,
-				Address: entry.Address,
-				Zone:    entry.Zone,
-				Slots:   int(entry.Slots),
-				Leaving: entry.Leaving,
-			},
-		})
+	for _, message := range directory.Endpoints {
+		entries = append(entries, entryOf(message))
 	}
 	g.registry.OfferEntries(entries, peer.KnowledgeOf(directory.Knowledge), from)
 	g.exchange.Wake()
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/request"
+	"github.com/quaylead/quaylead/pkg/route"
 )
 
 // servePlain serves a request to a plain service. These never wait: their
@@ -52,21 +54,27 @@
 		how = outcomeGood
 		c.gateway.Metrics.Answered(c.customer, c.route.Name, time.Since(c.arrived))
 	}
-	c.gateway.health.finish(to.ID, how, took)
+	to.settle(how, took)
 }
 
 func (c *call) choosePlain() (to destination, refusal *request.Refusal) {
 	endpoints := c.gateway.registry.Directory().Of(c.service.Name)
-	chosen, ok := c.gateway.health.choose(endpoints, c.excluded, c.gateway.Settings.Zone)
-	if !ok && len(c.excluded) > 0 {
+	if len(c.zones) > 0 {
+		endpoints = slices.DeleteFunc(endpoints, func(e route.Endpoint) bool { return !slices.Contains(c.zones, e.Zone) })
+	}
+	chosen, state := c.gateway.health.choose(endpoints, c.excluded, c.gateway.Settings.Zone)
+	if state == nil && len(c.excluded) > 0 {
 		// All have failed this request once; one of them is better than none.
 		c.excluded = nil
-		chosen, ok = c.gateway.health.choose(endpoints, nil, c.gateway.Settings.Zone)
+		chosen, state = c.gateway.health.choose(endpoints, nil, c.gateway.Settings.Zone)
 	}
-	if !ok {
+	if state == nil {
 		return to, notRun(request.NoEndpoint, "the service has no endpoint now", comeBackAfterFailure())
 	}
-	return destination{Endpoint: chosen, finish: func(how outcome) {
-		c.gateway.health.finish(chosen.ID, how, 0)
-	}}, nil
+	settle := func(how outcome, took time.Duration) { c.gateway.health.finish(chosen.ID, state, how, took) }
+	return destination{
+		Endpoint: chosen,
+		finish:   func(how outcome) { settle(how, 0) },
+		settle:   settle,
+	}, nil
 }
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -190,7 +190,7 @@
 	if s.remote != nil {
 		s.remote.stream.Close()
 	}
-	s.remote = r
+	s.remote, s.aloneSince = r, time.Time{}
 	for _, kept := range s.pool.Kept() {
 		r.stream.Send(keptMessage(kept))
 	}
@@ -222,7 +222,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.remote == r {
-		s.remote = nil
+		s.remote, s.aloneSince = nil, time.Now()
 		s.log.Info("stream to the box that dispatches ended", zap.String("Box", r.box), zap.Error(err))
 	}
 }
@@ -275,11 +275,11 @@
 
 // startServing gives a stream its number. What is asked on a stream is answered on
 // it and forgotten with it, whatever other streams the same box opens and closes.
-func (s *scheduler) startServing(from peer.Sender, stream *peer.DispatchStream) (router uint64) {
+func (s *scheduler) startServing(from peer.Sender, stream *peer.DispatchStream) (number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastRouter++
-	s.routers[s.lastRouter] = stream
+	s.routers[s.lastRouter] = &router{box: from.Box, stream: stream, since: time.Now()}
 	s.log.Info("dispatching for a box",
 		zap.String("Service", s.service),
 		zap.String("Box", from.Box),
@@ -322,6 +322,7 @@
 		s.learnt = true
 		s.pool.Learn(dispatch.Kept{
 			Endpoint: kind.Kept.Endpoint,
+			Born:     kind.Kept.Born,
 			Parts:    partsOf(kind.Kept.PartIDs, kind.Kept.PartTokens),
 		}, now)
 		return
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -33,12 +33,16 @@
 	pending map[string]*pending
 	// running are this box's granted requests, told to a box that takes over.
 	running map[string]*running
-	// routers are the streams on which other boxes ask this one, by number.
-	routers map[uint64]*peer.DispatchStream
+	// routers are those that ask this box, by number.
+	routers map[uint64]*router
 	// lastRouter is the number of the last of them; ownRouter is this box's.
 	lastRouter uint64
-	// remote is the box that is asked; nil when it is this one.
-	remote *remote
+	// remote is the box that is asked; nil when it is this one, which aloneSince tells
+	// since when.
+	remote     *remote
+	aloneSince time.Time
+	// cold is this box's part of what cold engines take.
+	cold coldPart
 	// opening is the stream that is being opened, if any.
 	opening *opening
 	// ranking orders the boxes that may dispatch.
@@ -72,6 +76,13 @@
 	absent int
 }
 
+// router is a box that asks this one, on a stream.
+type router struct {
+	box    string
+	stream *peer.DispatchStream
+	since  time.Time
+}
+
 // pending is a request that waits for a verdict.
 type pending struct {
 	// from is the stream that was asked; nil for this box's own pool.
@@ -125,6 +136,7 @@
 func newScheduler(g *Gateway, service string) *scheduler {
 	rules := dispatch.DefaultRules()
 	rules.Window = g.Settings.ShareWindow
+	rules.ColdFactor, rules.ColdMore = g.Settings.ColdFactor, g.Settings.ColdMore
 	s := &scheduler{
 		gateway: g,
 		service: service,
@@ -136,9 +148,11 @@
 		},
 		pending:  map[string]*pending{},
 		running:  map[string]*running{},
-		routers:  map[uint64]*peer.DispatchStream{},
+		routers:  map[uint64]*router{},
 		suspects: map[string]suspicion{},
 		wake:     make(chan struct{}, 1),
+
+		aloneSince: time.Now(),
 	}
 	g.work.Go(func() error { return s.tick(g.over) })
 	return s
@@ -148,7 +162,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool.Configure(service, tokensPerSecond)
-	s.pool.SetEndpoints(endpoints)
+	s.pool.SetEndpoints(endpoints, time.Now())
 }
 
 // tick looks at the line from time to time while requests wait.
@@ -194,6 +208,7 @@
 // look delivers what the pool decides. The lock is held.
 func (s *scheduler) look(now time.Time) {
 	s.lookedAt = now
+	s.pool.ColdPart = s.coldPart(now)
 	for _, d := range s.pool.Decide(now) {
 		switch d := d.(type) {
 		case dispatch.Grant:
@@ -215,14 +230,14 @@
 		s.settle(ask.ID, nil, v)
 		return
 	}
-	stream := s.routers[ask.Router]
-	if stream != nil && stream.Send(verdictMessage(ask.ID, v)) {
+	to := s.routers[ask.Router]
+	if to != nil && to.stream.Send(verdictMessage(ask.ID, v)) {
 		return
 	}
 	s.log.Warn("verdict not delivered",
 		zap.String("Request", ask.ID),
 		zap.Uint64("Stream", ask.Router),
-		zap.Bool("StreamKnown", stream != nil),
+		zap.Bool("StreamKnown", to != nil),
 		zap.String("Endpoint", v.endpoint))
 	if v.endpoint != "" {
 		s.pool.End(ask.ID, dispatch.Unused{}, time.Now())
@@ -308,7 +323,7 @@
 	}
 	s.log.Info("this box dispatches now", zap.String("Service", s.service), zap.String("Before", s.remote.box))
 	s.remote.stream.Close()
-	s.remote = nil
+	s.remote, s.aloneSince = nil, time.Now()
 }
 
 // forgetPending gives up waiting. A grant that came meanwhile is given back.
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -8,6 +8,8 @@
 	Name string
 	// Zone is the availability zone of the box.
 	Zone string
+	// Regions are the regions of all availability zones, by zone.
+	Regions map[string]string
 	// CallerAddress is the IP and port on which callers are served.
 	CallerAddress string
 	// ReadyAddress is where the balancer asks whether the box takes requests.
@@ -26,6 +28,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// ColdFactor and ColdMore are by how much the whole fleet may go beyond what cold
+	// endpoints bear, in any second: a factor, and requests.
+	ColdFactor, ColdMore float64
 	// ShareWindow is the time over which customers' shares are counted.
 	ShareWindow time.Duration
 	// Cores is the processor time that the box has, in cores.
--- a/pkg/gateway/translator.go
+++ b/pkg/gateway/translator.go
@@ -59,8 +59,9 @@
 	Answered(header *fasthttp.ResponseHeader) Answered
 	// KeptPath is where a model engine tells what its memory keeps.
 	KeptPath() string
-	// Kept reads that answer.
-	Kept(body []byte) ([]dispatch.Part, error)
+	// Kept reads that answer: the start of the engine, 0 where it does not say, and the
+	// parts.
+	Kept(body []byte) (born int64, parts []dispatch.Part, err error)
 	// Strip takes what concerns one connection out of an answer's headers.
 	Strip(header *fasthttp.ResponseHeader)
 }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -349,6 +349,22 @@
 	return len(v.takers)
 }
 
+// CountRecent is the number of other boxes that are alive, or were until a short while ago
+// and did not say that they leave. One that came back by its name counts once.
+func (v *View) CountRecent(now time.Time, within time.Duration) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.search()
+	names := make(map[string]bool, len(v.rows))
+	for _, one := range v.rows {
+		lost := !one.reached && (one.Leaving || now.Sub(one.lostAt) > within)
+		if !lost && one.Box != v.Self.Box {
+			names[one.Box] = true
+		}
+	}
+	return len(names)
+}
+
 const (
 	// settleTime is how long no news has to come for a starting box to believe that it
 	// knows the fleet: news crosses 300 boxes in a quarter of a second.
--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -28,6 +28,7 @@
 		Leaving:   state.Leaving,
 		Directory: state.Directory,
 		Knowledge: KnowledgeMessage(state.Knowledge),
+		Orders:    state.Orders,
 		Chosen:    state.Chosen,
 		Rows:      encodeRows(state.Rows),
 	}
@@ -39,7 +40,7 @@
 	changed = e.first || len(update.Pools) > 0 || len(update.Rows) > 0 ||
 		state.Revision != e.last.Revision || state.Leaving != e.last.Leaving ||
 		state.Directory != e.last.Directory || state.Knowledge != e.last.Knowledge ||
-		state.Chosen != e.last.Chosen
+		state.Chosen != e.last.Chosen || state.Orders != e.last.Orders
 	e.last = state
 	e.first = false
 	return update, changed
@@ -122,6 +123,7 @@
 		Leaving:   update.Leaving,
 		Directory: update.Directory,
 		Knowledge: KnowledgeOf(update.Knowledge),
+		Orders:    update.Orders,
 		Chosen:    update.Chosen,
 		Rows:      decodeRows(update.Rows),
 		Pools:     make(map[string]PoolState, len(update.Pools)),
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
+	"github.com/quaylead/quaylead/pkg/route"
 	"github.com/quaylead/quaylead/pkg/settings"
 )
 
@@ -33,6 +34,12 @@
 	Directory(since uint64) *peerpb.Directory
 }
 
+// OrdersTeller gives peers the operator's orders in force.
+type OrdersTeller interface {
+	// Orders are nil where they are not known.
+	Orders() *route.Orders
+}
+
 // RowTeller gives peers what boxes say of themselves.
 type RowTeller interface {
 	// Rows are those with news since a mark, but for what the named box told
@@ -65,6 +72,8 @@
 	Listener    Listener
 	// Directory answers peers that ask for the endpoints; nil refuses them.
 	Directory DirectoryTeller
+	// Orders gives the orders that go with settings; nil means none.
+	Orders OrdersTeller
 	// RowTeller gives the rows that go with states; nil means none.
 	RowTeller RowTeller
 	// Dispatch answers routers that ask for engines; nil refuses them.
--- a/pkg/peer/fetch.go
+++ b/pkg/peer/fetch.go
@@ -16,29 +16,44 @@
 func (e *Exchange) Fetch(first string, revision uint64) (found uint64, content []byte, err error) {
 	defer func() { err = trace.Wrap(err, "fetching settings from peers") }()
 	for _, l := range e.links(first) {
-		found, content, err := e.FetchFrom(l.name, revision)
+		snapshot, err := e.FetchFrom(l.name, revision)
 		if err == nil {
-			return found, content, nil
+			return snapshot.Revision, snapshot.Content, nil
 		}
 	}
 	return 0, nil, trace.NotFound("no reachable peer has revision %d", revision)
 }
 
-// FetchFrom asks one peer for settings of at least a revision.
-func (e *Exchange) FetchFrom(box string, revision uint64) (found uint64, content []byte, err error) {
+// FetchFrom asks one peer for settings of at least a revision, with the orders in force.
+func (e *Exchange) FetchFrom(box string, revision uint64) (snapshot *peerpb.Snapshot, err error) {
 	defer func() { err = trace.Wrap(err, "fetching settings from %s", box) }()
-	session := e.session(box)
-	if session == nil {
-		return 0, nil, trace.NotFound("no session to the peer")
-	}
-	snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Revision: revision})
+	snapshot, err = e.snapshotOf(box, &peerpb.SnapshotRequest{Revision: revision})
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	if snapshot.Revision < revision || snapshot.Revision == 0 {
-		return 0, nil, trace.NotFound("the peer has revision %d, not %d", snapshot.Revision, revision)
+		return nil, trace.NotFound("the peer has revision %d, not %d", snapshot.Revision, revision)
+	}
+	return snapshot, nil
+}
+
+// FetchOrders asks one peer for the operator's orders; nil means that it knows none.
+func (e *Exchange) FetchOrders(box string) (orders *peerpb.Orders, err error) {
+	defer func() { err = trace.Wrap(err, "fetching orders from %s", box) }()
+	snapshot, err := e.snapshotOf(box, &peerpb.SnapshotRequest{Orders: true})
+	if err != nil {
+		return nil, err
 	}
-	return snapshot.Revision, snapshot.Content, nil
+	return snapshot.Orders, nil
+}
+
+// snapshotOf asks the peer to which there is a session.
+func (e *Exchange) snapshotOf(box string, request *peerpb.SnapshotRequest) (*peerpb.Snapshot, error) {
+	session := e.session(box)
+	if session == nil {
+		return nil, trace.NotFound("no session to the peer")
+	}
+	return e.fetchFrom(session, request)
 }
 
 func (e *Exchange) links(first string) []*link {
@@ -58,11 +73,7 @@
 // FetchDirectory asks one peer for what changed of the endpoints after a version.
 func (e *Exchange) FetchDirectory(from string, since uint64) (directory *peerpb.Directory, err error) {
 	defer func() { err = trace.Wrap(err, "fetching the directory from %s", from) }()
-	session := e.session(from)
-	if session == nil {
-		return nil, trace.NotFound("no session to the peer")
-	}
-	snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Directory: true, Since: since})
+	snapshot, err := e.snapshotOf(from, &peerpb.SnapshotRequest{Directory: true, Since: since})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/peer/listening.go
+++ b/pkg/peer/listening.go
@@ -96,8 +96,12 @@
 		return trace.BadParameter("this box knows no endpoints")
 	case request.Directory:
 		reply.Content, err = proto.Marshal(e.Directory.Directory(request.Since))
+	case request.Orders:
+		reply.Orders = e.orders()
 	default:
+		// The orders are read after the settings, so that they are not older.
 		reply.Revision, reply.Content = e.Teller.Snapshot()
+		reply.Orders = e.orders()
 	}
 	if err != nil {
 		return err
@@ -105,6 +109,18 @@
 	return send(stream, reply, e.Box.Exchange.Lapse.Duration, &e.Traffic.Snapshots)
 }
 
+// orders are those in force here; nil where they are not known.
+func (e *Exchange) orders() *peerpb.Orders {
+	if e.Orders == nil {
+		return nil
+	}
+	orders := e.Orders.Orders()
+	if orders == nil {
+		return nil
+	}
+	return &peerpb.Orders{Version: orders.Version, Evacuated: orders.Evacuated}
+}
+
 func senderOf(hello *peerpb.Hello) Sender {
 	return Sender{
 		Box:             hello.Box,
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -57,6 +57,9 @@
 	Directory uint64
 	// Knowledge is how much is known of the endpoints.
 	Knowledge route.Knowledge
+	// Orders is the version of the operator's orders in force; 0 means that they are not
+	// known.
+	Orders uint64
 	// Chosen is set where the box keeps the session by its own choice. It is set
 	// by the exchange.
 	Chosen bool
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -105,12 +105,22 @@
 		return false
 	}
 	if entry.Problem != nil {
-		r.Log.Error("entry of an endpoint not taken", zap.String("Endpoint", entry.ID), zap.Error(entry.Problem))
-		return false
+		return r.reject(known, entry)
 	}
 	if entry.Gone {
 		return r.remove(known, entry, from, now)
 	}
+	if had && entry.Outdated(&known.Facts) {
+		r.Log.Info("entry of an earlier start passed over",
+			zap.String("Endpoint", entry.ID),
+			zap.Uint64("Version", entry.Version),
+			zap.Int64("Born", entry.Born),
+			zap.Int64("KnownBorn", known.Born))
+		return false
+	}
+	if entry.ColdFor > 0 {
+		entry.ColdUntil = now.Add(entry.ColdFor)
+	}
 	r.entries[entry.ID] = entry
 	r.newest = max(r.newest, entry.Version)
 	if entry.Version > r.lapsed[entry.ID].version {
@@ -123,12 +133,25 @@
 		zap.String("Endpoint", entry.ID),
 		zap.String("Service", entry.Service),
 		zap.String("Address", entry.Address),
-		zap.Bool("Leaving", entry.Leaving),
+		zap.Inline(&entry.Facts),
 		zap.Uint64("Version", entry.Version),
 		zap.String("From", from))
 	return true
 }
 
+// reject takes an entry that can not be read: it is another writer's, and names no
+// endpoint to use until the next good one.
+func (r *Registry) reject(known, entry Entry) bool {
+	r.Log.Error("entry of an endpoint not taken",
+		zap.String("Endpoint", entry.ID),
+		zap.Uint64("Version", entry.Version),
+		zap.Error(entry.Problem))
+	used := known.ID != "" && !known.Gone
+	known.ID = entry.ID
+	r.bury(known, entry.Version)
+	return used
+}
+
 // remove takes the word that an entry is gone. The box that read it in the store
 // judges whether an outage of the store may be the reason; what peers tell was
 // judged there.
@@ -191,7 +214,9 @@
 	for id, entry := range r.entries {
 		directory.Version = max(directory.Version, entry.Version)
 		if !entry.Gone {
-			directory.Endpoints[id] = entry.Endpoint
+			endpoint := entry.Endpoint
+			endpoint.Evacuated = r.orders.Load().Evacuates(endpoint.Zone)
+			directory.Endpoints[id] = endpoint
 		}
 	}
 	r.directory.Store(directory)
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -35,6 +35,8 @@
 	route.Endpoint
 	// Version is the store's counter at the entry's last change.
 	Version uint64
+	// ColdFor is how much longer the endpoint is cold, as of the reading.
+	ColdFor time.Duration
 	// Gone entries were removed.
 	Gone    bool
 	Problem error
@@ -49,14 +51,42 @@
 	Cores float64
 }
 
+// ListedBox is a row of the store about a box. Problem is set, and nothing else but the
+// name and Version, when it can not be read.
+type ListedBox struct {
+	Box
+	// Version is the store's counter at the row's last change.
+	Version uint64
+	Problem error
+}
+
+// Declared is what the operator has written, or what changed of it.
+type Declared struct {
+	// Version is the store's at the reading.
+	Version uint64
+	// Content is the accepted configuration; nil means none, or no change.
+	Content []byte
+	// Evacuations are the orders for availability zones.
+	Evacuations []Evacuation
+}
+
+// Evacuation is an order that nothing be sent to a zone, or its withdrawal. One with a
+// Problem names no zone.
+type Evacuation struct {
+	Zone string
+	// Version is the store's counter at the order's last change.
+	Version   uint64
+	Withdrawn bool
+	Problem   error
+}
+
 // Store is the part of the platform that the registry needs. Versions are of
 // the store's one counter.
 type Store interface {
-	// Catalog reads the accepted configuration; nil content means none yet.
-	Catalog(ctx context.Context) (content []byte, version uint64, err error)
-	// CatalogSince waits for a configuration newer than the version; nil
-	// content means that there is none.
-	CatalogSince(ctx context.Context, version uint64, wait time.Duration) (content []byte, now uint64, err error)
+	// Declared reads all that the operator has written.
+	Declared(ctx context.Context) (Declared, error)
+	// DeclaredSince waits for a change after the version.
+	DeclaredSince(ctx context.Context, version uint64, wait time.Duration) (Declared, error)
 	// DecodeCatalog reads a configuration's content.
 	DecodeCatalog(content []byte) (*route.Catalog, error)
 	// Endpoints reads all entries.
@@ -66,7 +96,7 @@
 	// Announce writes this box's entry.
 	Announce(ctx context.Context, box Box) error
 	// Boxes reads the entries of all boxes.
-	Boxes(ctx context.Context) ([]Box, error)
+	Boxes(ctx context.Context) ([]ListedBox, error)
 	// Close ends the calls that are under way.
 	Close()
 }
@@ -103,6 +133,8 @@
 	heardLooks atomic.Int64
 	catalog    atomic.Pointer[route.Catalog]
 	directory  atomic.Pointer[route.Directory]
+	// orders are nil until they are known.
+	orders atomic.Pointer[route.Orders]
 
 	mu sync.Mutex
 	// content is the catalog's, as it was accepted.
@@ -120,6 +152,9 @@
 	// lapsed are entries that went while the store was unwell; they are used for
 	// a while, unless they come back.
 	lapsed map[string]lapse
+	// badBoxes are the versions of the rows of boxes that could not be read, by name, so
+	// that each is told of once.
+	badBoxes map[string]uint64
 	// unjudged is the last look that is not part of the knowledge yet.
 	unjudged unjudged
 	// unwellAt is when a call about the endpoints last failed, and returnedAt when
@@ -221,8 +256,9 @@
 func (r *Registry) followCatalog(ctx context.Context) error {
 	again := backoff{peers: r.Peers}
 	since, known := uint64(0), false
+	orders := orderReader{log: r.Log}
 	for r.awaitFollow(ctx, r.Catalog() != nil) == nil {
-		content, version, err := r.nextCatalog(ctx, since, known)
+		declared, err := r.nextDeclared(ctx, since, known)
 		r.noteCall(err)
 		if err != nil {
 			known = known && !isHistoryLost(err)
@@ -236,20 +272,24 @@
 			r.Log.Info("catalog is read again", zap.Int("Failures", again.failures))
 		}
 		again.reset()
-		since, known = version, true
-		if content != nil {
-			r.OfferCatalog(content, fromStore)
+		// The orders go first: a box that has a configuration serves.
+		if changed, now := orders.read(declared, !known); changed {
+			r.OfferOrders(now, fromStore)
+		}
+		since, known = declared.Version, true
+		if declared.Content != nil {
+			r.OfferCatalog(declared.Content, fromStore)
 		}
 	}
 	return nil
 }
 
-func (r *Registry) nextCatalog(ctx context.Context, since uint64, known bool) ([]byte, uint64, error) {
+func (r *Registry) nextDeclared(ctx context.Context, since uint64, known bool) (Declared, error) {
 	if known {
 		wait := min(max(catalogWaitLeast, catalogWaitPart*time.Duration(r.Peers())), catalogWaitMost)
-		return r.Store.CatalogSince(ctx, since, interval.Jittered(wait))
+		return r.Store.DeclaredSince(ctx, since, interval.Jittered(wait))
 	}
-	return r.Store.Catalog(ctx)
+	return r.Store.Declared(ctx)
 }
 
 // OfferCatalog puts a configuration in force if it is newer. One that can not
@@ -418,7 +458,7 @@
 		}
 		*announced = true
 	}
-	boxes, err := r.Store.Boxes(ctx)
+	boxes, err := r.readBoxes(ctx)
 	if err != nil {
 		return err
 	}
@@ -431,9 +471,32 @@
 		return err
 	}
 	*announced = true
-	if boxes, err = r.Store.Boxes(ctx); err != nil {
+	if boxes, err = r.readBoxes(ctx); err != nil {
 		return err
 	}
 	r.FoundBoxes(boxes)
 	return nil
 }
+
+// readBoxes reads the rows of boxes. One that can not be read hides no other, and is told
+// of once for each change.
+func (r *Registry) readBoxes(ctx context.Context) (boxes []Box, err error) {
+	listed, err := r.Store.Boxes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	bad := map[string]uint64{}
+	for i := range listed {
+		row := &listed[i]
+		if row.Problem == nil {
+			boxes = append(boxes, row.Box)
+			continue
+		}
+		bad[row.Name] = row.Version
+		if r.badBoxes[row.Name] != row.Version {
+			r.Log.Error("row of a box not taken", zap.String("Box", row.Name), zap.Uint64("Version", row.Version), zap.Error(row.Problem))
+		}
+	}
+	r.badBoxes = bad
+	return boxes, nil
+}
--- a/pkg/route/catalog.go
+++ b/pkg/route/catalog.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/quaylead/quaylead/pkg/lifecycle"
 )
 
 // Catalog is one accepted configuration. It is not changed once Index was
@@ -57,6 +59,8 @@
 	MaxAttempts int
 	// Priority is the rank of the route's requests; 0 is the highest.
 	Priority int
+	// Homes are the regions in which its requests may be served; none means all.
+	Homes []string
 }
 
 // Target is a service that takes a part of a route's requests.
@@ -75,6 +79,26 @@
 	MaxConns int
 	// Engine is set for model engines; nil means a plain service.
 	Engine *Engine
+	// Cold is what its endpoints take after a start.
+	Cold Cold
+}
+
+// Cold is what the operator states of endpoints that have just started.
+type Cold struct {
+	// For is how long they are cold.
+	For time.Duration
+	// PerSecond is the number of requests a second that they bear meanwhile; 0 means that
+	// they bear as many as ever.
+	PerSecond float64
+}
+
+// Bound is how much a cold endpoint takes in any second, where the fleet may go beyond
+// what it bears by a factor and some requests more.
+func (c Cold) Bound(factor, more float64) lifecycle.Bound {
+	if c.PerSecond <= 0 {
+		return lifecycle.Bound{}
+	}
+	return lifecycle.Bound{For: c.For, Most: c.PerSecond*factor + more}
 }
 
 // Engine is what is known of the model engines of a service.
@@ -92,6 +116,9 @@
 	Keys []string
 	// Priority goes before that of the route; nil means that the route's holds.
 	Priority *int
+	// Homes are the regions in which its requests may be served, beside those of the
+	// route; none means all.
+	Homes []string
 }
 
 // Limits bound what callers may send. Zero means no bound.
--- a/pkg/route/directory.go
+++ b/pkg/route/directory.go
@@ -1,5 +1,7 @@
 package route
 
+import "github.com/quaylead/quaylead/pkg/lifecycle"
+
 // Directory is what is known of the endpoints of all services. It is not
 // changed once it is in use.
 type Directory struct {
@@ -9,8 +11,8 @@
 	Endpoints map[string]Endpoint
 }
 
-// Endpoint is one server of a service. Each start of a server is a new
-// endpoint with an ID of its own.
+// Endpoint is one server of a service. Another start of it may have the same ID: Born
+// tells them apart.
 type Endpoint struct {
 	ID      string
 	Service string
@@ -19,11 +21,17 @@
 	Zone    string
 	// Slots is the number of requests it runs at once.
 	Slots int
-	// Leaving endpoints get no new work.
-	Leaving bool
+	lifecycle.Facts
+}
+
+// Renews tells whether this account of an endpoint is of a later start than another one.
+// Where neither tells its start, another address does.
+func (e *Endpoint) Renews(other *Endpoint) bool {
+	return e.Supersedes(&other.Facts) || (!e.Outdated(&other.Facts) && e.Address != other.Address)
 }
 
-// Of returns the endpoints of a service that take new work.
+// Of returns the endpoints of a service that do not leave. Those of evacuated zones are
+// among them, as they are back one day: their Facts tell whether they take work now.
 func (d *Directory) Of(service string) []Endpoint {
 	var found []Endpoint
 	if d == nil {
