--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -45,10 +45,8 @@
 	usage
 	// kinds are by route.
 	kinds map[string]*kind
-	// waiting is the number of requests in the queues of all kinds, and waitingCost the
-	// sum of their tokens.
-	waiting     int
-	waitingCost float64
+	// waiting is the number of requests in the queues of all kinds.
+	waiting int
 }
 
 // kind is a customer's requests of one route.
@@ -107,7 +105,6 @@
 	k := a.kind(ask.Route)
 	k.queue = append(k.queue, ask)
 	a.waiting++
-	a.waitingCost += ask.cost
 }
 
 func (a *account) dequeue(ask *Ask) {
@@ -115,7 +112,6 @@
 	if at := slices.Index(k.queue, ask); at >= 0 {
 		k.queue = slices.Delete(k.queue, at, at+1)
 		a.waiting--
-		a.waitingCost -= ask.cost
 	}
 }
 
--- a/pkg/dispatch/refusal.go
+++ b/pkg/dispatch/refusal.go
@@ -10,7 +10,10 @@
 	for _, ask := range k.queue {
 		waiting += ask.cost
 	}
-	return timeFor(waiting, k.granted.sum, p.Rules.Window)
+	if waiting >= k.granted.sum*float64(time.Hour)/float64(p.Rules.Window) {
+		return time.Hour
+	}
+	return time.Duration(waiting / k.granted.sum * float64(p.Rules.Window))
 }
 
 // hopeless tells that a request of a customer beyond its share can not be served
@@ -23,35 +26,7 @@
 	if len(k.queue) == 0 || !p.over(a, ask) {
 		return false
 	}
-	return float64(p.turnTime(a, ask, now)) > p.hold(ask)
-}
-
-// turnTime is the predicted time until a request's turn. That of a customer that is not
-// far ahead comes after what waits of those served less, and of itself, at the rate at
-// which the pool grants to all: what it got before, and the length of its line, are no
-// reason to refuse it. One far ahead goes by what was granted of its kind.
-func (p *Pool) turnTime(a *account, ask *Ask, now time.Time) time.Duration {
-	if p.standing(a, ask) == farBeyond {
-		return p.queueTime(a.kind(ask.Route), now)
-	}
-	p.granted.advance(now, p.Rules.Window)
-	level := a.granted.sum + a.waitingCost + ask.cost
-	before := 0.0
-	for _, other := range p.accounts {
-		if other.waiting > 0 {
-			before += min(other.waitingCost, max(0, level-other.granted.sum))
-		}
-	}
-	return timeFor(before, p.granted.sum, p.Rules.Window)
-}
-
-// timeFor is the time in which so much is granted, where a sum was in a window; an hour
-// where nothing was.
-func timeFor(amount, sum float64, window time.Duration) time.Duration {
-	if amount >= sum*float64(time.Hour)/float64(window) {
-		return time.Hour
-	}
-	return time.Duration(amount / sum * float64(window))
+	return float64(p.queueTime(k, now)) > p.hold(ask)
 }
 
 const (
@@ -88,7 +63,7 @@
 		return comeBackUnknown
 	}
 	if over {
-		return p.turnTime(a, ask, now)
+		return p.queueTime(a.kind(ask.Route), now)
 	}
 	return p.least.wait - p.backlog()/2
 }
