--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,7 +156,7 @@
 	s.entries = append(s.entries, entry)
 }
 
-func start(t *testing.T, store *fakeStore, looked func(*Registry)) (r *Registry, stop func()) {
+func start(t *testing.T, store *fakeStore, looked func(*Registry), configure ...func(*Registry)) (r *Registry, stop func()) {
 	t.Helper()
 	r = &Registry{
 		Store:      store,
@@ -165,6 +166,9 @@
 		Peers:      func() int { return 0 },
 	}
 	r.Looked = func() { looked(r) }
+	for _, set := range configure {
+		set(r)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	group := errgroup.Group{}
 	group.Go(func() error { return r.Run(ctx) })
@@ -321,14 +325,17 @@
 			r.OfferOrders(route.Orders{Version: 8}, "box-3")
 			So(r.Directory().Endpoints["a"].Evacuated, ShouldBeTrue)
 		}},
-		{"a row of a box that can not be read hides no other", func(store *fakeStore, r *Registry) {
-			var found []Box
-			r.FoundBoxes = func(boxes []Box) { found = boxes }
+		{"a row of a box that can not be read hides no other", func(store *fakeStore, _ *Registry) {
 			store.change(func(s *fakeState) {
 				s.boxes = []ListedBox{{Box: Box{Name: "bad"}, Version: 1, Problem: errors.New("no address")}, {Box: Box{Name: "good"}, Version: 2}}
 			})
-			time.Sleep(2 * boxesInterval)
-			So(found, ShouldResemble, []Box{{Name: "good"}})
+			var found atomic.Pointer[[]Box]
+			_, stop := start(t, store, func(*Registry) {}, func(r *Registry) {
+				r.FoundBoxes = func(boxes []Box) { found.Store(&boxes) }
+			})
+			time.Sleep(time.Second)
+			stop()
+			So(*found.Load(), ShouldResemble, []Box{{Name: "good"}})
 		}},
 		{"a configuration is in force within two seconds of a hanging store's return", func(store *fakeStore, r *Registry) {
 			store.change(func(s *fakeState) { s.hanging = true })
