--- /dev/null
+++ b/pkg/registry/boxes.go
@@ -0,0 +1,86 @@
+package registry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/interval"
+)
+
+func (r *Registry) followBoxes(ctx context.Context) error {
+	again := backoff{peers: r.Peers}
+	announced := false
+	for ctx.Err() == nil {
+		err := r.lookAtBoxes(ctx, &announced)
+		r.noteCall(err)
+		if err == nil {
+			again.reset()
+			length := interval.Jittered(boxesInterval + boxesPart*time.Duration(r.Peers()))
+			if interval.Wait(ctx, length) != nil || r.awaitFollow(ctx, true) != nil {
+				return nil
+			}
+			continue
+		}
+		r.Log.Warn("boxes not read", zap.Error(err))
+		if again.wait(ctx) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// lookAtBoxes reads the list of boxes, with this one in it: each box finds all those
+// that were listed before it, or is found by them. Where the fleet has run before, this
+// box is likely to be listed still, and need not write.
+func (r *Registry) lookAtBoxes(ctx context.Context, announced *bool) error {
+	if !*announced && r.FirstStart {
+		if err := r.Store.Announce(ctx, r.Self); err != nil {
+			return err
+		}
+		*announced = true
+	}
+	boxes, err := r.readBoxes(ctx)
+	if err != nil {
+		return err
+	}
+	r.FoundBoxes(boxes)
+	if *announced || slices.Contains(boxes, r.Self) {
+		*announced = true
+		return nil
+	}
+	if err := r.Store.Announce(ctx, r.Self); err != nil {
+		return err
+	}
+	*announced = true
+	if boxes, err = r.readBoxes(ctx); err != nil {
+		return err
+	}
+	r.FoundBoxes(boxes)
+	return nil
+}
+
+// readBoxes reads the rows of boxes. One that can not be read hides no other, and is told
+// of once for each change.
+func (r *Registry) readBoxes(ctx context.Context) (boxes []Box, err error) {
+	listed, err := r.Store.Boxes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	bad := map[string]uint64{}
+	for i := range listed {
+		row := &listed[i]
+		if row.Problem == nil {
+			boxes = append(boxes, row.Box)
+			continue
+		}
+		bad[row.Name] = row.Version
+		if r.badBoxes[row.Name] != row.Version {
+			r.Log.Error("row of a box not taken", zap.String("Box", row.Name), zap.Uint64("Version", row.Version), zap.Error(row.Problem))
+		}
+	}
+	r.badBoxes = bad
+	return boxes, nil
+}
--- /dev/null
+++ b/pkg/registry/catalog.go
@@ -0,0 +1,76 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/interval"
+)
+
+func (r *Registry) followCatalog(ctx context.Context) error {
+	again := backoff{peers: r.Peers}
+	since, known := uint64(0), false
+	orders := orderReader{log: r.Log}
+	for r.awaitFollow(ctx, r.Catalog() != nil) == nil {
+		declared, err := r.nextDeclared(ctx, since, known)
+		r.noteCall(err)
+		if err != nil {
+			known = known && !isHistoryLost(err)
+			r.Log.Warn("catalog not read", zap.Uint64("Since", since), zap.Error(err))
+			if again.wait(ctx) != nil {
+				return nil
+			}
+			continue
+		}
+		if again.failures > 0 {
+			r.Log.Info("catalog is read again", zap.Int("Failures", again.failures))
+		}
+		again.reset()
+		// The orders go first: a box that has a configuration serves.
+		if changed, now := orders.read(declared, !known); changed {
+			r.OfferOrders(now, fromStore)
+		}
+		since, known = declared.Version, true
+		if declared.Content != nil {
+			r.OfferCatalog(declared.Content, fromStore)
+		}
+	}
+	return nil
+}
+
+func (r *Registry) nextDeclared(ctx context.Context, since uint64, known bool) (Declared, error) {
+	if known {
+		wait := min(max(catalogWaitLeast, catalogWaitPart*time.Duration(r.Peers())), catalogWaitMost)
+		return r.Store.DeclaredSince(ctx, since, interval.Jittered(wait))
+	}
+	return r.Store.Declared(ctx)
+}
+
+// OfferCatalog puts a configuration in force if it is newer. One that can not
+// be read changes nothing.
+func (r *Registry) OfferCatalog(content []byte, from string) {
+	catalog, err := r.Store.DecodeCatalog(content)
+	if err != nil {
+		r.Log.Error("configuration not taken", zap.String("From", from), zap.Error(err))
+		return
+	}
+	r.mu.Lock()
+	now := r.catalog.Load()
+	newer := now == nil || catalog.Version > now.Version
+	if newer {
+		r.content = content
+		r.catalog.Store(catalog)
+	}
+	r.mu.Unlock()
+	if !newer {
+		return
+	}
+	r.Log.Info("configuration in force",
+		zap.Uint64("Version", catalog.Version),
+		zap.String("From", from),
+		zap.Int("Routes", len(catalog.Routes)),
+		zap.Int("Customers", len(catalog.Customers)))
+	r.Changed()
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -253,72 +252,6 @@
 
 func (b *backoff) reset() { b.failures = 0 }
 
-func (r *Registry) followCatalog(ctx context.Context) error {
-	again := backoff{peers: r.Peers}
-	since, known := uint64(0), false
-	orders := orderReader{log: r.Log}
-	for r.awaitFollow(ctx, r.Catalog() != nil) == nil {
-		declared, err := r.nextDeclared(ctx, since, known)
-		r.noteCall(err)
-		if err != nil {
-			known = known && !isHistoryLost(err)
-			r.Log.Warn("catalog not read", zap.Uint64("Since", since), zap.Error(err))
-			if again.wait(ctx) != nil {
-				return nil
-			}
-			continue
-		}
-		if again.failures > 0 {
-			r.Log.Info("catalog is read again", zap.Int("Failures", again.failures))
-		}
-		again.reset()
-		// The orders go first: a box that has a configuration serves.
-		if changed, now := orders.read(declared, !known); changed {
-			r.OfferOrders(now, fromStore)
-		}
-		since, known = declared.Version, true
-		if declared.Content != nil {
-			r.OfferCatalog(declared.Content, fromStore)
-		}
-	}
-	return nil
-}
-
-func (r *Registry) nextDeclared(ctx context.Context, since uint64, known bool) (Declared, error) {
-	if known {
-		wait := min(max(catalogWaitLeast, catalogWaitPart*time.Duration(r.Peers())), catalogWaitMost)
-		return r.Store.DeclaredSince(ctx, since, interval.Jittered(wait))
-	}
-	return r.Store.Declared(ctx)
-}
-
-// OfferCatalog puts a configuration in force if it is newer. One that can not
-// be read changes nothing.
-func (r *Registry) OfferCatalog(content []byte, from string) {
-	catalog, err := r.Store.DecodeCatalog(content)
-	if err != nil {
-		r.Log.Error("configuration not taken", zap.String("From", from), zap.Error(err))
-		return
-	}
-	r.mu.Lock()
-	now := r.catalog.Load()
-	newer := now == nil || catalog.Version > now.Version
-	if newer {
-		r.content = content
-		r.catalog.Store(catalog)
-	}
-	r.mu.Unlock()
-	if !newer {
-		return
-	}
-	r.Log.Info("configuration in force",
-		zap.Uint64("Version", catalog.Version),
-		zap.String("From", from),
-		zap.Int("Routes", len(catalog.Routes)),
-		zap.Int("Customers", len(catalog.Customers)))
-	r.Changed()
-}
-
 func (r *Registry) followEndpoints(ctx context.Context) error {
 	again := backoff{peers: r.Peers}
 	whole := false
@@ -425,78 +358,3 @@
 	defer r.mu.Unlock()
 	r.unwellAt = time.Now()
 }
-
-func (r *Registry) followBoxes(ctx context.Context) error {
-	again := backoff{peers: r.Peers}
-	announced := false
-	for ctx.Err() == nil {
-		err := r.lookAtBoxes(ctx, &announced)
-		r.noteCall(err)
-		if err == nil {
-			again.reset()
-			length := interval.Jittered(boxesInterval + boxesPart*time.Duration(r.Peers()))
-			if interval.Wait(ctx, length) != nil || r.awaitFollow(ctx, true) != nil {
-				return nil
-			}
-			continue
-		}
-		r.Log.Warn("boxes not read", zap.Error(err))
-		if again.wait(ctx) != nil {
-			return nil
-		}
-	}
-	return nil
-}
-
-// lookAtBoxes reads the list of boxes, with this one in it: each box finds all those
-// that were listed before it, or is found by them. Where the fleet has run before, this
-// box is likely to be listed still, and need not write.
-func (r *Registry) lookAtBoxes(ctx context.Context, announced *bool) error {
-	if !*announced && r.FirstStart {
-		if err := r.Store.Announce(ctx, r.Self); err != nil {
-			return err
-		}
-		*announced = true
-	}
-	boxes, err := r.readBoxes(ctx)
-	if err != nil {
-		return err
-	}
-	r.FoundBoxes(boxes)
-	if *announced || slices.Contains(boxes, r.Self) {
-		*announced = true
-		return nil
-	}
-	if err := r.Store.Announce(ctx, r.Self); err != nil {
-		return err
-	}
-	*announced = true
-	if boxes, err = r.readBoxes(ctx); err != nil {
-		return err
-	}
-	r.FoundBoxes(boxes)
-	return nil
-}
-
-// readBoxes reads the rows of boxes. One that can not be read hides no other, and is told
-// of once for each change.
-func (r *Registry) readBoxes(ctx context.Context) (boxes []Box, err error) {
-	listed, err := r.Store.Boxes(ctx)
-	if err != nil {
-		return nil, err
-	}
-	bad := map[string]uint64{}
-	for i := range listed {
-		row := &listed[i]
-		if row.Problem == nil {
-			boxes = append(boxes, row.Box)
-			continue
-		}
-		bad[row.Name] = row.Version
-		if r.badBoxes[row.Name] != row.Version {
-			r.Log.Error("row of a box not taken", zap.String("Box", row.Name), zap.Uint64("Version", row.Version), zap.Error(row.Problem))
-		}
-	}
-	r.badBoxes = bad
-	return boxes, nil
-}
