pkg/quarantine, pkg/suspension, pkg/gateway: what repeats have in common, and both clocks, in the logs

The hypotheses of the incident can not be told apart by what is logged: repeats of a request have IDs of their own, and a suspended machine shows only as a step between two clocks.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -124,6 +124,7 @@
 	c.excluded = append(c.excluded, to.ID)
 	c.log().Info("attempt failed",
 		zap.String("Request", c.ID),
+		zap.Stringer("Fingerprint", c.fingerprint),
 		zap.String("Endpoint", to.ID),
 		zap.String("Address", to.Address),
 		zap.Int("Attempts", c.life.Attempts()),
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/logflags"
+	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/route"
 )
@@ -36,6 +37,8 @@
 	route    *route.Route
 	service  route.Service
 	customer string
+	// fingerprint is what repeats of the request have in common.
+	fingerprint quarantine.Fingerprint
 	// zones are the availability zones in which it may be served; none means any.
 	zones []string
 	life  request.Life
@@ -124,6 +127,8 @@
 		return refusal
 	}
 	c.watch()
+	header := &c.http.Request.Header
+	c.fingerprint = quarantine.Of(header.Method(), header.RequestURI(), []byte(c.customer), c.http.Request.Body())
 	if c.service.Engine != nil && c.Prompt != nil {
 		return c.serveModel()
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/quaylead/quaylead/pkg/registry"
 	"github.com/quaylead/quaylead/pkg/route"
 	"github.com/quaylead/quaylead/pkg/settings"
+	"github.com/quaylead/quaylead/pkg/suspension"
 )
 
 // Gateway is one box of the fleet. Its exported fields are set before Run.
@@ -33,6 +34,8 @@
 	Store      registry.Store
 	Logs       logflags.Logs
 	Metrics    *Metrics
+	// Suspended is how long the machine has been suspended in all; nil asks the system.
+	Suspended func() (time.Duration, error)
 
 	log         *zap.Logger
 	incarnation uint64
@@ -138,6 +141,9 @@
 	if g.Metrics == nil {
 		g.Metrics = &Metrics{}
 	}
+	if g.Suspended == nil {
+		g.Suspended = suspension.Total
+	}
 	self := registry.Box{
 		Name:        g.Settings.Name,
 		Zone:        g.Settings.Zone,
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -206,6 +206,7 @@
 	c.gateway.Metrics.Cut(c.service.Name)
 	c.log().Info("stream cut",
 		zap.String("Request", c.ID),
+		zap.Stringer("Fingerprint", c.fingerprint),
 		zap.String("Customer", c.customer),
 		zap.String("Route", c.route.Name),
 		zap.String("Endpoint", s.to.ID),
--- /dev/null
+++ b/pkg/suspension/total_test.go
@@ -0,0 +1,19 @@
+package suspension
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestTotal(t *testing.T) {
+	Convey("A machine that is not suspended meanwhile has a total that does not grow", t, func() {
+		before, err := Total()
+		So(err, ShouldBeNil)
+		time.Sleep(20 * time.Millisecond)
+		after, err := Total()
+		So(err, ShouldBeNil)
+		So((after - before).Abs(), ShouldBeLessThan, 10*time.Millisecond)
+	})
+}
