pkg/suspension, pkg/gateway, pkg/registry: a box whose machine was suspended looks again

Cause: every age goes by the steady clock, which a suspension does not count, so a box that goes on holds sessions, grants, configuration, endpoints and requests for fresh that are seconds old.

Change: CLOCK_BOOTTIME is compared with the steady clock before a request is sent and four times a second. After a suspension of 0.1 s and more, requests that ran out of time are ended, the others have what is left, grants that were not sent are handed back, the sessions to other boxes are opened anew, and the box is not ready and refuses until it has read the store again, 3 s at most.

Not measured on a suspended machine: none is to be had; the clock is moved by the tests.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -38,13 +38,16 @@
 		// A received request can always be queued.
 		_ = c.life.Advance(request.Queued)
 	}
+	// What was granted before a suspension is handed back: another one may have it now.
+	suspended := c.gateway.waking.Noticed()
 	out := c.compose(to.Endpoint, lastEvent)
 	ctx := c.guarded(to)
 	reply, err := c.gateway.client(to.Address).Do(ctx, &endpoint.Call{
 		Request: out,
 		Sure:    !c.route.Repeatable,
 		Sending: func() error {
-			if !c.gateway.admits(&to.Endpoint) {
+			c.gateway.lookForSuspension()
+			if c.gateway.waking.Noticed() != suspended || c.gateway.waking.renewing.Load() || !c.gateway.admits(&to.Endpoint) {
 				return errTakenBack
 			}
 			if c.gateway.ledger.Judge(c.fingerprint, time.Now()).Quarantined() {
@@ -94,7 +97,7 @@
 	c.gateway.Translator.Address(&out.Header, Delivery{
 		Endpoint:  to.ID,
 		Customer:  c.customer,
-		Remaining: time.Until(c.deadline),
+		Remaining: c.left(),
 		LastEvent: lastEvent,
 	})
 	out.SetBodyRaw(c.http.Request.Body())
@@ -185,7 +188,7 @@
 
 // mayRepeat books another attempt, if the route and the budget allow it.
 func (c *call) mayRepeat() bool {
-	if c.life.Attempts() >= c.route.MaxAttempts || time.Until(c.deadline) < leastTime {
+	if c.life.Attempts() >= c.route.MaxAttempts || c.left() < leastTime {
 		return false
 	}
 	if c.gateway.ledger.Judge(c.fingerprint, time.Now()).Quarantined() {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -32,8 +32,11 @@
 	Described
 	arrived time.Time
 	// deadline is when the answer is of no use any more, to the caller or by the
-	// route's time limit.
-	deadline time.Time
+	// route's time limit, but for suspensions: when it came, they added up to suspended.
+	deadline  time.Time
+	suspended time.Duration
+	// late is the reason that the deadline gives.
+	late     error
 	route    *route.Route
 	service  route.Service
 	customer string
@@ -96,6 +99,7 @@
 		return
 	}
 	c.guard.stop()
+	c.gateway.waking.leave(c)
 	c.cancel(nil)
 	conn := c.http.Conn()
 	// The watcher has to be gone before the connection is read again.
@@ -133,6 +137,10 @@
 	if refusal := c.refuseDeadly(); refusal != nil {
 		return refusal
 	}
+	c.gateway.lookForSuspension()
+	if c.gateway.waking.renewing.Load() {
+		return notRun(request.NotReady, "the machine of this box was suspended, and it looks again", comeBackElsewhere)
+	}
 	c.watch()
 	if c.service.Engine != nil && c.Prompt != nil {
 		return c.serveModel()
@@ -191,7 +199,8 @@
 	if wait == 0 {
 		wait = longestRequest
 	}
-	c.deadline = c.arrived.Add(wait)
+	c.deadline, c.late = c.arrived.Add(wait), cause
+	c.suspended = c.gateway.waking.Noticed()
 	ctx, cancel := context.WithCancelCause(c.gateway.over)
 	var stopTimer context.CancelFunc
 	c.ctx, stopTimer = context.WithDeadlineCause(ctx, c.deadline, cause)
@@ -199,6 +208,7 @@
 		cancel(cause)
 		stopTimer()
 	}
+	c.gateway.waking.enter(c)
 	conn := c.http.Conn()
 	c.watcher.Go(func() error {
 		if endpoint.AwaitClose(conn) {
@@ -208,6 +218,16 @@
 	})
 }
 
+// left is the time in which the answer is of use.
+func (c *call) left() time.Duration {
+	return time.Until(c.deadline) - (c.gateway.waking.Noticed() - c.suspended)
+}
+
+// endAfter ends the request after a time, where it goes on for so long.
+func (c *call) endAfter(length time.Duration) {
+	time.AfterFunc(length, func() { c.cancel(c.late) })
+}
+
 func (c *call) log() *zap.Logger {
 	return c.gateway.Logs.For(logflags.Caller)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,7 +25,6 @@
 	"github.com/quaylead/quaylead/pkg/registry"
 	"github.com/quaylead/quaylead/pkg/route"
 	"github.com/quaylead/quaylead/pkg/settings"
-	"github.com/quaylead/quaylead/pkg/suspension"
 )
 
 // Gateway is one box of the fleet. Its exported fields are set before Run.
@@ -53,6 +52,8 @@
 	// may prove wrong.
 	ledger quarantine.Ledger
 	unsure unsure
+	// waking notices suspensions of the machine.
+	waking waking
 	// lives are the attempts under way, and coldSends the plain endpoints that this box
 	// sends to while they are cold.
 	lives     lives
@@ -115,6 +116,10 @@
 		interval.Every(behind, unsureLook, g.settleEnds)
 		return nil
 	})
+	group.Go(func() error {
+		interval.Every(behind, suspensionLook, g.lookForSuspension)
+		return nil
+	})
 	group.Go(func() error { return g.load.measure(behind, g.overloaded) })
 	g.log.Info("box started",
 		zap.String("Box", g.Settings.Name),
@@ -150,9 +155,8 @@
 	if g.Metrics == nil {
 		g.Metrics = &Metrics{}
 	}
-	if g.Suspended == nil {
-		g.Suspended = suspension.Total
-	}
+	g.waking.Total = g.Suspended
+	g.lookForSuspension()
 	self := registry.Box{
 		Name:        g.Settings.Name,
 		Zone:        g.Settings.Zone,
@@ -284,7 +288,7 @@
 
 // ready tells whether new connections of callers are welcome.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && !g.load.busy(time.Now()) && g.registry.Catalog() != nil && g.registry.Directory() != nil
+	return !g.stopping.Load() && !g.waking.renewing.Load() && !g.load.busy(time.Now()) && g.registry.Catalog() != nil && g.registry.Directory() != nil
 }
 
 // overloaded tells of a time in which this box asks for no new callers.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -93,12 +93,8 @@
 	log := g.Logs.For(logflags.Box)
 	traffic := &g.exchange.Traffic
 	interval.Every(ctx, countsInterval, func() {
-		suspended, err := g.Suspended()
-		if err != nil {
-			log.Warn("suspension not known", zap.Error(err))
-		}
 		log.Info("counts",
-			zap.Duration("Suspended", suspended),
+			zap.Duration("Suspended", g.waking.Noticed()),
 			zap.Int("Alive", g.fleet.CountLive()+1),
 			zap.Int64("PeerBytesSent", traffic.Sent.Load()),
 			zap.Int64("PeerBytesReceived", traffic.Received.Load()),
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -106,7 +106,7 @@
 		Prompt:   *c.Prompt,
 		Arrived:  c.arrived,
 		Aim:      aim,
-		Expires:  c.deadline,
+		Expires:  time.Now().Add(c.left()),
 		Excluded: c.excluded,
 		Zones:    c.zones,
 
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -134,6 +134,19 @@
 	wakeUp(l.redial)
 }
 
+// Renew has all sessions that this box opened closed and opened anew: it was suspended, and
+// the others have given them up.
+func (e *Exchange) Renew() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.peers {
+		if session := l.session.Load(); session != nil {
+			session.Close()
+		}
+		wakeUp(l.redial)
+	}
+}
+
 // doubtTime is how long a doubted session may take to answer. On one that lives an
 // answer takes a millisecond. A box that is short of processor time may take more than
 // half a second, and closing its sessions then costs it more: with 0.5 s, 56 of them
--- /dev/null
+++ b/pkg/registry/renew.go
@@ -0,0 +1,35 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Renew reads the configuration, the orders and the endpoints once, whoever follows the
+// store: what this box knows may be older than it seems.
+func (r *Registry) Renew(ctx context.Context) (err error) {
+	defer func() { err = trace.Wrap(err, "reading again what the store holds") }()
+	declared, err := r.Store.Declared(ctx)
+	if err != nil {
+		return err
+	}
+	since := r.Knowledge().Known
+	entries, version, err := r.Store.EndpointsSince(ctx, since)
+	whole := isHistoryLost(err) || since == 0
+	if whole {
+		entries, version, err = r.Store.Endpoints(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	orders := orderReader{log: r.Log}
+	_, now := orders.read(declared, true)
+	r.OfferOrders(now, fromStore)
+	if declared.Content != nil {
+		r.OfferCatalog(declared.Content, fromStore)
+	}
+	r.takeRead(entries, version, whole, time.Now())
+	return nil
+}
