cmd/quaybench/soak, pkg/endpoint, pkg/gateway: the soak draws requests that end servers

The stand-ins of the soak end under a marked body and are back a second later under another ID; the check holds that three ends are followed by three sends at most.

An answer without a length ends with its connection, and alike where its endpoint ends: it clears no request any more. What is taken for an end is decided by a function without a network, with tests.

--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -51,6 +51,7 @@
 	}
 	broken = append(broken, w.checkLeaving(runs)...)
 	broken = append(broken, w.checkConfigurations()...)
+	broken = append(broken, w.checkDeadly()...)
 	for _, b := range w.boxes {
 		broken = append(broken, checkExplained(w.outcomes, b)...)
 	}
@@ -68,7 +69,7 @@
 // problems are the promises of one request that were not kept.
 func (o *outcome) problems(runs []standin.Run) (problems []string) {
 	if o.err == nil && o.status == fasthttp.StatusOK && o.body != o.whole() {
-		problems = append(problems, "its answer is not the whole one to it")
+		problems = append(problems, fmt.Sprintf("its answer is not the whole one to it: %d bytes of %d, %q at the end", len(o.body), len(o.whole()), ending(o.body)))
 	}
 	if o.answered != "" && o.answered != o.id {
 		problems = append(problems, "it got the answer of "+o.answered)
@@ -82,6 +83,12 @@
 	return problems
 }
 
+// ending is the last of a text, for a verdict.
+func ending(text string) string {
+	const most = 60
+	return text[max(0, len(text)-most):]
+}
+
 // saysNotRun tells whether a status is a promise that nothing ran and will.
 func saysNotRun(status int) bool {
 	switch status {
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -105,3 +105,19 @@
 		So(checkService([]outcome{served}, boxes, start.Add(time.Second)), ShouldHaveLength, 1)
 	})
 }
+
+func TestDeadlyChecked(t *testing.T) {
+	runs := func(count int) (runs []standin.Run) {
+		for i := range count {
+			began := at(float64(i))
+			runs = append(runs, standin.Run{Body: deadlyMark, Began: began, Ended: began.Add(time.Millisecond)})
+		}
+		return runs
+	}
+	Convey("Sends after the third end count once boxes have had three seconds to tell each other", t, func() {
+		So(sentLate(runs(2)), ShouldEqual, 0)
+		So(sentLate(runs(6)), ShouldEqual, 0)
+		So(sentLate(runs(7)), ShouldEqual, 1)
+		So(sentLate(runs(10)), ShouldEqual, 4)
+	})
+}
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -16,7 +16,7 @@
 )
 
 // injection is one of killed, paused, stopped, hungUp, linkFault, storeFault,
-// forgotten, serverFault, leaving and configured.
+// forgotten, serverFault, leaving, configured and deadly.
 type injection interface {
 	fmt.Stringer
 	injection()
@@ -66,6 +66,16 @@
 // configured has a new configuration accepted.
 type configured struct{}
 
+// deadly has one request come again and again, to any box, that ends the servers of a
+// service which run it.
+type deadly struct {
+	service string
+	number  int
+	// pause is the longest time between two.
+	pause time.Duration
+	seed  uint64
+}
+
 func (killed) injection()      {}
 func (paused) injection()      {}
 func (stopped) injection()     {}
@@ -76,6 +86,7 @@
 func (serverFault) injection() {}
 func (leaving) injection()     {}
 func (configured) injection()  {}
+func (deadly) injection()      {}
 
 // String names the fault for the log of a run.
 func (f killed) String() string {
@@ -90,11 +101,14 @@
 func (f serverFault) String() string { return f.server.ID + " " + f.how }
 func (f leaving) String() string     { return f.server.ID + " leaves" }
 func (f configured) String() string  { return "a new configuration" }
+func (f deadly) String() string {
+	return fmt.Sprintf("a request that ends servers of %s, again within %s each time", f.service, f.pause)
+}
 
 func drawFault(draw *rand.Rand, w *world) injection {
 	b := w.boxes[draw.IntN(len(w.boxes))]
 	s := w.drawServer(draw)
-	switch draw.IntN(14) {
+	switch draw.IntN(15) {
 	case 0:
 		return killed{boxes: []*box{b}}
 	case 1:
@@ -117,6 +131,13 @@
 		return leaving{server: s}
 	case 11:
 		return configured{}
+	case 12:
+		return deadly{
+			service: []string{"llm", "api"}[draw.IntN(2)],
+			number:  draw.IntN(1 << 30),
+			pause:   time.Duration(50+draw.IntN(800)) * time.Millisecond,
+			seed:    draw.Uint64(),
+		}
 	default:
 		return drawServerFault(draw, s)
 	}
@@ -222,6 +243,9 @@
 		return w.takeAway(ctx, f.server)
 	case configured:
 		return w.accept()
+	case deadly:
+		w.trouble(length)
+		w.sendDeadly(ctx, f, length)
 	}
 	return nil
 }
--- a/cmd/quaybench/soak/world.go
+++ b/cmd/quaybench/soak/world.go
@@ -109,7 +109,8 @@
 	w.made++
 	id := fmt.Sprintf("%s-%d", service, w.made)
 	w.mu.Unlock()
-	s := &server{Server: &standin.Server{ID: id, Service: service, Zone: "zone-a", Truth: w.truth}}
+	s := &server{Server: &standin.Server{ID: id, Service: service, Zone: "zone-a", Truth: w.truth, Deadly: deadlyMark}}
+	s.Ended = func() { w.group.Go(func() error { return w.replace(s) }) }
 	s.Slots, s.Work = 8, 5*time.Millisecond
 	if service == "llm" {
 		s.Slots, s.Work, s.Events, s.Pause = engineSlots, 20*time.Millisecond, streamEvents, 10*time.Millisecond
@@ -281,7 +282,10 @@
 		b.Kill()
 		b.signals.Unlock()
 	}
-	for _, s := range w.servers {
+	w.mu.Lock()
+	servers := slices.Clone(w.servers)
+	w.mu.Unlock()
+	for _, s := range servers {
 		s.Close()
 	}
 	w.store.Close()
--- a/pkg/endpoint/reply.go
+++ b/pkg/endpoint/reply.go
@@ -300,6 +300,10 @@
 	}
 }
 
+// Framed tells whether the answer says where it ends. One that ends with its connection ends
+// alike where its endpoint does.
+func (r *Reply) Framed() bool { return !r.untilClose }
+
 // Whole reads the rest of the body, up to a limit.
 func (r *Reply) Whole(limit int) ([]byte, error) {
 	return readAll(r, nil, limit)
--- a/pkg/endpoint/reply_test.go
+++ b/pkg/endpoint/reply_test.go
@@ -84,12 +84,14 @@
 	body  string
 	// failed: no answer can be had; cut: its body ends before its end.
 	failed, cut bool
+	// unframed answers do not say where they end.
+	unframed bool
 }{
 	{name: "a length", sent: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", body: "hello"},
 	{name: "chunks", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", body: "hello"},
 	{name: "chunks with a trailer", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-A: b\r\n\r\n", body: "hello"},
-	{name: "no length, closed in order", sent: "HTTP/1.1 200 OK\r\n\r\nhello", body: "hello"},
-	{name: "no length, reset", sent: "HTTP/1.1 200 OK\r\n\r\nhello", reset: true, cut: true},
+	{name: "no length, closed in order", sent: "HTTP/1.1 200 OK\r\n\r\nhello", body: "hello", unframed: true},
+	{name: "no length, reset", sent: "HTTP/1.1 200 OK\r\n\r\nhello", reset: true, cut: true, unframed: true},
 	{name: "a length, cut", sent: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", cut: true},
 	{name: "chunks, cut between two", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", cut: true},
 	{name: "chunks, cut before the last line", sent: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", cut: true},
@@ -127,6 +129,7 @@
 			}
 			So(err, ShouldBeNil)
 			defer reply.Close()
+			So(reply.Framed(), ShouldEqual, !a.unframed)
 			if a.reset {
 				_ = reply.conn.Conn.(*net.TCPConn).CloseWrite()
 			}
--- a/pkg/gateway/deadly.go
+++ b/pkg/gateway/deadly.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/route"
@@ -47,7 +48,10 @@
 }
 
 // noteWhole notes that the request was answered to its end, which no deadly one is.
-func (c *call) noteWhole() {
+func (c *call) noteWhole(reply *endpoint.Reply) {
+	if !reply.Framed() {
+		return
+	}
 	if c.gateway.ledger.Clear(c.fingerprint, time.Now()) {
 		c.log().Info("bystander answered", zap.String("Request", c.ID), zap.Stringer("Fingerprint", c.fingerprint))
 		c.gateway.endsChanged()
@@ -63,7 +67,7 @@
 // outcomeOf tells what an attempt that broke says of its endpoint, and counts it where the
 // endpoint ended.
 func (c *call) outcomeOf(to destination, err error) outcome {
-	if !c.gateway.endedBy(to.Endpoint, err) {
+	if !hasEnded(to.Endpoint, c.gateway.registry.Directory(), err) {
 		return outcomeFailed
 	}
 	now := time.Now()
@@ -81,13 +85,13 @@
 	return outcomeEnded
 }
 
-// endedBy tells whether an attempt broke as its endpoint ended. A connection that the other
+// hasEnded tells whether an attempt broke as its endpoint ended. A connection that the other
 // side closed in the middle of an answer is taken for that at once: a deadly request comes
 // again within milliseconds, and the entry of an endpoint that ended goes three seconds
 // later. An endpoint that lives is told apart after that. One that leaves ends by plan, and
 // one that is silent has ended only if its entry is gone as well.
-func (g *Gateway) endedBy(chosen route.Endpoint, err error) bool {
-	now, listed := g.registry.Directory().Endpoints[chosen.ID]
+func hasEnded(chosen route.Endpoint, directory *route.Directory, err error) bool {
+	now, listed := directory.Endpoints[chosen.ID]
 	switch {
 	case chosen.Leaving || (listed && now.Leaving):
 		return false
--- /dev/null
+++ b/pkg/gateway/deadly_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/lifecycle"
+	"github.com/quaylead/quaylead/pkg/quarantine"
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// engineAt is an endpoint of some start.
+func engineAt(born int64) route.Endpoint {
+	return route.Endpoint{ID: "engine", Address: "10.0.0.1:1", Facts: lifecycle.Facts{Born: born}}
+}
+
+func listing(endpoints ...route.Endpoint) *route.Directory {
+	directory := &route.Directory{Endpoints: map[string]route.Endpoint{}}
+	for _, one := range endpoints {
+		directory.Endpoints[one.ID] = one
+	}
+	return directory
+}
+
+func TestHasEnded(t *testing.T) {
+	leaving := engineAt(1)
+	leaving.Leaving = true
+	brokenOff := &endpoint.NoAnswerError{Address: "10.0.0.1:1", Err: io.ErrUnexpectedEOF}
+	for name, is := range map[string]struct {
+		chosen route.Endpoint
+		now    *route.Directory
+		err    error
+		want   bool
+	}{
+		"a connection that was closed in the middle":   {engineAt(1), listing(engineAt(1)), brokenOff, true},
+		"one that was reset":                           {engineAt(1), listing(engineAt(1)), syscall.ECONNRESET, true},
+		"one of an endpoint that leaves, by plan":      {engineAt(1), listing(leaving), brokenOff, false},
+		"one of an endpoint that was leaving":          {leaving, listing(), brokenOff, false},
+		"silence of an endpoint that is listed":        {engineAt(1), listing(engineAt(1)), errStalled, false},
+		"silence of one whose entry is gone":           {engineAt(1), listing(), errStalled, true},
+		"silence of one that started again":            {engineAt(1), listing(engineAt(2)), syscall.ETIMEDOUT, true},
+		"the word that it started again":               {engineAt(1), listing(engineAt(2)), errRestarted, true},
+		"an answer that is none":                       {engineAt(1), listing(engineAt(1)), &unusableError{reason: "no signature"}, false},
+		"an error that says nothing of the connection": {engineAt(1), listing(engineAt(1)), errors.New("other"), false},
+	} {
+		Convey("It is told whether an endpoint ended by "+name, t, func() {
+			So(hasEnded(is.chosen, is.now, is.err), ShouldEqual, is.want)
+		})
+	}
+}
+
+func TestUnsure(t *testing.T) {
+	start := time.Now()
+	life := quarantine.LifeOf("engine", 1)
+	settled := func(directory *route.Directory, looks uint64, times ...time.Duration) (alive int) {
+		u := &unsure{}
+		u.add(life, engineAt(1), 10, start)
+		for _, after := range times {
+			alive += len(u.settle(directory, looks+uint64(after/time.Second), start.Add(after)))
+		}
+		return alive
+	}
+	all := []time.Duration{time.Second, livesAfter - 1, livesAfter + time.Second, livesAfter + 2*time.Second}
+	Convey("An endpoint that is listed still, by a look that came late enough, has not ended", t, func() {
+		So(settled(listing(engineAt(1)), 10, all...), ShouldEqual, 1)
+		So(settled(listing(engineAt(1)), 10, all[:2]...), ShouldEqual, 0)
+	})
+	Convey("Without a look since, nothing is taken back", t, func() {
+		u := &unsure{}
+		u.add(life, engineAt(1), 10, start)
+		So(u.settle(listing(engineAt(1)), 12, start.Add(livesAfter-1)), ShouldBeEmpty)
+		So(u.settle(listing(engineAt(1)), 12, start.Add(livesAfter+time.Second)), ShouldBeEmpty)
+		So(u.settle(listing(engineAt(1)), 13, start.Add(livesAfter+time.Second)), ShouldHaveLength, 1)
+	})
+	Convey("One whose entry went, or that started again, has ended", t, func() {
+		So(settled(listing(), 10, all...), ShouldEqual, 0)
+		So(settled(listing(engineAt(2)), 10, all...), ShouldEqual, 0)
+	})
+}
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -158,6 +158,8 @@
 	how := outcomeUnknown
 	if status >= fasthttp.StatusInternalServerError {
 		how = outcomeFailed
+	} else {
+		c.noteWhole(reply)
 	}
 	to.finish(how)
 	return nil
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -29,6 +29,9 @@
 			good := status < fasthttp.StatusInternalServerError
 			if err = c.passWhole(reply); err == nil {
 				c.logEndpointError(to, status)
+				if good {
+					c.noteWhole(reply)
+				}
 				c.settlePlain(to, good, time.Since(began))
 				return nil
 			}
@@ -52,7 +55,6 @@
 	how := outcomeFailed
 	if good {
 		how = outcomeGood
-		c.noteWhole()
 		c.gateway.Metrics.Answered(c.customer, c.route.Name, time.Since(c.arrived))
 	}
 	to.settle(how, took)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -198,7 +198,7 @@
 		s.to.finish(how)
 	}
 	if s.whole {
-		c.noteWhole()
+		c.noteWhole(s.reply)
 		_ = c.life.Advance(request.Settled)
 		c.gateway.Metrics.Answered(c.customer, c.route.Name, time.Since(c.arrived))
 		s.logSettled()
