--- a/pkg/dispatch/deadly_test.go
+++ b/pkg/dispatch/deadly_test.go
@@ -436,13 +436,18 @@
 	out.refused += s.refusedInnocent
 }
 
+// fleetsOr is how many drawn fleets are played: so many, or those that QUAYLEAD_FLEETS says.
+func fleetsOr(few int) int {
+	if more, err := strconv.Atoi(os.Getenv("QUAYLEAD_FLEETS")); err == nil {
+		return more
+	}
+	return few
+}
+
 // TestDeadlyWays compares the ways on the same drawn fleets, 60 of them with
 // QUAYLEAD_FLEETS=60; -v prints the figures.
 func TestDeadlyWays(t *testing.T) {
-	fleets := 6
-	if more, err := strconv.Atoi(os.Getenv("QUAYLEAD_FLEETS")); err == nil {
-		fleets = more
-	}
+	fleets := fleetsOr(6)
 	for _, way := range []deadlyWay{
 		{"counted by the box that dispatches, not bounded", false, false},
 		{"counted by the box that dispatches, bounded", false, true},
@@ -460,3 +465,36 @@
 		}
 	}
 }
+
+// TestMassCrashes has half of the engines end at once, again and again, under nobody's
+// request. Who lost three of them meanwhile is refused, which is one in thousands; -v prints
+// how many.
+func TestMassCrashes(t *testing.T) {
+	refused, innocents, lost := 0, 0, 0
+	for number := range fleetsOr(3) {
+		seed := uint64(number)
+		draw := rand.New(rand.NewPCG(seed, 3))
+		engines := 4 + draw.IntN(9)
+		s := newDeadlySimulation(engines, 8, seed)
+		innocents += s.innocents(float64(engines)*10, 20*time.Second, 0.2)
+		for wave := range 4 {
+			s.at(s.now.Add(time.Duration(2+4*wave)*time.Second), func() { s.crashHalf() })
+		}
+		s.until(s.now.Add(time.Hour))
+		refused += s.refusedInnocent
+		lost += s.lost
+	}
+	t.Logf("%d of %d requests were refused by quarantine, %d lost an engine", refused, innocents, lost)
+	if refused*1000 > innocents {
+		t.Errorf("%d of %d bystanders were refused", refused, innocents)
+	}
+}
+
+// crashHalf ends every other engine that is up.
+func (s *deadlySimulation) crashHalf() {
+	for i, endpoint := range s.pool.Endpoints() {
+		if i%2 == 0 && !s.down[endpoint.ID] {
+			s.crash(endpoint.ID, &deadlyAsk{Ask: &Ask{}})
+		}
+	}
+}
