pkg/quarantine, pkg/gateway: an answer clears a request only of ends at the service that gave it

Of a route that leads to two services, one may answer to the end what ends the other's endpoints; each such answer took back all ends, and the request could go on without bound. A Life tells its service, and only ends there are taken back (TestJudge). Endpoints taken for ended until that is certain are called supposed ends.

--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -29,7 +29,7 @@
 	}
 	// Some engines have ended, under other requests.
 	for i := range 300 {
-		p.Ledger.Note(fingerprintOf("other", fmt.Sprint(i)), quarantine.LifeOf(fmt.Sprint(i%10), 0), now)
+		p.Ledger.Note(fingerprintOf("other", fmt.Sprint(i)), quarantine.LifeOf("llm", fmt.Sprint(i%10), 0), now)
 	}
 	for b.Loop() {
 		p.Decide(now)
--- a/pkg/dispatch/deadly_test.go
+++ b/pkg/dispatch/deadly_test.go
@@ -190,7 +190,7 @@
 
 // clear tells the boxes that a request ended well.
 func (s *deadlySimulation) clear(ask *deadlyAsk) {
-	s.ledgers[ask.box].Clear(ask.Fingerprint, s.now)
+	s.ledgers[ask.box].Clear(ask.Fingerprint, "llm", s.now)
 	s.tell()
 }
 
@@ -200,7 +200,7 @@
 		return
 	}
 	s.ends[by.Fingerprint]++
-	life := quarantine.LifeOf(engine, 0)
+	life := quarantine.LifeOf("llm", engine, 0)
 	s.down[engine] = true
 	went := s.running[engine]
 	delete(s.running, engine)
@@ -364,7 +364,7 @@
 		for i := range 2 {
 			grant := submit(p, ask(i), start)[0].(Grant)
 			rest(p, grant.Endpoint)
-			p.End(fmt.Sprint(i), Ended{End: quarantine.End{Fingerprint: ask(i).Fingerprint, Life: quarantine.LifeOf(grant.Endpoint, 0), Version: 1}}, start)
+			p.End(fmt.Sprint(i), Ended{End: quarantine.End{Fingerprint: ask(i).Fingerprint, Life: quarantine.LifeOf("llm", grant.Endpoint, 0), Version: 1}}, start)
 		}
 		for i := range 4 {
 			p.Submit(ask(10+i), start)
@@ -372,7 +372,7 @@
 		at := engines(p.Decide(start))
 		So(at, ShouldHaveLength, 1)
 		for engine := range at {
-			p.End("10", Ended{End: quarantine.End{Fingerprint: ask(0).Fingerprint, Life: quarantine.LifeOf(engine, 0), Version: 1}}, start)
+			p.End("10", Ended{End: quarantine.End{Fingerprint: ask(0).Fingerprint, Life: quarantine.LifeOf("llm", engine, 0), Version: 1}}, start)
 		}
 		decided := submit(p, ask(20), start)
 		So(decided, ShouldHaveLength, 1)
@@ -384,7 +384,7 @@
 		rest(p, "e0")
 		So(submit(p, ask(1), start), ShouldBeEmpty)
 		for i := range 3 {
-			p.Ledger.Note(ask(1).Fingerprint, quarantine.LifeOf(fmt.Sprint(i), 0), start)
+			p.Ledger.Note(ask(1).Fingerprint, quarantine.LifeOf("llm", fmt.Sprint(i), 0), start)
 		}
 		So(p.Decide(start.Add(time.Millisecond)), ShouldHaveLength, 1)
 	})
--- a/pkg/gateway/deadly.go
+++ b/pkg/gateway/deadly.go
@@ -52,7 +52,7 @@
 	if !reply.Framed() {
 		return
 	}
-	if c.gateway.ledger.Clear(c.fingerprint, time.Now()) {
+	if c.gateway.ledger.Clear(c.fingerprint, c.service.Name, time.Now()) {
 		c.log().Info("bystander answered", zap.String("Request", c.ID), zap.Stringer("Fingerprint", c.fingerprint))
 		c.gateway.endsChanged()
 	}
@@ -71,9 +71,9 @@
 		return outcomeFailed
 	}
 	now := time.Now()
-	life := quarantine.LifeOf(to.ID, to.Born)
+	life := quarantine.LifeOf(to.Service, to.ID, to.Born)
 	c.end = c.gateway.ledger.Note(c.fingerprint, life, now)
-	c.gateway.unsure.add(life, to.Endpoint, c.gateway.registry.Knowledge().Looks, now)
+	c.gateway.supposed.add(life, to.Endpoint, c.gateway.registry.Knowledge().Looks, now)
 	c.gateway.endsChanged()
 	c.log().Info("endpoint ended under a request",
 		zap.String("Request", c.ID),
@@ -116,46 +116,46 @@
 	// some 1.2 s, a look at the entries takes as long, and one that went in an outage of
 	// the store is used for two seconds more.
 	livesAfter = 8 * time.Second
-	// unsureFor is when an end that could not be told apart stands.
-	unsureFor = time.Minute
-	// unsureLook is the time between two looks at these ends, and forgetLook that between two
+	// supposedFor is when an end that could not be told apart stands.
+	supposedFor = time.Minute
+	// supposedLook is the time between two looks at these ends, and forgetLook that between two
 	// looks for what is old: after a crash of a zone these go over thousands, a millisecond
 	// long.
-	unsureLook = 500 * time.Millisecond
-	forgetLook = 10 * time.Second
+	supposedLook = 500 * time.Millisecond
+	forgetLook   = 10 * time.Second
 )
 
-// unsure are the endpoints that this box took for ended, until that is certain.
-type unsure struct {
+// supposedEnds are the endpoints that this box took for ended, until that is certain.
+type supposedEnds struct {
 	mu    sync.Mutex
-	lives map[quarantine.Life]*unsureEnd
+	lives map[quarantine.Life]*supposedEnd
 }
 
-type unsureEnd struct {
+type supposedEnd struct {
 	endpoint route.Endpoint
 	at       time.Time
 	// looks is the number of the last look at the entries that came too early to count.
 	looks uint64
 }
 
-func (u *unsure) add(life quarantine.Life, endpoint route.Endpoint, looks uint64, now time.Time) {
+func (u *supposedEnds) add(life quarantine.Life, endpoint route.Endpoint, looks uint64, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.lives == nil {
-		u.lives = map[quarantine.Life]*unsureEnd{}
+		u.lives = map[quarantine.Life]*supposedEnd{}
 	}
-	u.lives[life] = &unsureEnd{endpoint: endpoint, at: now, looks: looks}
+	u.lives[life] = &supposedEnd{endpoint: endpoint, at: now, looks: looks}
 }
 
 // settle returns the endpoints that live after all, by what the registry knows now.
-func (u *unsure) settle(directory *route.Directory, looks uint64, now time.Time) (alive []quarantine.Life) {
+func (u *supposedEnds) settle(directory *route.Directory, looks uint64, now time.Time) (alive []quarantine.Life) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for life, end := range u.lives {
 		found, listed := directory.Endpoints[end.endpoint.ID]
 		age := now.Sub(end.at)
 		switch {
-		case !listed || found.Renews(&end.endpoint) || age > unsureFor:
+		case !listed || found.Renews(&end.endpoint) || age > supposedFor:
 			delete(u.lives, life)
 		case age < livesAfter:
 			end.looks = looks
@@ -174,7 +174,7 @@
 	if directory == nil {
 		return
 	}
-	for _, life := range g.unsure.settle(directory, g.registry.Knowledge().Looks, now) {
+	for _, life := range g.supposed.settle(directory, g.registry.Knowledge().Looks, now) {
 		if count := g.ledger.TakeBack(life, now); count > 0 {
 			g.log.Info("endpoint lives, answers only broke off", zap.Int("Requests", count))
 			g.endsChanged()
--- a/pkg/gateway/deadly_test.go
+++ b/pkg/gateway/deadly_test.go
@@ -55,11 +55,11 @@
 	}
 }
 
-func TestUnsure(t *testing.T) {
+func TestSupposedEnds(t *testing.T) {
 	start := time.Now()
-	life := quarantine.LifeOf("engine", 1)
+	life := quarantine.LifeOf("llm", "engine", 1)
 	settled := func(directory *route.Directory, looks uint64, times ...time.Duration) (alive int) {
-		u := &unsure{}
+		u := &supposedEnds{}
 		u.add(life, engineAt(1), 10, start)
 		for _, after := range times {
 			alive += len(u.settle(directory, looks+uint64(after/time.Second), start.Add(after)))
@@ -72,7 +72,7 @@
 		So(settled(listing(engineAt(1)), 10, all[:2]...), ShouldEqual, 0)
 	})
 	Convey("Without a look since, nothing is taken back", t, func() {
-		u := &unsure{}
+		u := &supposedEnds{}
 		u.add(life, engineAt(1), 10, start)
 		So(u.settle(listing(engineAt(1)), 12, start.Add(livesAfter-1)), ShouldBeEmpty)
 		So(u.settle(listing(engineAt(1)), 12, start.Add(livesAfter+time.Second)), ShouldBeEmpty)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,10 +48,10 @@
 	contactsWake chan struct{}
 	budget       *retryBudget
 	health       *health
-	// ledger tells under which requests endpoints ended, and unsure which of these ends
+	// ledger tells under which requests endpoints ended, and supposed which of these ends
 	// may prove wrong.
-	ledger quarantine.Ledger
-	unsure unsure
+	ledger   quarantine.Ledger
+	supposed supposedEnds
 	// waking notices suspensions of the machine.
 	waking waking
 	// lives are the attempts under way, and coldSends the plain endpoints that this box
@@ -113,7 +113,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		interval.Every(behind, unsureLook, g.settleEnds)
+		interval.Every(behind, supposedLook, g.settleEnds)
 		return nil
 	})
 	group.Go(func() error {
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,13 +38,29 @@
 	mostTold = 256
 )
 
-// Life names one start of an endpoint.
+// Life names one start of an endpoint. Its upper serviceBits are those of a hash of the
+// endpoint's service.
 type Life uint64
 
-// LifeOf is the start of an endpoint that began at a time by its own word; 0 where it does
-// not tell.
-func LifeOf(endpoint string, born int64) Life {
-	return Life(xxhash.Sum64String(endpoint) ^ uint64(born)*0x9e3779b97f4a7c15)
+const serviceBits = 16
+
+// LifeOf is the start of an endpoint of a service that began at a time by its own word; 0
+// where it does not tell.
+func LifeOf(service, endpoint string, born int64) Life {
+	digest := xxhash.New()
+	writeField(digest, []byte(endpoint))
+	writeField(digest, strconv.AppendInt(nil, born, 10))
+	return serviceOf(service) | Life(digest.Sum64()>>serviceBits)
+}
+
+// serviceOf are the bits of a Life that tell its service.
+func serviceOf(service string) Life {
+	return Life(xxhash.Sum64String(service)) &^ (1<<(64-serviceBits) - 1)
+}
+
+// isOf tells whether a start is of an endpoint of a service.
+func (l Life) isOf(service string) bool {
+	return l&^(1<<(64-serviceBits)-1) == serviceOf(service)
 }
 
 // End is the account that an endpoint ended while it ran a request.
@@ -288,9 +305,10 @@
 	return 1
 }
 
-// Clear notes that a request was answered to its end: it was a bystander wherever an
-// endpoint ended before. It reports whether any had.
-func (l *Ledger) Clear(f Fingerprint, now time.Time) bool {
+// Clear notes that a service answered a request to its end: it was a bystander wherever an
+// endpoint of that service ended before. It reports whether any had. Of a route that leads to
+// two services, one may answer what ends the other's endpoints.
+func (l *Ledger) Clear(f Fingerprint, service string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.suspects[f]
@@ -299,7 +317,9 @@
 	}
 	count := 0
 	for _, a := range known.accounts {
-		count += l.takeBack(a, now)
+		if a.life.isOf(service) {
+			count += l.takeBack(a, now)
+		}
 	}
 	return count > 0
 }
--- a/pkg/quarantine/ledger_test.go
+++ b/pkg/quarantine/ledger_test.go
@@ -13,7 +13,7 @@
 
 var poison = of("POST", "/brief/1", "ward", "poison")
 
-func life(number int) Life { return LifeOf(fmt.Sprintf("engine-%d", number), 0) }
+func life(number int) Life { return LifeOf("llm", fmt.Sprintf("engine-%d", number), 0) }
 
 // noteEnds counts so many endpoints that ended.
 func noteEnds(l *Ledger, f Fingerprint, count int, now time.Time) {
@@ -48,9 +48,11 @@
 		bystander := of("POST", "/brief/1", "ward", "bystander")
 		noteEnds(l, poison, 3, start)
 		noteEnds(l, bystander, 3, start)
-		So(l.Clear(bystander, start), ShouldBeTrue)
-		So(l.Clear(bystander, start), ShouldBeFalse)
+		So(l.Clear(bystander, "llm", start), ShouldBeTrue)
+		So(l.Clear(bystander, "llm", start), ShouldBeFalse)
 		So(l.Judge(bystander, start).Allowed, ShouldEqual, 3)
+		So(l.Clear(poison, "api", start), ShouldBeFalse)
+		So(l.Judge(poison, start).Ends, ShouldEqual, 3)
 		So(l.TakeBack(life(1), start), ShouldEqual, 1)
 		So(l.Judge(poison, start).Ends, ShouldEqual, 2)
 		l.Note(poison, life(1), start)
@@ -99,7 +101,7 @@
 		So(other.Merge(rows[0].Ends, "", start.Add(time.Minute)), ShouldBeTrue)
 		So(other.Judge(poison, start).Until, ShouldEqual, start.Add(time.Minute+heldFor))
 		So(other.TakeUnstored(10, start), ShouldBeEmpty)
-		l.Clear(poison, start)
+		l.Clear(poison, "llm", start)
 		So(l.TakeUnstored(10, start), ShouldResemble, []Kept{{Fingerprint: poison}})
 	})
 }
