--- a/cmd/quaybench/soak/deadly.go
+++ b/cmd/quaybench/soak/deadly.go
@@ -36,6 +36,7 @@
 func (w *world) replace(s *server) error {
 	time.Sleep(returnTime)
 	if err := w.addServer(s.Service); err != nil {
+		fmt.Fprintf(w.soak.Progress, "        %s not replaced: %v\n", s.ID, err)
 		return err
 	}
 	time.Sleep(lapseTime - returnTime)
