--- a/pkg/registry/follow_test.go
+++ b/pkg/registry/follow_test.go
@@ -131,3 +131,38 @@
 		})
 	}
 }
+
+// What happened in a fault soak: two of five boxes sent requests to endpoints that had ended
+// for the 12 s until it was over. They did not follow the store, and all others had started
+// after what these two knew, so none of them could tell what went in between. A box whom
+// nobody can serve has to look by itself.
+func TestUnservedBoxLooks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A box that the others can not tell what it lacks looks at the store", t, func() {
+			store := &callsOf{fakeStore: &fakeStore{state: fakeState{config: []byte("version 1")}}}
+			r := &Registry{
+				Store: store, Log: zap.NewNop(), FirstStart: true,
+				Changed: func() {}, FoundBoxes: func([]Box) {}, Looked: func() {},
+				Peers: func() int { return 4 }, Follows: func() bool { return false },
+				LostElsewhere: func() bool { return false },
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			group := errgroup.Group{}
+			group.Go(func() error { return r.Run(ctx) })
+			r.OfferCatalog([]byte("version 1"), "box-2")
+			r.OfferEntries([]Entry{{Endpoint: endpointOf("a"), Version: 1}}, route.Knowledge{Known: 1, Base: 1, Looks: 1}, "box-2")
+			time.Sleep(time.Minute)
+			store.change(func(s *fakeState) { s.remove("a", 2); s.put("b", 3) })
+			// It started later, with a whole reading, and tells again and again.
+			later := route.Knowledge{Known: 3, Base: 3, Looks: 2}
+			for range 20 {
+				r.HeardKnowledge(later, 3)
+				time.Sleep(500 * time.Millisecond)
+			}
+			found := has(r, "b")
+			stop()
+			So(group.Wait(), ShouldBeNil)
+			So(found, ShouldBeTrue)
+		})
+	})
+}
