--- a/pkg/gateway/translator.go
+++ b/pkg/gateway/translator.go
@@ -45,6 +45,13 @@
 	NotRun bool
 	// Genuine answers carry an endpoint's signature.
 	Genuine bool
+	// Leaving answers say that the endpoint leaves.
+	Leaving bool
+	// Rest is for how long the endpoint, as it turned the request away, wants nothing more
+	// from this box; 0 means that it does not say.
+	Rest time.Duration
+	// RestProblem is set where it says so in a form that can not be read.
+	RestProblem error
 }
 
 // Translator knows the names of headers and paths on the wire.
