cmd/quaybench/soak, platform/standin: the soak draws servers that leave by their answers, or ask for rest

Servers that leave without a row that says so, and servers that turn all away and ask for 0.5 to 4 s of rest, beside whatever else is broken. Checked: no box sends to a server whose answer it passed on said that it leaves, in touch or not, and none half a second into a rest, unless the answer may have been lost on a broken way.

--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -52,6 +52,7 @@
 	broken = append(broken, w.checkLeaving(runs)...)
 	broken = append(broken, w.checkConfigurations()...)
 	broken = append(broken, w.checkDeadly()...)
+	broken = append(broken, w.checkWords(w.truth.Arrivals())...)
 	for _, b := range w.boxes {
 		broken = append(broken, checkExplained(w.outcomes, b)...)
 	}
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -121,3 +121,38 @@
 		So(sentLate(runs(10)), ShouldEqual, 4)
 	})
 }
+
+func TestWordsChecked(t *testing.T) {
+	b := &box{lives: 1}
+	sent := func(id string, after float64) outcome {
+		o := good(b)
+		o.id, o.sent, o.ended = id, at(after), at(after+0.1)
+		return o
+	}
+	arrival := func(id string, after float64) standin.Arrival {
+		return standin.Arrival{ID: id, Server: "llm-1", At: at(after)}
+	}
+	Convey("A request sent to a server whose answer said that it leaves is found, also where its box was cut off", t, func() {
+		said := arrival("1", 0)
+		said.Leaving = true
+		b.troubles = spans{{from: at(0.5), to: at(9)}}
+		w := &world{outcomes: []outcome{sent("1", 0), sent("2", 5)}}
+		So(w.checkWords([]standin.Arrival{said, arrival("2", 5)}), ShouldHaveLength, 1)
+		other := arrival("2", 5)
+		other.Server = "llm-2"
+		So(w.checkWords([]standin.Arrival{said, other}), ShouldBeEmpty)
+		w.outcomes[1].life = 2
+		So(w.checkWords([]standin.Arrival{said, arrival("2", 5)}), ShouldBeEmpty)
+		b.troubles = nil
+	})
+	Convey("So is one inside a rest, but for what was on its way, and where the answer may be lost", t, func() {
+		asked := arrival("1", 0)
+		asked.TurnedAway, asked.RetryAfter = true, "3.0"
+		w := &world{outcomes: []outcome{sent("1", 0), sent("2", 2)}}
+		So(w.checkWords([]standin.Arrival{asked, arrival("2", 2)}), ShouldHaveLength, 1)
+		So(w.checkWords([]standin.Arrival{asked, arrival("2", 0.4)}), ShouldBeEmpty)
+		So(w.checkWords([]standin.Arrival{asked, arrival("2", 3.1)}), ShouldBeEmpty)
+		w.linkTroubles = spans{{from: at(-1), to: at(0.1)}}
+		So(w.checkWords([]standin.Arrival{asked, arrival("2", 2)}), ShouldBeEmpty)
+	})
+}
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -16,7 +16,7 @@
 )
 
 // injection is one of killed, paused, stopped, hungUp, linkFault, storeFault,
-// forgotten, serverFault, leaving, configured and deadly.
+// forgotten, serverFault, leaving, departing, configured and deadly.
 type injection interface {
 	fmt.Stringer
 	injection()
@@ -63,6 +63,10 @@
 // leaving takes a server away as planned, after another one came.
 type leaving struct{ server *server }
 
+// departing takes a server away that says so in its answers alone, after another one came:
+// its row stays as it was.
+type departing struct{ server *server }
+
 // configured has a new configuration accepted.
 type configured struct{}
 
@@ -85,6 +89,7 @@
 func (forgotten) injection()   {}
 func (serverFault) injection() {}
 func (leaving) injection()     {}
+func (departing) injection()   {}
 func (configured) injection()  {}
 func (deadly) injection()      {}
 
@@ -100,6 +105,7 @@
 func (f forgotten) String() string   { return "store forgets its history" }
 func (f serverFault) String() string { return f.server.ID + " " + f.how }
 func (f leaving) String() string     { return f.server.ID + " leaves" }
+func (f departing) String() string   { return f.server.ID + " leaves by its answers" }
 func (f configured) String() string  { return "a new configuration" }
 func (f deadly) String() string {
 	return fmt.Sprintf("a request that ends servers of %s, again within %s each time", f.service, f.pause)
@@ -108,7 +114,7 @@
 func drawFault(draw *rand.Rand, w *world) injection {
 	b := w.boxes[draw.IntN(len(w.boxes))]
 	s := w.drawServer(draw)
-	switch draw.IntN(15) {
+	switch draw.IntN(17) {
 	case 0:
 		return killed{boxes: []*box{b}}
 	case 1:
@@ -138,6 +144,8 @@
 			pause:   time.Duration(50+draw.IntN(800)) * time.Millisecond,
 			seed:    draw.Uint64(),
 		}
+	case 13:
+		return departing{server: s}
 	default:
 		return drawServerFault(draw, s)
 	}
@@ -175,7 +183,10 @@
 
 func drawServerFault(draw *rand.Rand, s *server) injection {
 	part := 0.05 + 0.9*draw.Float64()
-	switch draw.IntN(7) {
+	switch draw.IntN(9) {
+	case 7, 8:
+		rest := fmt.Sprintf("%.1f", 0.5+3.5*draw.Float64())
+		return serverFault{server: s, how: "asks for " + rest + " s of rest", fault: standin.ServerFault{Full: true, RetryAfter: rest}}
 	case 0:
 		return serverFault{server: s, how: "full", fault: standin.ServerFault{Full: true}}
 	case 1:
@@ -225,6 +236,7 @@
 			f.box.trouble(length)
 		} else {
 			w.trouble(length)
+			w.linkTrouble(length)
 		}
 		return w.breakLink(ctx, f, length)
 	case storeFault:
@@ -241,6 +253,8 @@
 		f.server.SetFault(standin.ServerFault{})
 	case leaving:
 		return w.takeAway(ctx, f.server)
+	case departing:
+		return w.depart(f.server)
 	case configured:
 		return w.accept()
 	case deadly:
--- a/cmd/quaybench/soak/world.go
+++ b/cmd/quaybench/soak/world.go
@@ -39,6 +39,8 @@
 	outcomes []outcome
 	// troubles are when something that all boxes share may have been out of order.
 	troubles spans
+	// linkTroubles are when the way to some server may have been broken.
+	linkTroubles spans
 }
 
 // box is one router process.
@@ -260,6 +262,14 @@
 	w.troubles = append(w.troubles, span{from: now, to: now.Add(length + settleTime)})
 }
 
+// linkTrouble notes that the way to a server is broken for a time.
+func (w *world) linkTrouble(length time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.linkTroubles = append(w.linkTroubles, span{from: now, to: now.Add(length)})
+}
+
 func (w *world) awaitReady(ctx context.Context) error {
 	for _, b := range w.boxes {
 		err := fleet.Poll(ctx, func() (bool, error) { return b.isReady(), nil })
