pkg/registry: a box that nobody can tell what it lacks looks at the store itself

What callers saw: for 12 s, until a soak was over, two of five boxes sent requests to three plain servers that had ended; of one customer's requests 353 of 457 were served.

Cause: these two did not follow the store, and all boxes that did had started after what the two knew. What such a box tells is not all that the other lacks, so it was passed over without a trace, and only a box that knows nothing at all looked though others follow.

A box that hears that others know more than it, and that they can not tell it what it lacks, looks for itself after 0.3 to 1 s, unless somebody tells it before; the times differ, as the first one that looks can tell the others. It holds whatever order boxes start in, since who knows the whole past is not needed for it.

TestUnservedBoxLooks, known red, passes.

--- a/pkg/registry/boxes.go
+++ b/pkg/registry/boxes.go
@@ -19,7 +19,7 @@
 		if err == nil {
 			again.reset()
 			length := interval.Jittered(boxesInterval + boxesPart*time.Duration(r.Peers()))
-			if interval.Wait(ctx, length) != nil || r.awaitFollow(ctx, true) != nil {
+			if interval.Wait(ctx, length) != nil || r.awaitFollow(ctx, true, nil) != nil {
 				return nil
 			}
 			continue
--- a/pkg/registry/catalog.go
+++ b/pkg/registry/catalog.go
@@ -14,7 +14,7 @@
 	since, known := uint64(0), false
 	orders := orderReader{log: r.Log}
 	r.learnQuarantine(ctx)
-	for r.awaitFollow(ctx, r.Catalog() != nil) == nil {
+	for r.awaitFollow(ctx, r.Catalog() != nil, nil) == nil {
 		declared, err := r.nextDeclared(ctx, since, known)
 		r.noteCall(err)
 		if err != nil {
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -278,6 +278,7 @@
 	ahead := other.Known > known.Known
 	switch {
 	case ahead && !other.Serves(known):
+		r.unserved.note(other.Known, time.Now())
 	case ahead && (newest > known.Known || known.Known == 0):
 		ask = true
 	default:
--- a/pkg/registry/follow.go
+++ b/pkg/registry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/quaylead/quaylead/pkg/interval"
@@ -20,9 +21,9 @@
 )
 
 // awaitFollow waits until it falls to this box to follow the store. A box that knows
-// nothing, and is told nothing, looks for itself. It returns the context's error if
-// that ends first.
-func (r *Registry) awaitFollow(ctx context.Context, informed bool) error {
+// nothing, and is told nothing, looks for itself, as does one that lacks what nobody can
+// tell it; nil means that it never does. It returns the context's error if that ends first.
+func (r *Registry) awaitFollow(ctx context.Context, informed bool, lacks func(now time.Time) bool) error {
 	if r.Follows == nil {
 		return ctx.Err()
 	}
@@ -34,6 +35,9 @@
 	}
 	waited := false
 	for !r.Follows() {
+		if lacks != nil && lacks(time.Now()) {
+			return ctx.Err()
+		}
 		if r.uninformed() && (!r.FirstStart || time.Since(began) > toldPatience) {
 			return ctx.Err()
 		}
@@ -50,6 +54,43 @@
 	return ctx.Err()
 }
 
+// unserved is what a box lacks that others know of and can not tell it, as they have started
+// after what it knows.
+type unserved struct {
+	// known is the version up to which others know, and since when the box looks by itself
+	// unless it is told meanwhile; zero while it lacks nothing.
+	known uint64
+	due   time.Time
+}
+
+// unservedLeast and unservedSpread are how long a box that lacks something lets others tell
+// it. The first one that looks tells the others, so they look at different times; together
+// they are half of the two seconds within which users want it known that an endpoint left.
+const (
+	unservedLeast  = 300 * time.Millisecond
+	unservedSpread = 700 * time.Millisecond
+)
+
+// note notes that others know up to a version.
+func (u *unserved) note(known uint64, now time.Time) {
+	if u.due.IsZero() {
+		u.due = now.Add(unservedLeast + rand.N(unservedSpread))
+	}
+	u.known = max(u.known, known)
+}
+
+// isUnserved tells whether this box has to look at the store by itself, though others follow
+// it. Without it, boxes that follow nobody sent requests to endpoints that had ended for 12 s,
+// until a soak was over, as all that followed the store had started after what they knew.
+func (r *Registry) isUnserved(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.knowledge.Known >= r.unserved.known {
+		r.unserved = unserved{}
+	}
+	return !r.unserved.due.IsZero() && now.After(r.unserved.due)
+}
+
 // uninformed tells whether this box still lacks what it needs for serving.
 func (r *Registry) uninformed() bool { return r.Catalog() == nil || r.Directory() == nil }
 
--- a/pkg/registry/follow_test.go
+++ b/pkg/registry/follow_test.go
@@ -136,6 +136,10 @@
 // for the 12 s until it was over. They did not follow the store, and all others had started
 // after what these two knew, so none of them could tell what went in between. A box whom
 // nobody can serve has to look by itself.
+//
+// The cause: what others told that was of no use was passed over without a trace, and only a
+// box that knew nothing at all looked though others follow. The evidence: with nothing else
+// changed than that it looks within a second, the endpoint that came is known.
 func TestUnservedBoxLooks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A box that the others can not tell what it lacks looks at the store", t, func() {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -153,6 +153,8 @@
 	// knowledge is how much is known of the entries, by own looks or by what others
 	// told.
 	knowledge route.Knowledge
+	// unserved is what this box lacks and has heard of from nobody that can tell it.
+	unserved unserved
 	// newest is the highest version of an entry.
 	newest uint64
 	// lost is set while this box's calls of the store fail; lostAt is when that last
@@ -273,7 +275,7 @@
 func (r *Registry) followEndpoints(ctx context.Context) error {
 	again := backoff{peers: r.Peers}
 	whole := false
-	for r.awaitFollow(ctx, r.Directory() != nil) == nil {
+	for r.awaitFollow(ctx, r.Directory() != nil, r.isUnserved) == nil {
 		since := r.Knowledge().Known
 		whole = whole || since == 0
 		entries, version, err := r.nextEndpoints(ctx, since, whole)
