--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -42,7 +42,8 @@
 	// listed is set once the engine itself has told what it keeps.
 	listed bool
 
-	// suspectUntil is the end of a time without new work, after failures.
+	// suspectUntil is the end of a time without new work, after failures, as the pool
+	// supposes. What the engine asked for itself is in Pool.rests.
 	suspectUntil time.Time
 	// failures in a row lengthen that time.
 	failures int
--- a/pkg/gateway/messages.go
+++ b/pkg/gateway/messages.go
@@ -85,8 +85,8 @@
 	}}}
 }
 
-// restOf is the reverse of restMessage.
-func restOf(message *peerpb.Rest, now time.Time) lifecycle.Rest {
+// restFrom is the reverse of restMessage.
+func restFrom(message *peerpb.Rest, now time.Time) lifecycle.Rest {
 	length := time.Duration(message.For) * time.Microsecond
 	return lifecycle.Rest{
 		Endpoint: message.Endpoint,
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -64,34 +64,42 @@
 			c.gateway.Metrics.Turned(c.customer)
 			return to, c.turned(v)
 		}
-		found, known := c.gateway.registry.Directory().Endpoints[v.endpoint]
-		if known && found.Admits() && !c.gateway.rests.binds(&found, time.Now()) {
-			c.log().Debug("engine granted", zap.String("Request", c.ID), zap.String("Endpoint", found.ID), zap.Duration("Wait", v.wait))
-			c.gateway.Metrics.Granted(v)
-			return destination{
-				Endpoint: found,
-				begin:    func() { s.begin(c.ID) },
-				finish:   func(how outcome) { s.end(c.ID, c.dispatchOutcome(how)) },
-				granted:  v,
-				at:       time.Now(),
-
-				suspended: suspended,
-			}, nil
-		}
-		c.gateway.Metrics.HandedBack()
-		if known && found.Admits() {
-			// The engine is well, and only this box gets nothing there.
-			s.end(c.ID, dispatch.Unused{})
-		} else {
-			s.absent(c.ID, v)
+		if to, usable := c.granted(s, v); usable {
+			to.suspended = suspended
+			return to, nil
 		}
 		c.excluded = append(c.excluded, v.endpoint)
 		if len(c.excluded) > mostUnreachable {
-			return to, notRun(request.NoEndpoint, "the engines granted are gone", comeBackAfterFailure())
+			return to, notRun(request.NoEndpoint, "the engines granted get nothing", comeBackAfterFailure())
 		}
 	}
 }
 
+// granted is the engine of a grant, unless it gets nothing from this box by what this box
+// knows: the grant is then handed back.
+func (c *call) granted(s *scheduler, v verdict) (to destination, usable bool) {
+	found, known := c.gateway.registry.Directory().Endpoints[v.endpoint]
+	switch {
+	case !known || !found.Admits():
+		s.absent(c.ID, v)
+	case c.gateway.rests.binds(&found, time.Now()):
+		// The engine is well, and only this box gets nothing there.
+		s.end(c.ID, dispatch.Unused{})
+	default:
+		c.log().Debug("engine granted", zap.String("Request", c.ID), zap.String("Endpoint", found.ID), zap.Duration("Wait", v.wait))
+		c.gateway.Metrics.Granted(v)
+		return destination{
+			Endpoint: found,
+			begin:    func() { s.begin(c.ID) },
+			finish:   func(how outcome) { s.end(c.ID, c.dispatchOutcome(how)) },
+			granted:  v,
+			at:       time.Now(),
+		}, true
+	}
+	c.gateway.Metrics.HandedBack()
+	return to, false
+}
+
 // refuseUnasked refuses at once what this box would not ask for: enough of its customer's
 // waits here already.
 func (c *call) refuseUnasked() *request.Refusal {
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -339,7 +339,7 @@
 		}, now)
 		return
 	case *peerpb.Call_Rest:
-		s.pool.Rest(router, restOf(kind.Rest, now), now)
+		s.pool.Rest(router, restFrom(kind.Rest, now), now)
 		return
 	case *peerpb.Call_Served:
 		s.recall(router, kind.Served, now)
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -11,7 +11,6 @@
 
 	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/interval"
-	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/route"
@@ -88,53 +87,6 @@
 	since  time.Time
 }
 
-// pending is a request that waits for a verdict.
-type pending struct {
-	// from is the stream that was asked; nil for this box's own pool.
-	from *remote
-	// asked is when another box was asked, and heard is set once it said a word.
-	asked time.Time
-	heard bool
-	// queued is told that the request is in line. Capacity 1.
-	queued chan struct{}
-	// decided takes the verdict. Capacity 1.
-	decided chan verdict
-}
-
-// running is a granted request of this box.
-type running struct {
-	ask      *dispatch.Ask
-	endpoint string
-	begun    bool
-}
-
-// noteRest has this box's own pool, and the box that dispatches, grant this box nothing at an
-// engine that asked it for rest. What is granted by boxes that do not know it is handed back:
-// each costs a round of messages, and the same engine is granted next, as it looks idle.
-func (s *scheduler) noteRest(rest lifecycle.Rest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	if s.pool.Rest(ownRouter, rest, now) && s.remote != nil {
-		s.remote.stream.Send(restMessage(rest, now))
-	}
-}
-
-// verdict is what was decided about a request.
-type verdict struct {
-	// endpoint is granted; empty means that the request is turned away.
-	endpoint   string
-	retryAfter time.Duration
-	over       bool
-	// resting tells that all engines that may serve the request rest or leave.
-	resting    bool
-	waiting    int
-	wait, read time.Duration
-	missing    int
-	// by is the box that decided.
-	by string
-}
-
 const (
 	// verdictSlack is added to the time a request may be held before the box
 	// that dispatches is taken for hanging.
@@ -267,18 +219,6 @@
 	}
 }
 
-// settle passes a verdict to the request that waits for it. It reports whether
-// one did. The lock is held.
-func (s *scheduler) settle(id string, from *remote, v verdict) bool {
-	p := s.pending[id]
-	if p == nil || p.from != from {
-		return false
-	}
-	delete(s.pending, id)
-	p.decided <- v
-	return true
-}
-
 // ownRouter stands for this box among those that ask.
 const ownRouter = 0
 
@@ -348,86 +288,3 @@
 	s.remote.stream.Close()
 	s.remote, s.aloneSince = nil, time.Now()
 }
-
-// forgetPending gives up waiting. A grant that came meanwhile is given back.
-func (s *scheduler) forgetPending(id string, p *pending) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pending[id] == p {
-		delete(s.pending, id)
-	}
-	if p.from == nil {
-		if !s.pool.Withdraw(id) {
-			s.pool.End(id, dispatch.Unused{}, time.Now())
-		}
-		return
-	}
-	select {
-	case v := <-p.decided:
-		if v.endpoint != "" {
-			p.from.stream.Send(endMessage(id, dispatch.Unused{}))
-		}
-	default:
-		p.from.stream.Send(withdrawMessage(id))
-	}
-}
-
-// accept notes a grant, also in this box's own pool and at the box that
-// dispatches, so that both know what runs.
-func (s *scheduler) accept(ask *dispatch.Ask, v verdict, from *remote) verdict {
-	if v.endpoint == "" {
-		return v
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running[ask.ID] = &running{ask: ask, endpoint: v.endpoint}
-	s.history.Grant(ask, time.Now())
-	if from != nil {
-		s.pool.Adopt(ask, v.endpoint, false, time.Now())
-	}
-	if from != s.remote && s.remote != nil {
-		s.remote.stream.Send(askMessage(ask, v.endpoint, false))
-	}
-	return v
-}
-
-// begin notes the first event of a granted request.
-func (s *scheduler) begin(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.running[id]
-	if r == nil || r.begun {
-		return
-	}
-	r.begun = true
-	if s.remote != nil {
-		s.remote.absent = 0
-	}
-	s.pool.Begin(id, time.Now())
-	if s.remote != nil {
-		s.remote.stream.Send(beginMessage(id))
-	}
-	s.decide()
-}
-
-// end settles a granted request.
-func (s *scheduler) end(id string, how dispatch.Outcome) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.running[id]
-	if r == nil {
-		return
-	}
-	delete(s.running, id)
-	if !r.begun {
-		// The same that the box that dispatches takes back.
-		if _, done := how.(dispatch.Done); !done {
-			s.history.Refund(r.ask, time.Now())
-		}
-	}
-	s.pool.End(id, how, time.Now())
-	if s.remote != nil {
-		s.remote.stream.Send(endMessage(id, how))
-	}
-	s.decide()
-}
--- a/pkg/gateway/words.go
+++ b/pkg/gateway/words.go
@@ -57,42 +57,62 @@
 // heed takes what an endpoint says of itself in the head of an answer, before anything else
 // is done with the answer: by the next request the word is in force.
 func (c *call) heed(to destination, answered Answered) {
+	if !answered.saysOfItself() {
+		return
+	}
 	c.gateway.heed(&to.Endpoint, answered, c.log().With(
 		zap.String("Request", c.ID),
 		zap.Int("Attempts", c.life.Attempts()),
 		zap.String("GrantedBy", to.granted.by)))
 }
 
+// saysOfItself tells whether an answer holds words of its endpoint about itself, as few do.
+func (a *Answered) saysOfItself() bool {
+	return a.Leaving || a.Rest > 0 || a.RestProblem != nil
+}
+
 // heed is for every answer of an endpoint, whoever asked it.
 func (g *Gateway) heed(from *route.Endpoint, answered Answered, log *zap.Logger) {
 	now := time.Now()
 	if answered.Leaving {
-		if known, listed := g.registry.Directory().Endpoints[from.ID]; listed && !known.Leaving {
+		// The row of one that is not listed may be back, as it was.
+		if known, listed := g.registry.Directory().Endpoints[from.ID]; !listed || !known.Leaving {
 			g.registry.HeardDeparture(from, now)
 		}
 	}
-	length, problem := answered.Rest, answered.RestProblem
-	if problem == nil && length > lifecycle.MostRest {
-		problem = errAbsurdRest
-	}
+	length, problem := restOf(answered)
 	if problem != nil {
 		// The usual rest of one that is full stands in.
 		log.Warn("rest that an endpoint asks for not taken",
 			zap.String("Endpoint", from.ID),
-			zap.Duration("Rest", length),
+			zap.Duration("Rest", answered.Rest),
 			zap.Error(problem))
-		return
 	}
-	if length <= 0 {
-		return
+	if length > 0 {
+		g.letRest(lifecycle.Rest{Endpoint: from.ID, Born: from.Born, Until: now.Add(length)}, from.Service, log)
 	}
-	rest := lifecycle.Rest{Endpoint: from.ID, Born: from.Born, Until: now.Add(length)}
+}
+
+// restOf is the rest that an answer asks for; 0 means none.
+func restOf(answered Answered) (length time.Duration, problem error) {
+	switch {
+	case answered.RestProblem != nil:
+		return 0, answered.RestProblem
+	case answered.Rest > lifecycle.MostRest:
+		return 0, errAbsurdRest
+	}
+	return answered.Rest, nil
+}
+
+// letRest has nothing sent to an endpoint until its rest is over.
+func (g *Gateway) letRest(rest lifecycle.Rest, service string, log *zap.Logger) {
+	now := time.Now()
 	if !g.rests.ask(rest, now) {
 		return
 	}
 	g.Metrics.Rested()
-	log.Info("endpoint asks for rest", zap.String("Endpoint", from.ID), zap.Duration("Rest", length))
-	if p := g.pool(from.Service); p != nil {
+	log.Info("endpoint asks for rest", zap.String("Endpoint", rest.Endpoint), zap.Duration("Rest", rest.Until.Sub(now)))
+	if p := g.pool(service); p != nil {
 		p.rest(rest)
 	}
 }
--- a/pkg/gateway/words_test.go
+++ b/pkg/gateway/words_test.go
@@ -84,3 +84,18 @@
 		So(b.take("api"), ShouldBeFalse)
 	})
 }
+
+func TestRestOf(t *testing.T) {
+	Convey("A rest is taken up to an hour; a longer one, or one that can not be read, is none", t, func() {
+		for _, taken := range []time.Duration{0, time.Millisecond, lifecycle.MostRest} {
+			length, problem := restOf(Answered{Rest: taken})
+			So(problem, ShouldBeNil)
+			So(length, ShouldEqual, taken)
+		}
+		for _, answered := range []Answered{{Rest: lifecycle.MostRest + 1}, {RestProblem: errAbsurdRest}} {
+			length, problem := restOf(answered)
+			So(problem, ShouldNotBeNil)
+			So(length, ShouldEqual, 0)
+		}
+	})
+}
