--- a/pkg/dispatch/refusal.go
+++ b/pkg/dispatch/refusal.go
@@ -39,11 +39,18 @@
 	// comeBackUnknown is for where no engine may get new work: how long one that
 	// failed rests at first.
 	comeBackUnknown = suspectFor
-	// ReturnSpread is the part of a rest over which callers are spread that come back once
+	// returnSpread is the part of a rest over which callers are spread that come back once
 	// it is over.
-	ReturnSpread = 0.25
+	returnSpread = 0.25
 )
 
+// AfterRest is when a caller comes back where all that may serve it rest: after the first of
+// them returns, by a lot between 0 and 1 spread over a part of that time. The endpoints that
+// turned so many away would turn them away again if they returned together.
+func AfterRest(left time.Duration, lot float64) time.Duration {
+	return left + time.Duration(lot*returnSpread*float64(left))
+}
+
 // comeBack is the time after which a refused request comes back: when half of what
 // it would wait for is predicted to be over, as others leave the line too, spread from
 // a quarter to three quarters so that those refused together do not return together.
@@ -53,7 +60,7 @@
 // with trouble 5 in 100 less of what was asked for was answered in time.
 func (p *Pool) comeBack(a *account, ask *Ask, over bool, now time.Time) time.Duration {
 	if left := p.firstReturn(ask, now).Sub(now); left > 0 {
-		return left + time.Duration(p.Rand.Float64()*ReturnSpread*float64(left))
+		return AfterRest(left, p.Rand.Float64())
 	}
 	room := p.roomIn(a, ask, over, now)
 	room = min(max(room, comeBackSoonest), comeBackLatest)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/route"
@@ -54,7 +53,7 @@
 			if c.gateway.ledger.Judge(c.fingerprint, time.Now()).Quarantined() {
 				return errQuarantined
 			}
-			c.booked = false
+			c.booked = booking{}
 			return c.life.Advance(request.Sending)
 		},
 		Belongs: func(head *fasthttp.ResponseHeader) bool {
@@ -200,11 +199,12 @@
 	if c.gateway.ledger.Judge(c.fingerprint, time.Now()).Quarantined() {
 		return false
 	}
-	if !c.gateway.budget.take(c.service.Name) {
+	booked, ok := c.gateway.budget.take(c.service.Name)
+	if !ok {
 		c.log().Info("retry budget spent", zap.String("Request", c.ID), zap.String("Service", c.service.Name))
 		return false
 	}
-	c.booked = true
+	c.booked = booked
 	if c.life.State() >= request.Sending {
 		// Only what may be repeated, or is proved not run, comes here.
 		_ = c.life.Return(c.route.Repeatable)
@@ -214,22 +214,15 @@
 
 // unbook gives a repeated send back that is not made, as no endpoint takes the request.
 func (c *call) unbook() {
-	if c.booked {
-		c.booked = false
-		c.gateway.budget.giveBack(c.service.Name)
+	if c.booked != (booking{}) {
+		c.gateway.budget.giveBack(c.service.Name, c.booked)
+		c.booked = booking{}
 	}
 }
 
 // leastTime is the time without which another attempt is of no use.
 const leastTime = 20 * time.Millisecond
 
-// comeBackAfterRest is when a caller comes back where all that may serve it rest: after the
-// first of them returns, spread over a part of that time, as the endpoints that turned so
-// many away would turn them away again if they returned together.
-func comeBackAfterRest(left time.Duration) time.Duration {
-	return left + time.Duration(rand.Float64()*dispatch.ReturnSpread*float64(left))
-}
-
 // comeBackAfterFailure is when an endpoint that failed is likely to be left out,
 // spread so that callers do not return together.
 func comeBackAfterFailure() time.Duration {
--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -41,25 +41,35 @@
 	a.earned += b.settings.RetryRatio * budgetPart
 }
 
+// booking is one repeated send, by the parts of an allowance that it was taken from; the zero
+// value is none.
+type booking struct {
+	earned, extra float64
+}
+
 // take books one repeated send; false means that there is nothing left.
-func (b *retryBudget) take(service string) bool {
+func (b *retryBudget) take(service string) (taken booking, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.of(service)
 	if a.left() < 1 {
-		return false
+		return booking{}, false
 	}
-	fromEarned := min(a.earned, 1)
-	a.earned -= fromEarned
-	a.extra -= 1 - fromEarned
-	return true
+	taken.earned = min(a.earned, 1)
+	taken.extra = 1 - taken.earned
+	a.earned -= taken.earned
+	a.extra -= taken.extra
+	return taken, true
 }
 
-// giveBack takes a booking back of which nothing was sent.
-func (b *retryBudget) giveBack(service string) {
+// giveBack takes back a booking of which nothing was sent, to where it came from: the extra
+// comes again with each window and must not be saved up as earned.
+func (b *retryBudget) giveBack(service string, unsent booking) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service).earned++
+	a := b.of(service)
+	a.earned += unsent.earned
+	a.extra = min(a.extra+unsent.extra, b.most())
 }
 
 func (a *allowance) left() float64 { return a.earned + a.extra }
--- a/pkg/gateway/budget_test.go
+++ b/pkg/gateway/budget_test.go
@@ -10,8 +10,9 @@
 )
 
 // TestRetryBudgetHoldsForTheFleet lets the boxes of a fleet ask for repeated sends
-// as often as they like. In no window may more be allowed than the users' rule has
-// for the whole fleet, although the boxes tell each other nothing of it.
+// as often as they like, and give a part of them back unsent. In no window may more be sent
+// than the users' rule has for the whole fleet, although the boxes tell each other nothing of
+// it.
 func TestRetryBudgetHoldsForTheFleet(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		boxes := rapid.IntRange(1, 300).Draw(r, "boxes")
@@ -36,6 +37,7 @@
 			lot:      lots.Float64(),
 		}
 	}
+	unsent := rapid.Float64Range(0, 1).Draw(t, "unsent")
 	requests, repeats := make([]int, len(steps)), make([]int, len(steps))
 	for at, count := range steps {
 		for n := range count {
@@ -43,9 +45,15 @@
 			requests[at]++
 		}
 		for n := range greedy {
-			if fleet[n%boxes].take("s") {
-				repeats[at]++
+			taken, ok := fleet[n%boxes].take("s")
+			if !ok {
+				continue
 			}
+			if lots.Float64() < unsent {
+				fleet[n%boxes].giveBack("s", taken)
+				continue
+			}
+			repeats[at]++
 		}
 		time.Sleep(step)
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -57,8 +57,8 @@
 	excluded []string
 	// unreachable counts endpoints that took no connection.
 	unreachable int
-	// booked is set while a repeated send is booked and not made.
-	booked bool
+	// booked is a repeated send that was booked and is not made yet, if any.
+	booked booking
 	// guard ends the current attempt if it stalls.
 	guard *guard
 	// streaming is set once the answer's stream has the call; it then ends it.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -197,11 +197,10 @@
 		RowTeller:   g.fleet,
 		EndTeller:   &g.ledger,
 		Dispatch:    g,
+		Cores:       g.Settings.Cores,
+		Log:         g.Logs.For(logflags.Peer),
 
 		DepartureTeller: g.registry,
-
-		Cores: g.Settings.Cores,
-		Log:   g.Logs.For(logflags.Peer),
 	}
 	g.fleet.Self = g.exchange.Self()
 	g.catalogs = fetcher{known: g.catalogVersion, fetch: g.fetchCatalog}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/route"
@@ -91,7 +93,7 @@
 func (c *call) refusePlain(endpoints []route.Endpoint) *request.Refusal {
 	now := time.Now()
 	if until := c.gateway.rests.firstOver(endpoints, now); !until.IsZero() {
-		return notRun(request.NoEndpoint, "all endpoints of the service asked for rest", comeBackAfterRest(until.Sub(now)))
+		return notRun(request.NoEndpoint, "all endpoints of the service asked for rest", dispatch.AfterRest(until.Sub(now), rand.Float64()))
 	}
 	return notRun(request.NoEndpoint, "the service has no endpoint now", comeBackAfterFailure())
 }
--- a/pkg/gateway/words_test.go
+++ b/pkg/gateway/words_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/route"
 )
@@ -55,7 +57,7 @@
 	Convey("Callers come back once the first one returns, and not together", t, func() {
 		times := map[time.Duration]bool{}
 		for range 20 {
-			after := comeBackAfterRest(2 * time.Second)
+			after := dispatch.AfterRest(2*time.Second, rand.Float64())
 			So(after, ShouldBeBetweenOrEqual, 2*time.Second, 2500*time.Millisecond)
 			times[after] = true
 		}
@@ -63,25 +65,34 @@
 	})
 }
 
+// takes counts the repeated sends that a budget still has.
+func takes(b *retryBudget) (count int) {
+	for {
+		if _, ok := b.take("api"); !ok {
+			return count
+		}
+		count++
+	}
+}
+
 func TestBudgetGivenBack(t *testing.T) {
 	Convey("A repeated send that is not made costs the budget nothing, however often", t, func() {
 		b := &retryBudget{settings: Settings{RetryRatio: 0.2, RetryExtra: 4, RetryWindow: time.Hour}, peers: func() int { return 0 }}
 		for range 50 {
-			So(b.take("api"), ShouldBeTrue)
-			b.giveBack("api")
+			taken, ok := b.take("api")
+			So(ok, ShouldBeTrue)
+			b.giveBack("api", taken)
 		}
-		So(b.take("api"), ShouldBeTrue)
-		So(b.take("api"), ShouldBeTrue)
-		So(b.take("api"), ShouldBeFalse)
+		So(takes(b), ShouldEqual, 2)
 	})
 	Convey("It is given back once", t, func() {
 		b := &retryBudget{settings: Settings{RetryRatio: 0.2, RetryExtra: 2, RetryWindow: time.Hour}, peers: func() int { return 0 }}
-		c := &call{gateway: &Gateway{budget: b}, booked: b.take("api")}
+		taken, _ := b.take("api")
+		c := &call{gateway: &Gateway{budget: b}, booked: taken}
 		c.service.Name = "api"
 		c.unbook()
 		c.unbook()
-		So(b.take("api"), ShouldBeTrue)
-		So(b.take("api"), ShouldBeFalse)
+		So(takes(b), ShouldEqual, 1)
 	})
 }
 
