--- a/pkg/dispatch/words_test.go
+++ b/pkg/dispatch/words_test.go
@@ -44,6 +44,14 @@
 	waiting   map[string]*wordAsk
 	// bindsAll has a rest of one box bind all of them.
 	bindsAll bool
+	// retries is how often a caller comes back, to any box, and soonElsewhere tells it to
+	// come at once where another box may be served.
+	retries       int
+	soonElsewhere bool
+	// given up are callers that were refused for good, and waited the time until those that
+	// came back were sent to an engine.
+	givenUp, cameBack int
+	waited            time.Duration
 	// against are arrivals that their engine had asked the box not to send.
 	against []string
 
@@ -82,6 +90,9 @@
 	box      *wordBox
 	endpoint string
 	tries    int
+	// returned counts how often its caller came back, first at firstAt.
+	returned int
+	firstAt  time.Time
 }
 
 const (
@@ -115,10 +126,10 @@
 	end := s.now.Add(length)
 	for at := s.next(s.now, from); at.Before(end); at = s.next(at, from) {
 		s.asked++
-		ask := &wordAsk{Ask: s.askOf(from, s.asked, at), box: s.boxes[s.rand.IntN(len(s.boxes))]}
+		ask := &wordAsk{Ask: s.askOf(from, s.asked, at), box: s.boxes[s.rand.IntN(len(s.boxes))], firstAt: at}
 		s.at(at, func() { s.submit(ask) })
 	}
-	for tick := s.now; tick.Before(end.Add(time.Second)); tick = tick.Add(4 * time.Millisecond) {
+	for tick := s.now; tick.Before(end.Add(5 * time.Second)); tick = tick.Add(4 * time.Millisecond) {
 		s.at(tick, s.decide)
 	}
 }
@@ -149,12 +160,48 @@
 			s.running[ask.ID] = ask
 			s.at(s.now.Add(hop), func() { s.send(ask, d) })
 		case Turn:
-			s.refuse(s.waiting[d.Ask.ID])
+			ask := s.waiting[d.Ask.ID]
 			delete(s.waiting, d.Ask.ID)
+			s.refuse(ask)
+			s.comeBack(ask, d)
 		}
 	}
 }
 
+// comeBack has a refused caller come back as told, to any box.
+func (s *wordSimulation) comeBack(ask *wordAsk, d Turn) {
+	after := d.RetryAfter
+	if s.soonElsewhere && d.Resting && s.servedElsewhere(ask) {
+		after = time.Duration(float64(comeBackSoonest) * (0.5 + s.rand.Float64()))
+	}
+	// As the users' callers do, it waits for a third of the time that it has left at most.
+	const patience = 12 * time.Second
+	after = min(after, (patience-s.now.Sub(ask.firstAt))/3)
+	if ask.returned >= s.retries {
+		s.givenUp++
+		return
+	}
+	again := *ask.Ask
+	again.ID, again.Arrived, again.Excluded = ask.ID+"r", s.now.Add(after), nil
+	next := &wordAsk{Ask: &again, box: s.boxes[s.rand.IntN(len(s.boxes))], returned: ask.returned + 1, firstAt: ask.firstAt}
+	s.at(again.Arrived, func() { s.submit(next) })
+}
+
+// servedElsewhere tells whether, by the rests that the box that dispatches knows, some engine
+// takes requests of another box.
+func (s *wordSimulation) servedElsewhere(ask *wordAsk) bool {
+	for _, e := range s.pool.inOrder {
+		for _, box := range s.boxes {
+			other := *ask.Ask
+			other.Router = box.number
+			if box != ask.box && e.usable(s.now) && s.pool.allows(e, &other, s.now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // refuse counts a refusal, and whether the request could have been served.
 func (s *wordSimulation) refuse(ask *wordAsk) {
 	s.refused++
@@ -215,6 +262,10 @@
 		return
 	}
 	s.served++
+	if ask.returned > 0 {
+		s.cameBack++
+		s.waited += s.now.Sub(ask.firstAt)
+	}
 	begins := s.read(g)
 	s.at(begins, func() { s.pool.Begin(ask.ID, s.now) })
 	s.at(begins.Add(time.Duration(ask.Output())*s.step), func() {
@@ -416,6 +467,34 @@
 	}
 }
 
+// TestReturnAfterRest compares, for callers whose box rests from all engines, to come back when
+// the first engine returns to that box, and to come back at once where another box may be
+// served; 60 drawn fleets with QUAYLEAD_FLEETS=60; -v prints the figures.
+func TestReturnAfterRest(t *testing.T) {
+	for _, retries := range []int{1, 3} {
+		for _, soonElsewhere := range []bool{false, true} {
+			out := wordSimulation{}
+			for seed := range fleetsOr(6) {
+				draw := rand.New(rand.NewPCG(uint64(seed), 2))
+				engines := 2 + draw.IntN(4)
+				s := newWordSimulation(engines, 8, uint64(seed), told)
+				s.retries, s.soonElsewhere = retries, soonElsewhere
+				s.draw(draw, engines, 1, 0)
+				s.callers(float64(engines)*14, 12*time.Second)
+				s.until(s.now.Add(time.Hour))
+				out.asked += s.asked
+				out.served += s.served
+				out.turnedAway += s.turnedAway
+				out.givenUp += s.givenUp
+				out.cameBack += s.cameBack
+				out.waited += s.waited
+			}
+			t.Logf("%d retries, at once where another box may be served: %t: %d asked, %d served, %d given up, %d turned away by engines; who came back was sent to an engine after %s",
+				retries, soonElsewhere, out.asked, out.served, out.givenUp, out.turnedAway, out.waited/time.Duration(max(1, out.cameBack)))
+		}
+	}
+}
+
 func TestAllowed(t *testing.T) {
 	until := start.Add(3 * time.Second)
 	of := func(router uint64, number int, now time.Time) *Ask {
