cmd/quaybench/soak: a box without a configuration shows none

The trace: the box had started 0.48 s before, and refused all with 503 until it had a configuration; the first one that it was told was the one before the newest, 0.25 s older. The check took any answer but 404 for a sign that the route's version is in force, and so such a refusal as well. It passes over just these now: an answer of any other kind counts as before, and a test holds it to that.

--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -201,7 +201,7 @@
 	slices.SortFunc(ordered, func(a, b outcome) int { return a.sent.Compare(b.sent) })
 	for i := range ordered {
 		o := &ordered[i]
-		if o.probes == 0 || o.err != nil {
+		if o.probes == 0 || o.err != nil || o.fromUnconfigured() {
 			continue
 		}
 		key := life{o.box, o.life}
@@ -223,6 +223,12 @@
 	return broken
 }
 
+// fromUnconfigured tells of a refusal by a box that has just started and has no configuration
+// yet: it says nothing of any route.
+func (o *outcome) fromUnconfigured() bool {
+	return o.status == fasthttp.StatusServiceUnavailable && strings.Contains(o.body, "no configuration yet")
+}
+
 // logSlack is how long a line may wait in a box's buffer; a kill loses it.
 const logSlack = time.Second
 
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -87,6 +87,17 @@
 		b.troubles = spans{{from: at(-5), to: at(-4)}}
 		So(w.checkConfigurations(), ShouldBeEmpty)
 	})
+	Convey("A refusal by a box that has no configuration yet shows none; any other one does", t, func() {
+		b := &box{lives: 1}
+		refused, absent := good(b), good(b)
+		refused.probes, absent.probes = 2, 2
+		refused.status, refused.body = 503, `{"Code":"not_ready","Message":"this box has no configuration yet"}`
+		absent.status, absent.sent, absent.ended = 404, at(2), at(3)
+		w := &world{outcomes: []outcome{refused, absent}, accepted: map[int]time.Time{2: at(1.5)}}
+		So(w.checkConfigurations(), ShouldBeEmpty)
+		w.outcomes[0].body = `{"Code":"overloaded"}`
+		So(w.checkConfigurations(), ShouldHaveLength, 1)
+	})
 	Convey("A refusal that no line of the log tells of is found", t, func() {
 		b := &box{}
 		b.LogFile = filepath.Join(t.TempDir(), "box.log")
