pkg/registry: readings that go back, and entries passed over, are logged

Cause: the logs of a store that comes back from a copy did not tell the hypotheses of the incident apart: a reading told neither the version that it was of, nor how many entries it did not take as newer ones are known. Change: one line for each whole reading after the first, and for each that is of a version below the one asked for, with both versions and the number passed over. Behaviour is unchanged; the tests of the package pass.

--- a/pkg/registry/catalog.go
+++ b/pkg/registry/catalog.go
@@ -29,6 +29,9 @@
 			r.Log.Info("catalog is read again", zap.Int("Failures", again.failures))
 		}
 		again.reset()
+		if declared.Version < since {
+			r.Log.Info("catalog read from another version", zap.Uint64("Since", since), zap.Uint64("Version", declared.Version), zap.Bool("Whole", !known))
+		}
 		// The orders go first: a box that has a configuration serves.
 		if changed, now := orders.read(declared, !known); changed {
 			r.OfferOrders(now, fromStore)
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -21,9 +21,12 @@
 }
 
 // takeRead merges what the store says as of a version. Whole marks that the entries
-// are all there are, and not only those that changed.
-func (r *Registry) takeRead(entries []Entry, version uint64, whole bool, now time.Time) {
+// are all there are, and not only those that changed. It returns how many were passed over
+// though they differ from what is known.
+func (r *Registry) takeRead(entries []Entry, version uint64, whole bool, now time.Time) (passedOver int) {
 	r.update(now, func() (changed bool) {
+		r.passedOver = 0
+		defer func() { passedOver = r.passedOver }()
 		if whole {
 			entries = append(entries, r.absent(entries, version)...)
 		}
@@ -37,6 +40,7 @@
 		}
 		return changed
 	})
+	return passedOver
 }
 
 // unjudged is a look whose outcome is not known yet, as entries count as lapsed.
@@ -138,6 +142,9 @@
 	entry.Hash = xxhash.Sum64String(entry.ID)
 	known, had := r.entries.find(entry.ID)
 	if had && entry.Version <= known.Version {
+		if entry.Gone != known.Gone || entry.Leaving != known.Leaving || entry.Born != known.Born {
+			r.passedOver++
+		}
 		return false
 	}
 	if entry.Problem != nil {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -186,8 +186,10 @@
 	// changes those of the directory that nobody has taken yet.
 	touched []string
 	// quiet has endpoints that become known not logged one by one.
-	quiet   bool
-	changes []route.Change
+	quiet bool
+	// passedOver counts the entries of a reading that differ from newer ones.
+	passedOver int
+	changes    []route.Change
 	// knowledge is how much is known of the entries, by own looks or by what others
 	// told.
 	knowledge route.Knowledge
@@ -334,7 +336,15 @@
 		}
 		again.reset()
 		r.endpointsRead(time.Now())
-		r.takeRead(entries, version, whole, time.Now())
+		passedOver := r.takeRead(entries, version, whole, time.Now())
+		if (whole && since > 0) || version < since {
+			r.Log.Info("endpoints read from another version",
+				zap.Uint64("Since", since),
+				zap.Uint64("Version", version),
+				zap.Bool("Whole", whole),
+				zap.Int("Entries", len(entries)),
+				zap.Int("PassedOver", passedOver))
+		}
 		whole = false
 		if !r.lapsePending() {
 			r.Looked()
