pkg/epoch: versions of the store are a type

Cause: a version of the store was a plain number in a dozen places, each of which takes the higher one for the later, and none of which can tell that the store which gives them out began anew. Change: one type, the pair of the store's epoch and its counter in one number, used wherever a version orders facts (entries, readings, orders, roll-outs, what boxes tell each other). No epoch is read yet, so nothing changes: without one a version is the counter.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -213,7 +213,7 @@
 	g.fleet.Self = g.exchange.Self()
 	g.catalogs = fetcher{known: g.catalogVersion, fetch: g.fetchCatalog}
 	g.directories = fetcher{known: g.knownVersion, fetch: g.fetchDirectory}
-	g.orders = fetcher{known: g.registry.OrdersVersion, fetch: g.fetchOrders}
+	g.orders = fetcher{known: g.ordersVersion, fetch: g.fetchOrders}
 	g.budget = &retryBudget{settings: g.Settings, peers: g.fleet.CountLive, lot: rand.Float64()}
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/logflags"
@@ -112,7 +113,7 @@
 
 // Directory gives peers what changed of the endpoints after a version.
 func (g *Gateway) Directory(since uint64) *peerpb.Directory {
-	entries, then, more := g.registry.Since(since)
+	entries, then, more := g.registry.Since(epoch.Version(since))
 	directory := &peerpb.Directory{More: more}
 	if !more {
 		directory.Knowledge = peer.KnowledgeMessage(then)
@@ -127,7 +128,7 @@
 func endpointMessage(entry *registry.Entry, now time.Time) *peerpb.Endpoint {
 	return &peerpb.Endpoint{
 		ID:      entry.ID,
-		Version: entry.Version,
+		Version: uint64(entry.Version),
 		Service: entry.Service,
 		Address: entry.Address,
 		Zone:    entry.Zone,
@@ -143,7 +144,7 @@
 // entryOf is the reverse of endpointMessage.
 func entryOf(message *peerpb.Endpoint) registry.Entry {
 	return registry.Entry{
-		Version: message.Version,
+		Version: epoch.Version(message.Version),
 		Gone:    message.Gone,
 		ColdFor: time.Duration(message.ColdFor) * time.Microsecond,
 		Endpoint: route.Endpoint{
@@ -179,11 +180,11 @@
 	if news.Revision > g.catalogVersion() && g.catalogs.told(from.Box, news.Revision) {
 		g.work.Go(g.catalogs.run)
 	}
-	if news.Orders > g.registry.OrdersVersion() && g.orders.told(from.Box, news.Orders) {
+	if news.Orders > g.registry.OrdersVersion() && g.orders.told(from.Box, uint64(news.Orders)) {
 		g.work.Go(g.orders.run)
 	}
 	learnt, ask := g.registry.HeardKnowledge(news.Knowledge, news.Directory)
-	if ask && g.directories.told(from.Box, news.Knowledge.Known) {
+	if ask && g.directories.told(from.Box, uint64(news.Knowledge.Known)) {
 		g.work.Go(g.directories.run)
 	}
 	if learnt {
@@ -192,7 +193,10 @@
 }
 
 // knownVersion is the version of the store up to which all endpoints are known.
-func (g *Gateway) knownVersion() uint64 { return g.registry.Knowledge().Known }
+func (g *Gateway) knownVersion() uint64 { return uint64(g.registry.Knowledge().Known) }
+
+// ordersVersion is that of the operator's orders in force.
+func (g *Gateway) ordersVersion() uint64 { return uint64(g.registry.OrdersVersion()) }
 
 // fetchCatalog takes a higher version from a peer that told of it, so that a store
 // that is out of reach does not stop its spread.
--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
@@ -189,7 +190,7 @@
 	r.log.Info("roll-out",
 		zap.String("Service", m.Order.Service),
 		zap.String("Target", m.Order.Target),
-		zap.Uint64("Order", m.Order.Version),
+		zap.Stringer("Order", m.Order.Version),
 		zap.Stringer("Verdict", verdict),
 		zap.Duration("Passed", now.Sub(m.Order.SeenAt)))
 	return true
@@ -301,7 +302,7 @@
 	r.log.Info("roll-out judged",
 		zap.String("Service", m.Order.Service),
 		zap.String("Target", m.Order.Target),
-		zap.Uint64("Order", m.Order.Version),
+		zap.Stringer("Order", m.Order.Version),
 		zap.Stringer("Verdict", verdict),
 		zap.Duration("Passed", time.Since(m.Order.SeenAt)))
 	r.gateway.exchange.Wake()
@@ -338,7 +339,7 @@
 				r.log.Debug("prover of a roll-out not asked", zap.String("Box", box), zap.Error(err))
 				return nil
 			}
-			if tally.GetOrder() == order {
+			if epoch.Version(tally.GetOrder()) == order {
 				r.mu.Lock()
 				defer r.mu.Unlock()
 				m.tallies[box] = peer.CountsOf(tally)
--- a/pkg/gateway/scale_test.go
+++ b/pkg/gateway/scale_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quaylead/quaylead/pkg/dispatch"
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/partition"
 	"github.com/quaylead/quaylead/pkg/registry"
@@ -53,10 +54,10 @@
 }
 
 // tellEndpoints tells a box of some, as a peer does.
-func (g *Gateway) tellEndpoints(from, count int, version uint64) {
+func (g *Gateway) tellEndpoints(from, count int, version epoch.Version) {
 	entries := make([]registry.Entry, 0, count)
 	for i := range count {
-		entry := registry.Entry{Version: version + uint64(i)}
+		entry := registry.Entry{Version: version + epoch.Version(i)}
 		entry.ID = fmt.Sprintf("i-%08x", 7919*(from+i))
 		entry.Address = fmt.Sprintf("10.%d.%d.%d:8080", (from+i)>>16, (from+i)>>8&255, (from+i)&255)
 		entry.Zone, entry.Service, entry.Slots = "zone-"+string(rune('a'+i%5)), "llm", 16
@@ -65,8 +66,8 @@
 		}
 		entries = append(entries, entry)
 	}
-	last := version + uint64(count) - 1
-	g.registry.OfferEntries(entries, route.Knowledge{Known: last, Base: 1, Looks: last}, "box-1")
+	last := version + epoch.Version(count) - 1
+	g.registry.OfferEntries(entries, route.Knowledge{Known: last, Base: 1, Looks: uint64(last)}, "box-1")
 }
 
 func heap() uint64 {
@@ -115,7 +116,7 @@
 		cost := map[int]uint64{}
 		for _, count := range []int{fewEndpoints, manyEndpoints} {
 			g := boxWith(t, count)
-			version := uint64(count + 1)
+			version := epoch.Version(count + 1)
 			const changes = 50
 			all := allocated(func() {
 				for range changes {
--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 	"github.com/quaylead/quaylead/pkg/quarantine"
@@ -29,9 +30,9 @@
 	update = &peerpb.Update{
 		Revision:  state.Revision,
 		Leaving:   state.Leaving,
-		Directory: state.Directory,
+		Directory: uint64(state.Directory),
 		Knowledge: KnowledgeMessage(state.Knowledge),
-		Orders:    state.Orders,
+		Orders:    uint64(state.Orders),
 		Chosen:    state.Chosen,
 		Rows:      encodeRows(state.Rows),
 		Ends:      EndMessages(state.Ends),
@@ -129,9 +130,9 @@
 	state = State{
 		Revision:  update.Revision,
 		Leaving:   update.Leaving,
-		Directory: update.Directory,
+		Directory: epoch.Version(update.Directory),
 		Knowledge: KnowledgeOf(update.Knowledge),
-		Orders:    update.Orders,
+		Orders:    epoch.Version(update.Orders),
 		Chosen:    update.Chosen,
 		Rows:      decodeRows(update.Rows),
 		Ends:      EndsOf(update.Ends),
@@ -153,10 +154,10 @@
 // KnowledgeMessage encodes how much is known of the endpoints.
 func KnowledgeMessage(k route.Knowledge) *peerpb.Knowledge {
 	return &peerpb.Knowledge{
-		Known:     k.Known,
-		Base:      k.Base,
-		GapAfter:  k.GapAfter,
-		GapBefore: k.GapBefore,
+		Known:     uint64(k.Known),
+		Base:      uint64(k.Base),
+		GapAfter:  uint64(k.GapAfter),
+		GapBefore: uint64(k.GapBefore),
 		Looks:     k.Looks,
 	}
 }
@@ -164,10 +165,10 @@
 // KnowledgeOf decodes it; a peer that tells nothing knows nothing.
 func KnowledgeOf(message *peerpb.Knowledge) route.Knowledge {
 	return route.Knowledge{
-		Known:     message.GetKnown(),
-		Base:      message.GetBase(),
-		GapAfter:  message.GetGapAfter(),
-		GapBefore: message.GetGapBefore(),
+		Known:     epoch.Version(message.GetKnown()),
+		Base:      epoch.Version(message.GetBase()),
+		GapAfter:  epoch.Version(message.GetGapAfter()),
+		GapBefore: epoch.Version(message.GetGapBefore()),
 		Looks:     message.GetLooks(),
 	}
 }
--- a/pkg/peer/orders.go
+++ b/pkg/peer/orders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 	"github.com/quaylead/quaylead/pkg/rollout"
 	"github.com/quaylead/quaylead/pkg/route"
@@ -10,12 +11,12 @@
 
 // ordersMessage encodes the operator's orders.
 func ordersMessage(orders *route.Orders, now time.Time) *peerpb.Orders {
-	message := &peerpb.Orders{Version: orders.Version, Evacuated: orders.Evacuated}
+	message := &peerpb.Orders{Version: uint64(orders.Version), Evacuated: orders.Evacuated}
 	for _, order := range orders.Rollouts {
 		message.Rollouts = append(message.Rollouts, &peerpb.Rollout{
 			Service: order.Service,
 			Target:  order.Target,
-			Version: order.Version,
+			Version: uint64(order.Version),
 			Within:  order.Within.Microseconds(),
 			Age:     now.Sub(order.SeenAt).Microseconds(),
 		})
@@ -25,12 +26,12 @@
 
 // OrdersOf decodes them as of a time.
 func OrdersOf(message *peerpb.Orders, now time.Time) route.Orders {
-	orders := route.Orders{Version: message.Version, Evacuated: message.Evacuated}
+	orders := route.Orders{Version: epoch.Version(message.Version), Evacuated: message.Evacuated}
 	for _, order := range message.Rollouts {
 		orders.Rollouts = append(orders.Rollouts, rollout.Order{
 			Service: order.Service,
 			Target:  order.Target,
-			Version: order.Version,
+			Version: epoch.Version(order.Version),
 			Within:  time.Duration(order.Within) * time.Microsecond,
 			SeenAt:  now.Add(-time.Duration(max(0, order.Age)) * time.Microsecond),
 		})
@@ -39,8 +40,8 @@
 }
 
 // RolloutTally encodes what a box saw of a roll-out.
-func RolloutTally(order uint64, routes map[string]rollout.Tally, oldRunning int) *peerpb.RolloutTally {
-	message := &peerpb.RolloutTally{Order: order, OldRunning: uint32(oldRunning)}
+func RolloutTally(order epoch.Version, routes map[string]rollout.Tally, oldRunning int) *peerpb.RolloutTally {
+	message := &peerpb.RolloutTally{Order: uint64(order), OldRunning: uint32(oldRunning)}
 	for name, tally := range routes {
 		message.Routes = append(message.Routes, &peerpb.RouteTally{
 			Route:      name,
@@ -69,7 +70,7 @@
 
 func rolloutMessages(words []rollout.Word) (messages []*peerpb.RolloutWord) {
 	for _, word := range words {
-		messages = append(messages, &peerpb.RolloutWord{Service: word.Service, Order: word.Order, Verdict: uint32(word.Verdict)})
+		messages = append(messages, &peerpb.RolloutWord{Service: word.Service, Order: uint64(word.Order), Verdict: uint32(word.Verdict)})
 	}
 	return messages
 }
@@ -78,7 +79,7 @@
 	for _, message := range messages {
 		words = append(words, rollout.Word{
 			Service: message.Service,
-			Order:   message.Order,
+			Order:   epoch.Version(message.Order),
 			Verdict: rollout.Verdict(min(message.Verdict, uint32(rollout.RolledBack))),
 		})
 	}
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/rollout"
@@ -57,12 +58,12 @@
 	// Leaving is set once the box stops taking work.
 	Leaving bool
 	// Directory is the highest version of an account of an endpoint.
-	Directory uint64
+	Directory epoch.Version
 	// Knowledge is how much is known of the endpoints.
 	Knowledge route.Knowledge
 	// Orders is the version of the operator's orders in force; 0 means that they are not
 	// known.
-	Orders uint64
+	Orders epoch.Version
 	// Chosen is set where the box keeps the session by its own choice. It is set
 	// by the exchange.
 	Chosen bool
--- a/pkg/registry/boxes.go
+++ b/pkg/registry/boxes.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 )
 
@@ -82,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bad := map[string]uint64{}
+	bad := map[string]epoch.Version{}
 	for i := range listed {
 		row := &listed[i]
 		if row.Problem == nil {
@@ -91,7 +92,7 @@
 		}
 		bad[row.Name] = row.Version
 		if r.badBoxes[row.Name] != row.Version {
-			r.Log.Error("row of a box not taken", zap.String("Box", row.Name), zap.Uint64("Version", row.Version), zap.Error(row.Problem))
+			r.Log.Error("row of a box not taken", zap.String("Box", row.Name), zap.Stringer("Version", row.Version), zap.Error(row.Problem))
 		}
 	}
 	r.badBoxes = bad
--- a/pkg/registry/catalog.go
+++ b/pkg/registry/catalog.go
@@ -6,12 +6,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 )
 
 func (r *Registry) followCatalog(ctx context.Context) error {
 	again := backoff{peers: r.Peers}
-	since, known := uint64(0), false
+	since, known := epoch.Version(0), false
 	orders := orderReader{log: r.Log}
 	r.learnQuarantine(ctx)
 	for r.awaitFollow(ctx, r.Catalog() != nil, nil) == nil {
@@ -19,7 +20,7 @@
 		r.noteCall(err)
 		if err != nil {
 			known = known && !isHistoryLost(err)
-			r.Log.Warn("catalog not read", zap.Uint64("Since", since), zap.Error(err))
+			r.Log.Warn("catalog not read", zap.Stringer("Since", since), zap.Error(err))
 			if again.wait(ctx) != nil {
 				return nil
 			}
@@ -30,7 +31,7 @@
 		}
 		again.reset()
 		if declared.Version < since {
-			r.Log.Info("catalog read from another version", zap.Uint64("Since", since), zap.Uint64("Version", declared.Version), zap.Bool("Whole", !known))
+			r.Log.Info("catalog read from another version", zap.Stringer("Since", since), zap.Stringer("Version", declared.Version), zap.Bool("Whole", !known))
 		}
 		// The orders go first: a box that has a configuration serves.
 		if changed, now := orders.read(declared, !known); changed {
@@ -44,7 +45,7 @@
 	return nil
 }
 
-func (r *Registry) nextDeclared(ctx context.Context, since uint64, known bool) (Declared, error) {
+func (r *Registry) nextDeclared(ctx context.Context, since epoch.Version, known bool) (Declared, error) {
 	if known {
 		wait := min(max(catalogWaitLeast, catalogWaitPart*time.Duration(r.Peers())), catalogWaitMost)
 		return r.Store.DeclaredSince(ctx, since, interval.Jittered(wait))
--- a/pkg/registry/departures_test.go
+++ b/pkg/registry/departures_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/route"
 )
@@ -22,7 +23,7 @@
 	return &Registry{Log: zap.NewNop(), Changed: func() {}}
 }
 
-func rowOf(version uint64, born int64, leaving bool) Entry {
+func rowOf(version epoch.Version, born int64, leaving bool) Entry {
 	return Entry{Version: version, Endpoint: route.Endpoint{ID: "e", Address: "10.0.0.1:80", Facts: lifecycle.Facts{Born: born, Leaving: leaving}}}
 }
 
@@ -32,7 +33,7 @@
 func TestDepartureHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRegistry()
-		now, version, newest := departed, uint64(0), int64(1)
+		now, version, newest := departed, epoch.Version(0), int64(1)
 		said := int64(0)
 		for range rapid.IntRange(1, 80).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "pause")) * time.Millisecond)
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -17,13 +18,13 @@
 	// until is how long its endpoint is still used.
 	until time.Time
 	// version is that of its removal.
-	version uint64
+	version epoch.Version
 }
 
 // takeRead merges what the store says as of a version. Whole marks that the entries
 // are all there are, and not only those that changed. It returns how many were passed over
 // though they differ from what is known.
-func (r *Registry) takeRead(entries []Entry, version uint64, whole bool, now time.Time) (passedOver int) {
+func (r *Registry) takeRead(entries []Entry, version epoch.Version, whole bool, now time.Time) (passedOver int) {
 	r.update(now, func() (changed bool) {
 		r.passedOver = 0
 		defer func() { passedOver = r.passedOver }()
@@ -45,7 +46,7 @@
 
 // unjudged is a look whose outcome is not known yet, as entries count as lapsed.
 type unjudged struct {
-	version uint64
+	version epoch.Version
 	whole   bool
 }
 
@@ -82,7 +83,7 @@
 
 // absent makes removals of the entries that a whole reading as of a version no longer
 // has.
-func (r *Registry) absent(entries []Entry, version uint64) []Entry {
+func (r *Registry) absent(entries []Entry, version epoch.Version) []Entry {
 	present := make(map[string]bool, len(entries))
 	for i := range entries {
 		present[entries[i].ID] = true
@@ -125,7 +126,7 @@
 		zap.String("Service", entry.Service),
 		zap.String("Address", entry.Address),
 		zap.Inline(&entry.Facts),
-		zap.Uint64("Version", entry.Version),
+		zap.Stringer("Version", entry.Version),
 		zap.String("From", from))
 }
 
@@ -156,7 +157,7 @@
 	if had && entry.Outdated(&known.Facts) {
 		r.Log.Info("entry of an earlier start passed over",
 			zap.String("Endpoint", entry.ID),
-			zap.Uint64("Version", entry.Version),
+			zap.Stringer("Version", entry.Version),
 			zap.Int64("Born", entry.Born),
 			zap.Int64("KnownBorn", known.Born))
 		return false
@@ -180,7 +181,7 @@
 func (r *Registry) reject(known, entry Entry) bool {
 	r.Log.Error("entry of an endpoint not taken",
 		zap.String("Endpoint", entry.ID),
-		zap.Uint64("Version", entry.Version),
+		zap.Stringer("Version", entry.Version),
 		zap.Error(entry.Problem))
 	used := known.ID != "" && !known.Gone
 	known.ID = entry.ID
@@ -214,13 +215,13 @@
 	if !wasGone {
 		r.Log.Info("endpoint gone",
 			zap.String("Endpoint", entry.ID),
-			zap.Uint64("Version", entry.Version),
+			zap.Stringer("Version", entry.Version),
 			zap.String("From", from))
 	}
 	return !wasGone
 }
 
-func (r *Registry) bury(known Entry, version uint64) {
+func (r *Registry) bury(known Entry, version epoch.Version) {
 	known.Version = version
 	known.Gone = true
 	r.put(known)
@@ -288,7 +289,7 @@
 }
 
 // Newest is the highest version of an account of an endpoint.
-func (r *Registry) Newest() uint64 {
+func (r *Registry) Newest() epoch.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.newest
@@ -301,7 +302,7 @@
 // Since are the first accounts of endpoints that changed after a version, for a box that knows
 // all up to there, and how much it then knows. Where there are more, that is nothing new, and
 // the rest follows after the version of the last one. The entries are not to be changed.
-func (r *Registry) Since(version uint64) (entries []*Entry, then route.Knowledge, more bool) {
+func (r *Registry) Since(version epoch.Version) (entries []*Entry, then route.Knowledge, more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	entries, more = r.entries.since(version, pageEntries)
@@ -343,7 +344,7 @@
 // change, this box knows as much now, and news is set. Where something changed, the
 // peer has to be asked for it. A peer that knows only of later endpoints is of no use:
 // this box has to look for itself.
-func (r *Registry) HeardKnowledge(other route.Knowledge, newest uint64) (news, ask bool) {
+func (r *Registry) HeardKnowledge(other route.Knowledge, newest epoch.Version) (news, ask bool) {
 	r.mu.Lock()
 	known := r.knowledge
 	ahead := other.Known > known.Known
--- a/pkg/registry/follow.go
+++ b/pkg/registry/follow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 )
 
@@ -108,7 +109,7 @@
 type unserved struct {
 	// known is the version up to which others know, and since when the box looks by itself
 	// unless it is told meanwhile; zero while it lacks nothing.
-	known uint64
+	known epoch.Version
 	due   time.Time
 }
 
@@ -121,7 +122,7 @@
 )
 
 // note notes that others know up to a version.
-func (u *unserved) note(known uint64, now time.Time) {
+func (u *unserved) note(known epoch.Version, now time.Time) {
 	if u.due.IsZero() {
 		u.due = now.Add(unservedLeast + rand.N(unservedSpread))
 	}
--- a/pkg/registry/follow_test.go
+++ b/pkg/registry/follow_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -25,12 +26,12 @@
 	return c.fakeStore.Declared(ctx)
 }
 
-func (c *callsOf) Endpoints(ctx context.Context) ([]Entry, uint64, error) {
+func (c *callsOf) Endpoints(ctx context.Context) ([]Entry, epoch.Version, error) {
 	c.endpoints.Add(1)
 	return c.fakeStore.Endpoints(ctx)
 }
 
-func (c *callsOf) EndpointsSince(ctx context.Context, version uint64) ([]Entry, uint64, error) {
+func (c *callsOf) EndpointsSince(ctx context.Context, version epoch.Version) ([]Entry, epoch.Version, error) {
 	c.endpoints.Add(1)
 	return c.fakeStore.EndpointsSince(ctx, version)
 }
--- a/pkg/registry/knowledge_test.go
+++ b/pkg/registry/knowledge_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -28,7 +29,7 @@
 
 // versionedStore keeps all changes of entries, as the store's feed gives them.
 type versionedStore struct {
-	version uint64
+	version epoch.Version
 	entries map[string]Entry
 }
 
@@ -41,7 +42,7 @@
 	s.entries[id] = entry
 }
 
-func (s *versionedStore) since(version uint64) (changed []Entry) {
+func (s *versionedStore) since(version epoch.Version) (changed []Entry) {
 	for _, entry := range s.entries {
 		if entry.Version > version {
 			changed = append(changed, entry)
@@ -71,7 +72,7 @@
 // reader is a box that looks at the store and tells others.
 type reader struct {
 	*Registry
-	since uint64
+	since epoch.Version
 }
 
 func (r *reader) look(store *versionedStore, whole bool) {
@@ -109,10 +110,10 @@
 		var entries []Entry
 		for i := range count {
 			// Some share a version, as rows written at once do.
-			entries = append(entries, Entry{Endpoint: endpointOf(fmt.Sprintf("e-%d", i)), Version: uint64(1 + i/3)})
+			entries = append(entries, Entry{Endpoint: endpointOf(fmt.Sprintf("e-%d", i)), Version: epoch.Version(1 + i/3)})
 		}
 		teller.takeRead(entries, count, true, time.Now())
-		since, parts := uint64(0), 0
+		since, parts := epoch.Version(0), 0
 		for more := true; more; parts++ {
 			told, then, rest := teller.Since(since)
 			for _, entry := range told {
@@ -121,7 +122,7 @@
 			if more = rest; more {
 				taker.OfferPage(valuesOf(told), "teller")
 				So(taker.Directory(), ShouldBeNil)
-				teller.takeRead([]Entry{{Endpoint: endpointOf("e-1"), Version: uint64(count + parts + 1)}}, uint64(count+parts+1), false, time.Now())
+				teller.takeRead([]Entry{{Endpoint: endpointOf("e-1"), Version: epoch.Version(count + parts + 1)}}, epoch.Version(count+parts+1), false, time.Now())
 				continue
 			}
 			taker.OfferEntries(valuesOf(told), then, "teller")
--- a/pkg/registry/orders.go
+++ b/pkg/registry/orders.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/rollout"
 	"github.com/quaylead/quaylead/pkg/route"
 )
@@ -15,12 +16,12 @@
 type orderReader struct {
 	log *zap.Logger
 	// evacuated are the orders read so far, by zone.
-	evacuated map[string]uint64
+	evacuated map[string]epoch.Version
 	// rollouts are those read so far, by service.
 	rollouts map[string]rollout.Order
 	// bad are the orders that could not be read, by what they are for, so that each is told
 	// of once.
-	bad map[string]uint64
+	bad map[string]epoch.Version
 }
 
 // read takes what the operator has written, or changed. It reports whether orders may have
@@ -28,7 +29,7 @@
 // hold older ones.
 func (o *orderReader) read(declared Declared, whole bool) (changed bool, now route.Orders) {
 	if whole || o.evacuated == nil {
-		o.evacuated = map[string]uint64{}
+		o.evacuated = map[string]epoch.Version{}
 		o.rollouts = map[string]rollout.Order{}
 	}
 	for _, order := range declared.Evacuations {
@@ -57,22 +58,22 @@
 }
 
 // note tells of an order that can not be read, once for each change of it.
-func (o *orderReader) note(what string, version uint64, problem error) {
+func (o *orderReader) note(what string, version epoch.Version, problem error) {
 	if o.bad == nil {
-		o.bad = map[string]uint64{}
+		o.bad = map[string]epoch.Version{}
 	}
 	if o.bad[what] == version {
 		return
 	}
 	o.bad[what] = version
-	o.log.Error("order not taken", zap.String("Order", what), zap.Uint64("Version", version), zap.Error(problem))
+	o.log.Error("order not taken", zap.String("Order", what), zap.Stringer("Version", version), zap.Error(problem))
 }
 
 // Orders are the operator's that are in force; nil means that they are not known.
 func (r *Registry) Orders() *route.Orders { return r.orders.Load() }
 
 // OrdersVersion is that of the orders in force; 0 means that they are not known.
-func (r *Registry) OrdersVersion() uint64 {
+func (r *Registry) OrdersVersion() epoch.Version {
 	if orders := r.orders.Load(); orders != nil {
 		return orders.Version
 	}
@@ -100,7 +101,7 @@
 	r.mu.Unlock()
 	if changed {
 		r.Log.Info("orders in force",
-			zap.Uint64("Version", orders.Version),
+			zap.Stringer("Version", orders.Version),
 			zap.Strings("Evacuated", orders.Evacuated),
 			zap.Int("Rollouts", len(orders.Rollouts)),
 			zap.String("From", from))
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/rollout"
@@ -35,7 +36,7 @@
 type Entry struct {
 	route.Endpoint
 	// Version is the store's counter at the entry's last change.
-	Version uint64
+	Version epoch.Version
 	// ColdFor is how much longer the endpoint is cold, as of the reading.
 	ColdFor time.Duration
 	// Gone entries were removed.
@@ -57,14 +58,14 @@
 type ListedBox struct {
 	Box
 	// Version is the store's counter at the row's last change.
-	Version uint64
+	Version epoch.Version
 	Problem error
 }
 
 // Declared is what the operator has written, or what changed of it.
 type Declared struct {
 	// Version is the store's at the reading.
-	Version uint64
+	Version epoch.Version
 	// Content is the accepted configuration; nil means none, or no change.
 	Content []byte
 	// Evacuations are the orders for availability zones.
@@ -86,7 +87,7 @@
 	Service, Target string
 	Verdict         rollout.Verdict
 	// Version is the store's counter at the row's last change; 0 means that there is none.
-	Version uint64
+	Version epoch.Version
 }
 
 // Evacuation is an order that nothing be sent to a zone, or its withdrawal. One with a
@@ -94,7 +95,7 @@
 type Evacuation struct {
 	Zone string
 	// Version is the store's counter at the order's last change.
-	Version   uint64
+	Version   epoch.Version
 	Withdrawn bool
 	Problem   error
 }
@@ -105,13 +106,13 @@
 	// Declared reads all that the operator has written.
 	Declared(ctx context.Context) (Declared, error)
 	// DeclaredSince waits for a change after the version.
-	DeclaredSince(ctx context.Context, version uint64, wait time.Duration) (Declared, error)
+	DeclaredSince(ctx context.Context, version epoch.Version, wait time.Duration) (Declared, error)
 	// DecodeCatalog reads a configuration's content.
 	DecodeCatalog(content []byte) (*route.Catalog, error)
 	// Endpoints reads all entries.
-	Endpoints(ctx context.Context) (entries []Entry, version uint64, err error)
+	Endpoints(ctx context.Context) (entries []Entry, version epoch.Version, err error)
 	// EndpointsSince reads what changed since the version, without waiting.
-	EndpointsSince(ctx context.Context, version uint64) (entries []Entry, now uint64, err error)
+	EndpointsSince(ctx context.Context, version epoch.Version) (entries []Entry, now epoch.Version, err error)
 	// Announce writes this box's entry.
 	Announce(ctx context.Context, box Box) error
 	// Boxes reads the entries of all boxes, or where most is over 0 of that many, such as are
@@ -196,7 +197,7 @@
 	// unserved is what this box lacks and has heard of from nobody that can tell it.
 	unserved unserved
 	// newest is the highest version of an entry.
-	newest uint64
+	newest epoch.Version
 	// lost is set while this box's calls of the store fail; lostAt is when that last
 	// changed.
 	lost   bool
@@ -212,7 +213,7 @@
 	looked bool
 	// badBoxes are the versions of the rows of boxes that could not be read, by name, so
 	// that each is told of once.
-	badBoxes map[string]uint64
+	badBoxes map[string]epoch.Version
 	// unjudged is the last look that is not part of the knowledge yet.
 	unjudged unjudged
 	// unwellAt is when a call about the endpoints last failed, and returnedAt when
@@ -325,7 +326,7 @@
 		if err != nil {
 			whole = whole || isHistoryLost(err)
 			r.endpointsFailed(err)
-			r.Log.Warn("endpoints not read", zap.Uint64("Since", since), zap.Error(err))
+			r.Log.Warn("endpoints not read", zap.Stringer("Since", since), zap.Error(err))
 			if again.wait(ctx) != nil {
 				return nil
 			}
@@ -339,8 +340,8 @@
 		passedOver := r.takeRead(entries, version, whole, time.Now())
 		if (whole && since > 0) || version < since {
 			r.Log.Info("endpoints read from another version",
-				zap.Uint64("Since", since),
-				zap.Uint64("Version", version),
+				zap.Stringer("Since", since),
+				zap.Stringer("Version", version),
 				zap.Bool("Whole", whole),
 				zap.Int("Entries", len(entries)),
 				zap.Int("PassedOver", passedOver))
@@ -412,7 +413,7 @@
 	return min(lapseGrace, cmp.Or(r.LeavingTime, defaultLeavingTime)-lapseReserve)
 }
 
-func (r *Registry) nextEndpoints(ctx context.Context, since uint64, whole bool) ([]Entry, uint64, error) {
+func (r *Registry) nextEndpoints(ctx context.Context, since epoch.Version, whole bool) ([]Entry, epoch.Version, error) {
 	if whole {
 		return r.Store.Endpoints(ctx)
 	}
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/route"
 )
@@ -26,7 +27,7 @@
 	// evacuations are all that were ever ordered, and boxes the rows of boxes.
 	evacuations []Evacuation
 	boxes       []ListedBox
-	version     uint64
+	version     epoch.Version
 	// failing makes every call fail; lost makes one feed forget its history.
 	failing, lost bool
 	// hanging has feeds wait as long as they may and a second more, then fail.
@@ -67,7 +68,7 @@
 	return now.declared(), nil
 }
 
-func (f *fakeStore) DeclaredSince(ctx context.Context, version uint64, wait time.Duration) (Declared, error) {
+func (f *fakeStore) DeclaredSince(ctx context.Context, version epoch.Version, wait time.Duration) (Declared, error) {
 	if now := f.now(); now.hanging || now.failing {
 		time.Sleep(wait + time.Second)
 		return Declared{}, errStoreDown
@@ -92,7 +93,7 @@
 	return catalog, nil
 }
 
-func (f *fakeStore) Endpoints(context.Context) ([]Entry, uint64, error) {
+func (f *fakeStore) Endpoints(context.Context) ([]Entry, epoch.Version, error) {
 	now := f.now()
 	if now.failing {
 		return nil, 0, errStoreDown
@@ -100,7 +101,7 @@
 	return now.entries, now.version, nil
 }
 
-func (f *fakeStore) EndpointsSince(_ context.Context, version uint64) ([]Entry, uint64, error) {
+func (f *fakeStore) EndpointsSince(_ context.Context, version epoch.Version) ([]Entry, epoch.Version, error) {
 	now := f.now()
 	if now.failing {
 		return nil, 0, errStoreDown
@@ -143,23 +144,23 @@
 	return route.Endpoint{ID: id, Service: "llm", Address: "10.0.0.1:1", Zone: "zone-a"}
 }
 
-func bornAt(id string, version uint64, born int64) Entry {
+func bornAt(id string, version epoch.Version, born int64) Entry {
 	entry := Entry{Endpoint: endpointOf(id), Version: version}
 	entry.Born = born
 	return entry
 }
 
 // order writes or withdraws an order for a zone.
-func (s *fakeState) order(version uint64, zone string, withdrawn bool, problem error) {
+func (s *fakeState) order(version epoch.Version, zone string, withdrawn bool, problem error) {
 	s.version = version
 	s.evacuations = append(slices.Clone(s.evacuations), Evacuation{Zone: zone, Version: version, Withdrawn: withdrawn, Problem: problem})
 }
 
-func (s *fakeState) put(id string, version uint64) {
+func (s *fakeState) put(id string, version epoch.Version) {
 	s.set(Entry{Endpoint: endpointOf(id), Version: version})
 }
 
-func (s *fakeState) remove(id string, version uint64) {
+func (s *fakeState) remove(id string, version epoch.Version) {
 	s.set(Entry{Endpoint: route.Endpoint{ID: id}, Version: version, Gone: true})
 }
 
--- a/pkg/registry/table.go
+++ b/pkg/registry/table.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/google/btree"
+
+	"github.com/quaylead/quaylead/pkg/epoch"
 )
 
 // entryTable keeps entries by ID and by version, so that what changed after a version is found
@@ -80,7 +82,7 @@
 
 // since are the entries of higher versions, the lowest first: as many as asked for, and those
 // of the last one's version. More tells that others follow.
-func (t *entryTable) since(version uint64, most int) (entries []*Entry, more bool) {
+func (t *entryTable) since(version epoch.Version, most int) (entries []*Entry, more bool) {
 	if t.byVersion == nil {
 		return nil, false
 	}
--- a/pkg/registry/turns_test.go
+++ b/pkg/registry/turns_test.go
@@ -9,6 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/epoch"
 )
 
 // pagedStore takes a time for the whole table, and may turn its box away.
@@ -18,7 +20,7 @@
 	turnedAway bool
 }
 
-func (s *pagedStore) Endpoints(ctx context.Context) ([]Entry, uint64, error) {
+func (s *pagedStore) Endpoints(ctx context.Context) ([]Entry, epoch.Version, error) {
 	if s.turnedAway {
 		s.endpoints.Add(1)
 		return nil, 0, errStoreDown
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"github.com/quaylead/quaylead/pkg/epoch"
 )
 
 // Order is the operator's order to move a service to another version of its endpoints.
@@ -13,7 +15,7 @@
 	// Target is the version to move to.
 	Target string
 	// Version is the store's counter at the order's last change. It names the order.
-	Version uint64
+	Version epoch.Version
 	// Within is the time in which the move is to be over.
 	Within time.Duration
 	// SeenAt is when a box first knew of the order.
@@ -67,7 +69,7 @@
 type Word struct {
 	Service string
 	// Order is the version of the order.
-	Order   uint64
+	Order   epoch.Version
 	Verdict Verdict
 }
 
--- a/pkg/route/knowledge.go
+++ b/pkg/route/knowledge.go
@@ -1,16 +1,18 @@
 package route
 
+import "github.com/quaylead/quaylead/pkg/epoch"
+
 // Knowledge tells how much a box knows of the endpoints that the store lists. All are
 // versions of the store, but for Looks.
 type Knowledge struct {
 	// Known is the version up to which all changes are known; 0 means that nothing is.
-	Known uint64
+	Known epoch.Version
 	// Base is the version as of which the endpoints were first known. An endpoint that
 	// went before is not known of at all, so who had it can not learn that from here.
-	Base uint64
+	Base epoch.Version
 	// GapAfter and GapBefore bound the versions between which endpoints may have come
 	// and gone unnoticed, as a whole reading passed over them.
-	GapAfter, GapBefore uint64
+	GapAfter, GapBefore epoch.Version
 	// Looks numbers the looks of all boxes at the store: the one that looks counts on
 	// from the highest number it has heard. Two that look at once may take the same.
 	Looks uint64
@@ -40,7 +42,7 @@
 
 // Read adds what a look at the store told as of a version. A whole look does not tell
 // what came and went since the last one.
-func (k *Knowledge) Read(version uint64, whole bool) {
+func (k *Knowledge) Read(version epoch.Version, whole bool) {
 	k.Looks++
 	if k.Known == 0 {
 		k.Base = version
@@ -52,7 +54,7 @@
 
 // addGap notes a gap. One gap is remembered; who knows less than the end of the one
 // before is no longer served.
-func (k *Knowledge) addGap(after, before uint64) {
+func (k *Knowledge) addGap(after, before epoch.Version) {
 	if k.GapBefore > 0 && k.GapBefore != before {
 		k.Base = max(k.Base, k.GapBefore)
 	}
--- a/pkg/route/orders.go
+++ b/pkg/route/orders.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/rollout"
 )
 
@@ -10,7 +11,7 @@
 // store. Those of a higher version replace others as a whole.
 type Orders struct {
 	// Version is the store's counter; all that was ordered up to it is told.
-	Version uint64
+	Version epoch.Version
 	// Evacuated are the zones whose endpoints are to get nothing, in order.
 	Evacuated []string
 	// Rollouts are the orders to move services to another version, by service in order, one
