pkg/registry: an entry that goes twice in an outage is gone as of the second time

What callers saw: nothing yet; found by drawn histories of restores. Of two boxes, one sends requests for ever to an endpoint that has ended. Cause: an entry that went in an outage counts as lapsed with the version of its removal, also where it came back and went again before this box read; when its time is over it is gone as of the first removal, and a box that knew it in between is not told, as it knows all changes up to there. Evidence: TestLapseOfSecondRemovalIsTold fails on the code before. Change: the version is that of the last removal.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -203,11 +203,13 @@
 	}
 	if !known.Gone && !r.leaves(&known.Endpoint) && from == fromStore && now.Sub(r.unwellAt) < unwellFor {
 		if !had {
-			r.lapsed[entry.ID] = lapse{until: r.returnedAt.Add(r.grace()), version: entry.Version}
+			lapsed.until = r.returnedAt.Add(r.grace())
 			r.Log.Info("entry lapsed during an outage, endpoint still used",
 				zap.String("Endpoint", entry.ID),
 				zap.Duration("Outage", now.Sub(r.unwellAt)))
 		}
+		lapsed.version = entry.Version
+		r.lapsed[entry.ID] = lapsed
 		return false
 	}
 	wasGone := known.Gone
--- /dev/null
+++ b/pkg/registry/lapses_test.go
@@ -0,0 +1,27 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestLapseOfSecondRemovalIsTold(t *testing.T) {
+	Convey("A box that knew the entry between two removals is told that it is gone", t, func() {
+		r, other := newRegistry(), newRegistry()
+		now := departed
+		r.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 1}}, 1, true, now)
+		r.unwellAt, r.returnedAt = now, now
+		gone := Entry{Endpoint: endpointOf("a"), Version: 5, Gone: true}
+		r.takeRead([]Entry{gone}, 5, false, now)
+		other.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 6}}, 6, true, now)
+		gone.Version = 7
+		r.takeRead([]Entry{gone}, 7, false, now)
+		r.update(now.Add(time.Minute), func() bool { return false })
+		So(has(r, "a"), ShouldBeFalse)
+		entries, then, _ := r.Since(other.Knowledge().Known)
+		other.OfferEntries(valuesOf(entries), then, "r")
+		So(has(other, "a"), ShouldBeFalse)
+	})
+}
