pkg/registry: what others say does not carry past what is still to be judged

What callers saw: nothing yet; found by drawn histories of restores. A box sends requests for ever to an endpoint that has ended. Cause: while entries count as lapsed, a box tells its own readings only once they are judged, but took over at once how far other boxes know; it then told boxes which asked that they know all up to there, with the lapsed endpoint in it, and its removal, of an earlier version, was never told to them. Evidence: TestJudgedAfterOthersAreKnownIsTold fails on the code before. Change: knowledge that is heard waits for the judgement as that which is read does, what is judged is gone as of all that was reached, a fetch asks on from there, and a box that was told entries of later versions is served only by one that knows what came of them.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -193,7 +193,7 @@
 }
 
 // knownVersion is the version of the store up to which all endpoints are known.
-func (g *Gateway) knownVersion() uint64 { return uint64(g.registry.Knowledge().Known) }
+func (g *Gateway) knownVersion() uint64 { return uint64(g.registry.Position()) }
 
 // ordersVersion is that of the operator's orders in force.
 func (g *Gateway) ordersVersion() uint64 { return uint64(g.registry.OrdersVersion()) }
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -32,35 +32,43 @@
 			entries = append(entries, r.absent(entries, version)...)
 		}
 		changed = r.mergeAll(entries, fromStore, now)
-		// What this box takes for lapsed, others may have to judge by themselves.
-		if len(r.lapsed) == 0 {
-			r.knowledge.Read(version, whole)
-			r.unjudged = unjudged{}
-		} else {
-			r.unjudged = unjudged{version: version, whole: whole || r.unjudged.whole}
-		}
+		r.learn(func(k *route.Knowledge) { k.Read(version, whole) })
 		return changed
 	})
 	return passedOver
 }
 
-// unjudged is a look whose outcome is not known yet, as entries count as lapsed.
-type unjudged struct {
-	version epoch.Version
-	whole   bool
+// reached is what is known here, with what is not judged yet. The lock is held.
+func (r *Registry) reached() route.Knowledge {
+	if r.unjudged != nil {
+		return *r.unjudged
+	}
+	return r.knowledge
+}
+
+// learn changes what is known. What this box takes for lapsed, others may have to judge by
+// themselves: they are not told of more until it is judged. The lock is held.
+func (r *Registry) learn(change func(*route.Knowledge)) {
+	next := r.reached()
+	next.Looks = r.knowledge.Looks
+	change(&next)
+	if len(r.lapsed) > 0 {
+		r.unjudged = &next
+		return
+	}
+	r.knowledge, r.unjudged = next, nil
 }
 
-// judge takes that look as known once nothing counts as lapsed, so that others hear at
-// once of what did not come back. It is no new look: what it told is seconds old. The
+// judge takes all that was read as known once nothing counts as lapsed, so that others hear
+// at once of what did not come back. It is no new look: what it told is seconds old. The
 // lock is held.
 func (r *Registry) judge() {
-	if r.unjudged.version == 0 || len(r.lapsed) > 0 {
+	if r.unjudged == nil || len(r.lapsed) > 0 {
 		return
 	}
 	looks := r.knowledge.Looks
-	r.knowledge.Read(r.unjudged.version, r.unjudged.whole)
+	r.knowledge, r.unjudged = *r.unjudged, nil
 	r.knowledge.Looks = looks
-	r.unjudged = unjudged{}
 }
 
 // update changes the entries, and publishes them where that matters.
@@ -238,7 +246,7 @@
 		}
 		known, _ := r.entries.find(id)
 		known.ID = id
-		r.bury(known, lapsed.version)
+		r.bury(known, max(lapsed.version, r.reached().Known))
 		changed = true
 		r.Log.Info("endpoint gone: its entry did not come back", zap.String("Endpoint", id))
 	}
@@ -318,7 +326,7 @@
 	r.update(now, func() (changed bool) {
 		changed = r.mergeAll(entries, from, now)
 		looked = then.Looks > r.knowledge.Looks
-		r.knowledge.Join(then)
+		r.join(then)
 		return changed
 	})
 	if looked {
@@ -326,6 +334,12 @@
 	}
 }
 
+// join adds what another box knows. The lock is held.
+func (r *Registry) join(other route.Knowledge) {
+	r.learn(func(k *route.Knowledge) { k.Join(other) })
+	r.knowledge.Looks = max(r.knowledge.Looks, other.Looks)
+}
+
 // OfferPage merges a part of what a peer tells. A box that serves nothing yet goes on so until
 // it has all: by a part of the endpoints it would send all requests there.
 func (r *Registry) OfferPage(entries []Entry, from string) {
@@ -341,6 +355,19 @@
 	}
 }
 
+// served tells whether what another box knows is all that this one lacks. Accounts of later
+// versions than this box knows all changes up to are known here while entries count as
+// lapsed: what came of them has to be known there as well. The lock is held.
+func (r *Registry) served(other route.Knowledge) bool {
+	own := r.reached()
+	if own.Known == 0 || !other.Serves(own) {
+		return own.Known == 0
+	}
+	return r.entries.every(own.Known, func(later *Entry) bool {
+		return other.Serves(route.Knowledge{Known: later.Version})
+	})
+}
+
 // HeardKnowledge takes the word of a peer of how much it knows, and of the highest
 // version of an account of an endpoint. Where that is more than is known here, without a
 // change, this box knows as much now, and news is set. Where something changed, the
@@ -348,15 +375,15 @@
 // this box has to look for itself.
 func (r *Registry) HeardKnowledge(other route.Knowledge, newest epoch.Version) (news, ask bool) {
 	r.mu.Lock()
-	known := r.knowledge
-	ahead := other.Known > known.Known
+	known, upTo := r.knowledge, r.reached().Known
+	ahead := other.Known > upTo
 	switch {
-	case ahead && !other.Serves(known):
+	case ahead && !r.served(other):
 		r.unserved.note(other.Known, time.Now())
-	case ahead && (newest > known.Known || known.Known == 0):
+	case ahead && (newest > upTo || upTo == 0):
 		ask = true
 	default:
-		r.knowledge.Join(other)
+		r.join(other)
 	}
 	news = r.knowledge != known
 	looked := r.knowledge.Looks > known.Looks
--- a/pkg/registry/knowledge_test.go
+++ b/pkg/registry/knowledge_test.go
@@ -87,7 +87,7 @@
 // hear takes what another box tells, as boxes do: what changed is asked for.
 func (r *reader) hear(other *reader) {
 	if _, ask := r.HeardKnowledge(other.Knowledge(), other.Newest()); ask {
-		entries, then, _ := other.Since(r.Knowledge().Known)
+		entries, then, _ := other.Since(r.Position())
 		r.OfferEntries(valuesOf(entries), then, "other")
 	}
 }
--- a/pkg/registry/lapses_test.go
+++ b/pkg/registry/lapses_test.go
@@ -25,3 +25,22 @@
 		So(has(other, "a"), ShouldBeFalse)
 	})
 }
+
+func TestJudgedAfterOthersAreKnownIsTold(t *testing.T) {
+	Convey("A box that heard more while entries count as lapsed tells what it judges then", t, func() {
+		r, informed, late := newRegistry(), newRegistry(), newRegistry()
+		now := time.Now()
+		r.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 1}}, 1, true, now)
+		r.unwellAt, r.returnedAt = now, now
+		r.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 5, Gone: true}}, 5, false, now)
+		informed.takeRead(nil, 9, true, now)
+		informed.knowledge.Base = 1
+		(&reader{Registry: r}).hear(&reader{Registry: informed})
+		(&reader{Registry: late}).hear(&reader{Registry: r})
+		r.update(now.Add(time.Minute), func() bool { return false })
+		So(has(r, "a"), ShouldBeFalse)
+		(&reader{Registry: late}).hear(&reader{Registry: r})
+		So(late.Knowledge().Known, ShouldEqual, 9)
+		So(has(late, "a"), ShouldBeFalse)
+	})
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -214,8 +214,9 @@
 	// badBoxes are the versions of the rows of boxes that could not be read, by name, so
 	// that each is told of once.
 	badBoxes map[string]epoch.Version
-	// unjudged is the last look that is not part of the knowledge yet.
-	unjudged unjudged
+	// unjudged is the knowledge with all that was read and heard since entries count as
+	// lapsed; nil while none does.
+	unjudged *route.Knowledge
 	// unwellAt is when a call about the endpoints last failed, and returnedAt when
 	// any box was first known to read them again after that.
 	unwellAt, returnedAt time.Time
@@ -319,7 +320,7 @@
 	again := backoff{peers: r.Peers}
 	whole := false
 	for r.awaitFollow(ctx, r.Directory() != nil, r.isUnserved) == nil {
-		since := r.Knowledge().Known
+		since := r.Position()
 		whole = whole || since == 0
 		entries, version, err := r.nextEndpoints(ctx, since, whole)
 		r.noteCall(err)
@@ -413,6 +414,14 @@
 	return min(lapseGrace, cmp.Or(r.LeavingTime, defaultLeavingTime)-lapseReserve)
 }
 
+// Position is the version up to which this box has read the endpoints, or was told of them.
+// What it tells others is complete up to its Knowledge only.
+func (r *Registry) Position() epoch.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reached().Known
+}
+
 func (r *Registry) nextEndpoints(ctx context.Context, since epoch.Version, whole bool) ([]Entry, epoch.Version, error) {
 	if whole {
 		return r.Store.Endpoints(ctx)
--- a/pkg/registry/renew.go
+++ b/pkg/registry/renew.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return err
 	}
-	since := r.Knowledge().Known
+	since := r.Position()
 	entries, version, err := r.Store.EndpointsSince(ctx, since)
 	whole := isHistoryLost(err) || since == 0
 	if whole {
--- a/pkg/registry/table.go
+++ b/pkg/registry/table.go
@@ -80,6 +80,20 @@
 	})
 }
 
+// every tells whether something holds for all entries of higher versions.
+func (t *entryTable) every(version epoch.Version, holds func(*Entry) bool) bool {
+	all := true
+	if t.byVersion == nil {
+		return all
+	}
+	first := Entry{Version: version + 1}
+	t.byVersion.AscendGreaterOrEqual(&first, func(entry *Entry) bool {
+		all = holds(entry)
+		return all
+	})
+	return all
+}
+
 // since are the entries of higher versions, the lowest first: as many as asked for, and those
 // of the last one's version. More tells that others follow.
 func (t *entryTable) since(version epoch.Version, most int) (entries []*Entry, more bool) {
