pkg/registry: an account of an endpoint that comes late does not bring it back

What callers saw: nothing yet; found by drawn histories of restores. Cause: a box that asks another one, and reads the whole table itself before the answer comes, took entries from the answer that were gone again at its own reading, and had no reason to look at them later. Evidence: TestReplacedAccountIsPassedOver fails on the code before. Change: an account from another box of a version up to which all changes are known here, and which is not known, has been replaced and is passed over.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -150,7 +150,10 @@
 func (r *Registry) merge(entry Entry, from string, now time.Time) bool {
 	entry.Hash = xxhash.Sum64String(entry.ID)
 	known, had := r.entries.find(entry.ID)
-	if had && entry.Version <= known.Version {
+	// What changed up to the position is known: an account that is not has been replaced. That
+	// an entry is gone may still be unjudged here.
+	replaced := from != fromStore && !entry.Gone && entry.Version <= r.reached().Known
+	if replaced || (had && entry.Version <= known.Version) {
 		if entry.Gone != known.Gone || entry.Leaving != known.Leaving || entry.Born != known.Born {
 			r.passedOver++
 		}
--- a/pkg/registry/lapses_test.go
+++ b/pkg/registry/lapses_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/quaylead/quaylead/pkg/route"
 )
 
 func TestLapseOfSecondRemovalIsTold(t *testing.T) {
@@ -44,3 +46,14 @@
 		So(has(late, "a"), ShouldBeFalse)
 	})
 }
+
+func TestReplacedAccountIsPassedOver(t *testing.T) {
+	Convey("An account that comes late from a box does not bring back what has ended since", t, func() {
+		r := newRegistry()
+		r.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 1}}, 20, true, departed)
+		r.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 1}}, 30, true, departed)
+		r.OfferEntries([]Entry{{Endpoint: endpointOf("b"), Version: 22}}, route.Knowledge{Known: 23, Base: 1}, "peer")
+		So(has(r, "a"), ShouldBeTrue)
+		So(has(r, "b"), ShouldBeFalse)
+	})
+}
