pkg/route, pkg/registry: orders that a restored store lacks hold until they are written again

Cause: orders are replaced as a whole by those of a higher version, and a copy of a later epoch is one, though it is older than what is known.

Change: what is in force and the orders of a later epoch lack is kept for eight seconds, beside them, and is told to other boxes with the time that is left; for roll-outs also where the copy has an order of a lower number for the service. A withdrawal made within these seconds takes effect after them at most.

--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -73,7 +73,7 @@
 	defer r.mu.Unlock()
 	moves := map[string]*move{}
 	if orders != nil {
-		for _, order := range orders.Rollouts {
+		for _, order := range orders.Moves() {
 			moves[order.Service] = r.moves[order.Service]
 			if known := r.moves[order.Service]; known == nil || known.Order.Version != order.Version {
 				moves[order.Service] = &move{Judge: rollout.Judge{Order: order}, tallies: map[string]rollout.Counts{}}
--- a/pkg/peer/orders.go
+++ b/pkg/peer/orders.go
@@ -11,9 +11,19 @@
 
 // ordersMessage encodes the operator's orders.
 func ordersMessage(orders *route.Orders, now time.Time) *peerpb.Orders {
-	message := &peerpb.Orders{Version: uint64(orders.Version), Evacuated: orders.Evacuated}
-	for _, order := range orders.Rollouts {
-		message.Rollouts = append(message.Rollouts, &peerpb.Rollout{
+	return &peerpb.Orders{
+		Version:       uint64(orders.Version),
+		Evacuated:     orders.Evacuated,
+		Rollouts:      rolloutOrders(orders.Rollouts, now),
+		KeptEvacuated: orders.Kept.Evacuated,
+		KeptRollouts:  rolloutOrders(orders.Kept.Rollouts, now),
+		KeptFor:       max(0, orders.KeptUntil.Sub(now)).Microseconds(),
+	}
+}
+
+func rolloutOrders(orders []rollout.Order, now time.Time) (messages []*peerpb.Rollout) {
+	for _, order := range orders {
+		messages = append(messages, &peerpb.Rollout{
 			Service: order.Service,
 			Target:  order.Target,
 			Version: uint64(order.Version),
@@ -21,14 +31,29 @@
 			Age:     now.Sub(order.SeenAt).Microseconds(),
 		})
 	}
-	return message
+	return messages
 }
 
 // OrdersOf decodes them as of a time.
 func OrdersOf(message *peerpb.Orders, now time.Time) route.Orders {
-	orders := route.Orders{Version: epoch.Version(message.Version), Evacuated: message.Evacuated}
-	for _, order := range message.Rollouts {
-		orders.Rollouts = append(orders.Rollouts, rollout.Order{
+	orders := route.Orders{
+		Version:   epoch.Version(message.Version),
+		Evacuated: message.Evacuated,
+		Rollouts:  rolloutOrdersOf(message.Rollouts, now),
+		Kept: route.KeptOrders{
+			Evacuated: message.KeptEvacuated,
+			Rollouts:  rolloutOrdersOf(message.KeptRollouts, now),
+		},
+	}
+	if !orders.Kept.IsEmpty() {
+		orders.KeptUntil = now.Add(time.Duration(max(0, message.KeptFor)) * time.Microsecond)
+	}
+	return orders
+}
+
+func rolloutOrdersOf(messages []*peerpb.Rollout, now time.Time) (orders []rollout.Order) {
+	for _, order := range messages {
+		orders = append(orders, rollout.Order{
 			Service: order.Service,
 			Target:  order.Target,
 			Version: epoch.Version(order.Version),
--- a/pkg/registry/orders.go
+++ b/pkg/registry/orders.go
@@ -89,25 +89,49 @@
 		return
 	}
 	keepSeen(&orders, before)
-	r.orders.Store(&orders)
+	if before != nil {
+		orders.Keep(before, time.Now(), restoredHold)
+	}
+	r.setOrders(&orders, from)
+	r.mu.Unlock()
+	// Also without a change the others have to hear of the version.
+	r.Changed()
+}
+
+// setOrders puts orders in force. The lock is held.
+func (r *Registry) setOrders(orders *route.Orders, from string) {
+	before := r.orders.Load()
+	r.orders.Store(orders)
 	if before == nil {
 		before = &route.Orders{}
 	}
-	changed := orders.Differ(before)
-	if !slices.Equal(before.Evacuated, orders.Evacuated) && r.directory.Load() != nil {
+	if !orders.Differ(before) {
+		return
+	}
+	if orders.EvacuatesOthers(before) && r.directory.Load() != nil {
 		r.entries.each(func(entry *Entry) { r.touched = append(r.touched, entry.ID) })
 		r.publish()
 	}
-	r.mu.Unlock()
-	if changed {
-		r.Log.Info("orders in force",
-			zap.Stringer("Version", orders.Version),
-			zap.Strings("Evacuated", orders.Evacuated),
-			zap.Int("Rollouts", len(orders.Rollouts)),
-			zap.String("From", from))
+	r.Log.Info("orders in force",
+		zap.Stringer("Version", orders.Version),
+		zap.Strings("Evacuated", orders.Evacuated),
+		zap.Int("Rollouts", len(orders.Rollouts)),
+		zap.Strings("KeptEvacuated", orders.Kept.Evacuated),
+		zap.Int("KeptRollouts", len(orders.Kept.Rollouts)),
+		zap.String("From", from))
+}
+
+// endKeptOrders drops those that were not written again in time. It reports whether there were
+// any.
+func (r *Registry) endKeptOrders(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	orders := r.orders.Load()
+	if orders == nil || orders.Kept.IsEmpty() || now.Before(orders.KeptUntil) {
+		return false
 	}
-	// Also without a change the others have to hear of the version.
-	r.Changed()
+	r.setOrders(orders.Lapse(), fromStore)
+	return true
 }
 
 // keepSeen keeps since when roll-outs are known that were so before.
@@ -121,8 +145,8 @@
 		if before == nil {
 			continue
 		}
-		for _, known := range before.Rollouts {
-			if known.Version == order.Version && known.Service == order.Service {
+		for _, known := range before.Moves() {
+			if known.Service == order.Service && (known.Version == order.Version || order.Renews(known)) {
 				order.SeenAt = known.SeenAt
 			}
 		}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -408,12 +408,16 @@
 	}
 }
 
-// followLapses drops in time what did not come back, and counts again what was held.
+// followLapses drops in time what did not come back or was not written again, and counts again
+// what was held.
 func (r *Registry) followLapses(ctx context.Context) error {
 	for interval.Wait(ctx, lapseLook) == nil {
 		if r.lapsePending() || r.holdPending() {
 			r.update(time.Now(), func() bool { return false })
 		}
+		if r.endKeptOrders(time.Now()) {
+			r.Changed()
+		}
 	}
 	return nil
 }
--- a/pkg/registry/restored_test.go
+++ b/pkg/registry/restored_test.go
@@ -312,3 +312,24 @@
 		So(r.Knowledge().Known, ShouldEqual, at(2, 3))
 	})
 }
+
+func TestKeptOrdersEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An order that is not written again ends after a time", t, func() {
+			store := &fakeStore{}
+			store.change(func(s *fakeState) {
+				s.config = []byte("version 1")
+				s.put("a", 1)
+			})
+			r, stop := start(t, store, func(*Registry) {})
+			defer stop()
+			time.Sleep(time.Second)
+			r.OfferOrders(route.Orders{Version: epoch.Join(1, 9), Evacuated: []string{"zone-a"}}, "peer")
+			So(endpointIn(r, "a").Evacuated, ShouldBeTrue)
+			r.OfferOrders(route.Orders{Version: epoch.Join(2, 5)}, "peer")
+			So(endpointIn(r, "a").Evacuated, ShouldBeTrue)
+			time.Sleep(restoredHold + 2*lapseLook)
+			So(endpointIn(r, "a").Evacuated, ShouldBeFalse)
+		})
+	})
+}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -22,6 +22,16 @@
 	SeenAt time.Time
 }
 
+// IsSame tells whether another order says the same, be it written anew or not.
+func (o Order) IsSame(other Order) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Within == other.Within
+}
+
+// Renews tells whether this is the other order, written again after the store was restored.
+func (o Order) Renews(other Order) bool {
+	return o.IsSame(other) && other.Version.Precedes(o.Version)
+}
+
 // Verdict is what was decided of an order. They are in the order in which a later one
 // replaces an earlier one. Completed and RolledBack are final and never both: boxes tell them
 // only once the store has taken one, and it takes one only.
