pkg/gateway, pkg/rollout: a roll-out goes on where its order was written again after a restore

What callers saw: nothing yet; found while the incident was traced. An order that the store lost and the operator writes again has another version, and the version names the order: boxes began it anew, sent requests to versions whose endpoints had ended, and the row that said completed never came back. Evidence: TestRolloutAfterRestore fails on the code before (not completed within 20 s), and passes.

Change: an order of a later epoch that says the same is the same one; what was decided and counted goes on under its new version. The row of a move that is over is looked after for thirty seconds once its order is renewed or another box told that it is over. What is final is not replaced by another end, whatever a restored row says.

--- a/pkg/gateway/rollouts.go
+++ b/pkg/gateway/rollouts.go
@@ -51,6 +51,9 @@
 	// status is the row in the store as it was last read or written.
 	status     registry.RolloutStatus
 	statusRead bool
+	// checkUntil is until when the row of a move that is over is looked after: its order was
+	// written again after the store was restored, or other boxes told that it is over.
+	checkUntil time.Time
 }
 
 const (
@@ -63,6 +66,8 @@
 	// completedFor is how long endpoints of other versions get nothing after a move is
 	// completed: they end then, and those that come later are not of this order.
 	completedFor = 10 * time.Second
+	// checkStatusFor is how long the row of a move that is over is looked after.
+	checkStatusFor = 30 * time.Second
 	// asksAtOnce bounds the provers that are asked at once.
 	asksAtOnce = 16
 )
@@ -74,16 +79,33 @@
 	moves := map[string]*move{}
 	if orders != nil {
 		for _, order := range orders.Moves() {
-			moves[order.Service] = r.moves[order.Service]
-			if known := r.moves[order.Service]; known == nil || known.Order.Version != order.Version {
-				moves[order.Service] = &move{Judge: rollout.Judge{Order: order}, tallies: map[string]rollout.Counts{}}
-			}
+			moves[order.Service] = moveOf(order, r.moves[order.Service], time.Now())
 		}
 	}
 	r.moves = moves
 	r.known.Store(int64(len(moves)))
 }
 
+// moveOf is the move of an order, with what is known where it goes on.
+func moveOf(order rollout.Order, known *move, now time.Time) *move {
+	switch {
+	case known != nil && known.Order.Version == order.Version:
+		return known
+	case known != nil && order.Renews(known.Order):
+		renewed := *known
+		renewed.Order.Version = order.Version
+		renewed.statusRead, renewed.checkUntil = false, now.Add(checkStatusFor)
+		return &renewed
+	}
+	return &move{Judge: rollout.Judge{Order: order}, tallies: map[string]rollout.Counts{}}
+}
+
+// isOver tells whether nothing is left to decide or to have the store know.
+func (m *move) isOver(now time.Time) bool {
+	verdict, _ := m.Verdict()
+	return verdict.Final() && now.After(m.checkUntil)
+}
+
 // side draws the endpoints of a service that a request goes to.
 func (r *rollouts) side(service string) rollout.Side {
 	if r.known.Load() == 0 {
@@ -175,7 +197,10 @@
 		if m == nil || m.Order.Version != word.Order {
 			continue
 		}
-		news = r.adopt(m, word.Verdict, now) || news
+		if r.adopt(m, word.Verdict, now) {
+			m.checkUntil = now.Add(checkStatusFor)
+			news = true
+		}
 	}
 	return news
 }
@@ -184,7 +209,7 @@
 func (r *rollouts) adopt(m *move, verdict rollout.Verdict, now time.Time) (news bool) {
 	before, _ := m.Verdict()
 	m.Adopt(verdict, now)
-	if verdict <= before {
+	if after, _ := m.Verdict(); after == before {
 		return false
 	}
 	r.log.Info("roll-out",
@@ -215,7 +240,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.moves {
-		if verdict, _ := m.Verdict(); m.decides(r.gateway.Settings.Name) && !verdict.Final() {
+		if m.decides(r.gateway.Settings.Name) && !m.isOver(time.Now()) {
 			boxes = append(boxes, m.provers[1:]...)
 		}
 	}
@@ -248,7 +273,7 @@
 	defer r.mu.Unlock()
 	for service, m := range r.moves {
 		m.countSides(directory.Of(service))
-		if verdict, _ := m.Verdict(); verdict.Final() {
+		if m.isOver(time.Now()) {
 			continue
 		}
 		m.provers = firstBoxes("roll-out of "+service, boxes, mostProvers)
@@ -282,10 +307,15 @@
 	if !m.statusRead && !r.readStatus(ctx, m) {
 		return
 	}
-	r.ask(m)
 	r.mu.Lock()
 	before, _ := m.Verdict()
-	if m.targets > 0 || before != rollout.Proving {
+	r.mu.Unlock()
+	if !before.Final() {
+		r.ask(m)
+	}
+	r.mu.Lock()
+	before, _ = m.Verdict()
+	if !before.Final() && (m.targets > 0 || before != rollout.Proving) {
 		verdict := m.judge(time.Now(), r.gateway.lives.others(m.Order.Service, m.Order.Target))
 		r.announce(m, before, verdict)
 	}
@@ -372,11 +402,9 @@
 func (r *rollouts) store(ctx context.Context, m *move, verdict rollout.Verdict) {
 	wanted := registry.RolloutStatus{Service: m.Order.Service, Target: m.Order.Target, Version: m.status.Version}
 	switch verdict {
-	case rollout.Completed, rollout.RolledBack:
-		return
-	case rollout.Moved:
+	case rollout.Moved, rollout.Completed:
 		wanted.Verdict = rollout.Completed
-	case rollout.Halted:
+	case rollout.Halted, rollout.RolledBack:
 		wanted.Verdict = rollout.RolledBack
 	}
 	stands := m.status.Version > m.Order.Version && m.status.Target == wanted.Target && m.status.Verdict == wanted.Verdict
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -84,9 +84,9 @@
 // Verdict is what holds, and since when.
 func (j *Judge) Verdict() (v Verdict, since time.Time) { return j.verdict, j.since }
 
-// Adopt takes what another box decided.
+// Adopt takes what another box decided. What is final stays, whatever the store says.
 func (j *Judge) Adopt(v Verdict, now time.Time) {
-	if v > j.verdict {
+	if v > j.verdict && !j.verdict.Final() {
 		j.verdict, j.since = v, now
 	}
 }
