pkg/registry: rows of boxes that a restored store lost are written again

What callers saw: nothing yet; found while the incident was traced. Boxes that started in the time that the store lost are in no list any more, and boxes that start later do not find them: after three of three had lost their rows, none was back. Cause: what a box wrote once was taken to stand for ever.

Change: the boxes that read the endpoints notice a restore; each looks at the list within four seconds, and writes the rows of the live boxes that are missing, a hundred in one write. With 20 that read, 300 and 1,000 boxes and two thirds of the rows lost, at most 8 and 22 writes are made (the test's bound).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -183,6 +183,7 @@
 		Changed:    g.changed,
 		FoundBoxes: g.listed,
 		Looked:     func() { g.exchange.Wake() },
+		Live:       g.live,
 		Peers:      func() int { return g.fleet.Followers() - 1 },
 
 		Follows:       g.fleet.Follows,
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -25,6 +25,14 @@
 	g.chooseContacts()
 }
 
+// live are the other boxes that are alive.
+func (g *Gateway) live() (boxes []registry.Box) {
+	g.fleet.EachLive(func(row *peer.Row) {
+		boxes = append(boxes, registry.Box{Name: row.Box, Zone: row.Zone, PeerAddress: row.PeerAddress, Cores: row.Cores})
+	})
+	return boxes
+}
+
 // tellOwn has other boxes told at once what is in force here.
 func (g *Gateway) tellOwn() {
 	g.fleet.Configure(g.registry.Catalog() != nil, g.stopping.Load())
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -116,8 +116,8 @@
 	Endpoints(ctx context.Context) (entries []Entry, version epoch.Version, err error)
 	// EndpointsSince reads what changed since the version, without waiting.
 	EndpointsSince(ctx context.Context, version epoch.Version) (entries []Entry, now epoch.Version, err error)
-	// Announce writes this box's entry.
-	Announce(ctx context.Context, box Box) error
+	// Announce writes the entries of boxes.
+	Announce(ctx context.Context, boxes ...Box) error
 	// Boxes reads the entries of all boxes, or where most is over 0 of that many, such as are
 	// found with little: some, and those from a name on.
 	Boxes(ctx context.Context, from string, most int) ([]ListedBox, error)
@@ -148,6 +148,8 @@
 	// Looked is called after each look at the endpoints, for the other boxes to
 	// hear.
 	Looked func()
+	// Live are the other boxes that are known to be alive; nil means that none are known.
+	Live func() []Box
 	// Peers is the number of other boxes that follow the store.
 	Peers func() int
 	// Follows tells whether it falls to this box to follow the store; the others hear
@@ -175,6 +177,9 @@
 	// listed is closed once the list of boxes was read, or not read in time.
 	listed     chan struct{}
 	listedOnce sync.Once
+	// restores has a value once the store was restored. Capacity 1.
+	restores     chan struct{}
+	restoresOnce sync.Once
 	// heardLooks counts the looks of other boxes.
 	heardLooks atomic.Int64
 	catalog    atomic.Pointer[route.Catalog]
@@ -284,6 +289,7 @@
 	group.Go(func() error { return r.followEndpoints(ctx) })
 	group.Go(func() error { return r.followBoxes(ctx) })
 	group.Go(func() error { return r.followLapses(ctx) })
+	group.Go(func() error { return r.followRestores(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
 		r.Store.Close()
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -28,6 +28,9 @@
 	evacuations []Evacuation
 	boxes       []ListedBox
 	version     epoch.Version
+	// keepsBoxes has rows of boxes that are written kept; announced counts the writes.
+	keepsBoxes bool
+	announced  int
 	// failing makes every call fail; lost makes one feed forget its history.
 	failing, lost bool
 	// hanging has feeds wait as long as they may and a second more, then fail.
@@ -119,7 +122,21 @@
 	return newer, now.version, nil
 }
 
-func (f *fakeStore) Announce(context.Context, Box) error { return nil }
+func (f *fakeStore) Announce(_ context.Context, boxes ...Box) error {
+	if f.now().failing {
+		return errStoreDown
+	}
+	f.change(func(s *fakeState) {
+		if !s.keepsBoxes {
+			return
+		}
+		for _, box := range boxes {
+			s.boxes = append(slices.Clone(s.boxes), ListedBox{Box: box})
+		}
+		s.announced += (len(boxes) + 99) / 100
+	})
+	return nil
+}
 
 func (f *fakeStore) KeptRequests(context.Context) ([]KeptRequest, error)   { return nil, nil }
 func (f *fakeStore) KeepRequests(context.Context, []quarantine.Kept) error { return nil }
--- a/pkg/registry/restored.go
+++ b/pkg/registry/restored.go
@@ -31,6 +31,10 @@
 	if now.Sub(r.unwellAt) >= unwellFor {
 		r.unwellAt, r.returnedAt = now, now
 	}
+	select {
+	case r.restored() <- struct{}{}:
+	default:
+	}
 }
 
 func (r *Registry) logRestored(before, now epoch.Version, from string) {
--- a/pkg/registry/restored_test.go
+++ b/pkg/registry/restored_test.go
@@ -333,3 +333,52 @@
 		})
 	})
 }
+
+// TestRowsOfBoxesAreWrittenAgain has the store lose rows of boxes, all of which are known to
+// those that read it.
+func TestRowsOfBoxesAreWrittenAgain(t *testing.T) {
+	const followers = 20
+	for _, boxes := range []int{300, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("Those of %d boxes are back, and few calls were made", boxes), t, func() {
+				var all []Box
+				for i := range boxes {
+					all = append(all, Box{Name: fmt.Sprintf("box-%d", i), Zone: "zone-a", PeerAddress: "10.0.0.1:1"})
+				}
+				store := &fakeStore{}
+				store.change(func(s *fakeState) {
+					s.config, s.keepsBoxes = []byte("version 1"), true
+					s.put("a", epoch.Join(1, 30))
+				})
+				for i := range followers {
+					_, stop := start(t, store, func(*Registry) {}, func(r *Registry) {
+						r.Self = all[i]
+						r.Live = func() []Box { return all }
+						r.Peers = func() int { return followers - 1 }
+					})
+					defer stop()
+				}
+				time.Sleep(10 * time.Second)
+				store.change(func(s *fakeState) {
+					s.boxes = nil
+					for _, box := range all[:boxes/3] {
+						s.boxes = append(s.boxes, ListedBox{Box: box})
+					}
+					s.entries, s.announced = nil, 0
+					s.put("a", epoch.Join(2, 10))
+					s.failing = true
+				})
+				time.Sleep(time.Second)
+				store.change(func(s *fakeState) { s.failing = false })
+				time.Sleep(retryLongest + rewriteSpread + 2*time.Second)
+				now := store.now()
+				names := map[string]int{}
+				for _, row := range now.boxes {
+					names[row.Name]++
+				}
+				So(names, ShouldHaveLength, boxes)
+				So(now.announced, ShouldBeLessThanOrEqualTo, 2*(boxes/100+1))
+			})
+		})
+	}
+}
