pkg/registry, pkg/quarantine: requests that end endpoints are written again after a restore

A request that has ended three engines ends three more once all boxes were lost, if the store lost its row before. Cause, as of the rows of boxes: what was written once was taken to stand for ever. Evidence: TestDeadlyRequestAfterRestore fails without it (no row within 20 s). Change: the boxes that notice a restore read the rows, take what is there, and write those of which the store has fewer ends than they know.

--- a/pkg/quarantine/store.go
+++ b/pkg/quarantine/store.go
@@ -62,6 +62,22 @@
 	return row, true
 }
 
+// Restored has those requests written again of which the store, by its rows, has fewer ends
+// than are known here.
+func (l *Ledger) Restored(rows []Kept) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stored := map[Fingerprint]int{}
+	for i := range rows {
+		stored[rows[i].Fingerprint] = len(rows[i].Ends)
+	}
+	for f, known := range l.suspects {
+		if ends, _ := known.ends(); ends >= storedLeast && stored[f] < ends {
+			l.unstored[f] = true
+		}
+	}
+}
+
 // PutBack has rows that were not written taken again.
 func (l *Ledger) PutBack(rows []Kept) {
 	l.mu.Lock()
--- a/pkg/registry/quarantine.go
+++ b/pkg/registry/quarantine.go
@@ -87,13 +87,25 @@
 	}
 }
 
+// rewriteQuarantine has what a restored store lacks of it written again.
+func (r *Registry) rewriteQuarantine(ctx context.Context) error {
+	if r.Quarantine == nil {
+		return nil
+	}
+	if err := r.readQuarantine(ctx); err != nil {
+		return err
+	}
+	r.KeepQuarantine()
+	return nil
+}
+
 func (r *Registry) readQuarantine(ctx context.Context) (err error) {
 	rows, err := r.Store.KeptRequests(ctx)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	var old []quarantine.Kept
+	var old, kept []quarantine.Kept
 	for i := range rows {
 		row := &rows[i]
 		switch {
@@ -103,9 +115,11 @@
 			old = append(old, quarantine.Kept{Fingerprint: row.Fingerprint})
 		default:
 			r.Quarantine.Merge(row.Ends, fromStore, now)
+			kept = append(kept, row.Kept)
 		}
 	}
 	r.Log.Info("quarantined requests read", zap.Int("Requests", len(rows)), zap.Int("Old", len(old)))
+	r.Quarantine.Restored(kept)
 	if len(old) > 0 {
 		r.Quarantine.PutBack(old)
 		r.KeepQuarantine()
--- a/pkg/registry/rewrite.go
+++ b/pkg/registry/rewrite.go
@@ -33,7 +33,7 @@
 			return nil
 		}
 		for err := r.rewrite(ctx); err != nil; err = r.rewrite(ctx) {
-			r.Log.Warn("rows of boxes not written again", zap.Error(err))
+			r.Log.Warn("rows of boxes and requests not written again", zap.Error(err))
 			if again.wait(ctx) != nil {
 				return nil
 			}
@@ -44,6 +44,13 @@
 
 // rewrite writes what is missing.
 func (r *Registry) rewrite(ctx context.Context) error {
+	if err := r.rewriteQuarantine(ctx); err != nil {
+		return err
+	}
+	return r.rewriteBoxes(ctx)
+}
+
+func (r *Registry) rewriteBoxes(ctx context.Context) error {
 	listed, err := r.readBoxes(ctx, 0)
 	if err != nil {
 		return err
