--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -16,7 +16,7 @@
 )
 
 // injection is one of killed, paused, stopped, hungUp, linkFault, storeFault,
-// forgotten, serverFault, leaving, departing, configured and deadly.
+// forgotten, restored, serverFault, leaving, departing, configured and deadly.
 type injection interface {
 	fmt.Stringer
 	injection()
@@ -53,6 +53,10 @@
 // forgotten has the store forget its history.
 type forgotten struct{}
 
+// restored takes the store away for a moment, and brings it back from a copy as old as the
+// fault's time. What servers and the operator had written since is written again.
+type restored struct{ away, again time.Duration }
+
 // serverFault is one of a server itself.
 type serverFault struct {
 	server *server
@@ -87,6 +91,7 @@
 func (linkFault) injection()   {}
 func (storeFault) injection()  {}
 func (forgotten) injection()   {}
+func (restored) injection()    {}
 func (serverFault) injection() {}
 func (leaving) injection()     {}
 func (departing) injection()   {}
@@ -103,6 +108,9 @@
 func (f linkFault) String() string   { return f.link + " " + f.how }
 func (f storeFault) String() string  { return "store " + f.how }
 func (f forgotten) String() string   { return "store forgets its history" }
+func (f restored) String() string {
+	return fmt.Sprintf("store restored from a copy, away for %s, written again within %s", f.away, f.again)
+}
 func (f serverFault) String() string { return f.server.ID + " " + f.how }
 func (f leaving) String() string     { return f.server.ID + " leaves" }
 func (f departing) String() string   { return f.server.ID + " leaves by its answers" }
@@ -114,7 +122,7 @@
 func drawFault(draw *rand.Rand, w *world) injection {
 	b := w.boxes[draw.IntN(len(w.boxes))]
 	s := w.drawServer(draw)
-	switch draw.IntN(17) {
+	switch draw.IntN(19) {
 	case 0:
 		return killed{boxes: []*box{b}}
 	case 1:
@@ -146,6 +154,11 @@
 		}
 	case 13:
 		return departing{server: s}
+	case 14, 15:
+		return restored{
+			away:  time.Duration(50+draw.IntN(1500)) * time.Millisecond,
+			again: time.Duration(draw.IntN(1500)) * time.Millisecond,
+		}
 	default:
 		return drawServerFault(draw, s)
 	}
@@ -246,6 +259,8 @@
 		w.store.SetFault(standin.StoreFault{})
 	case forgotten:
 		w.store.ForgetHistory()
+	case restored:
+		w.restore(ctx, f, length)
 	case serverFault:
 		w.trouble(length)
 		f.server.SetFault(f.fault)
@@ -264,6 +279,21 @@
 	return nil
 }
 
+func (w *world) restore(ctx context.Context, f restored, age time.Duration) {
+	from := w.store.Copy()
+	_ = interval.Wait(ctx, age)
+	w.trouble(f.away + f.again + rewrittenIn)
+	w.store.SetFault(standin.StoreFault{Silent: true})
+	_ = interval.Wait(ctx, f.away)
+	lost := w.store.Restore(from)
+	w.store.SetFault(standin.StoreFault{})
+	_ = interval.Wait(ctx, f.again)
+	w.store.WriteAgain(lost, from)
+}
+
+// rewrittenIn is how long what is written again may take to be known.
+const rewrittenIn = 2 * time.Second
+
 func (w *world) breakLink(ctx context.Context, f linkFault, length time.Duration) error {
 	if f.toxic.Type == "" {
 		if err := w.grid.Cut(f.link); err != nil {
