cmd/quaybench/soak: work sent to a server that left is judged once trouble is over

Change: it is judged from four seconds after the end of the last trouble that began before it, which is stricter everywhere.

--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -176,11 +176,12 @@
 		o := &w.outcomes[i]
 		for _, run := range runs[o.id] {
 			at, leaving := left[run.Server]
-			if !leaving || run.Began.Before(at.Add(leavingBound)) {
+			if !leaving {
 				continue
 			}
-			// A box that was cut off may not know.
-			if w.troubles.touch(at, run.Began) || o.box.troubles.touch(at, run.Began) {
+			// A box that was cut off may not know, until its trouble is over.
+			calm := o.box.troubles.lastEnd(w.troubles.lastEnd(at, run.Began), run.Began)
+			if run.Began.Before(calm.Add(leavingBound)) {
 				continue
 			}
 			broken = append(broken, o.describe(fmt.Sprintf("it ran at %s, which had left %s before", run.Server, run.Began.Sub(at))))
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -70,8 +70,10 @@
 		w := &world{servers: []*server{left}, outcomes: []outcome{good(b)}}
 		runs := map[string][]standin.Run{"1": ran}
 		So(w.checkLeaving(runs), ShouldHaveLength, 1)
-		b.troubles = spans{{from: at(-5), to: at(-4)}}
+		b.troubles = spans{{from: at(-5), to: at(-1)}}
 		So(w.checkLeaving(runs), ShouldBeEmpty)
+		b.troubles = spans{{from: at(-9), to: at(-8)}, {from: at(-7), to: at(-6)}}
+		So(w.checkLeaving(runs), ShouldHaveLength, 1)
 	})
 	Convey("A configuration that goes back, or comes late, is found", t, func() {
 		b := &box{lives: 1}
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -102,12 +102,12 @@
 func (f killed) String() string {
 	return fmt.Sprintf("%d boxes killed, %s first", len(f.boxes), f.boxes[0].Name)
 }
-func (f paused) String() string      { return f.box.Name + " paused" }
-func (f stopped) String() string     { return f.box.Name + " stopped as planned" }
-func (f hungUp) String() string      { return f.box.Name + " told to read its settings" }
-func (f linkFault) String() string   { return f.link + " " + f.how }
-func (f storeFault) String() string  { return "store " + f.how }
-func (f forgotten) String() string   { return "store forgets its history" }
+func (f paused) String() string     { return f.box.Name + " paused" }
+func (f stopped) String() string    { return f.box.Name + " stopped as planned" }
+func (f hungUp) String() string     { return f.box.Name + " told to read its settings" }
+func (f linkFault) String() string  { return f.link + " " + f.how }
+func (f storeFault) String() string { return "store " + f.how }
+func (f forgotten) String() string  { return "store forgets its history" }
 func (f restored) String() string {
 	return fmt.Sprintf("store restored from a copy, away for %s, written again within %s", f.away, f.again)
 }
--- a/cmd/quaybench/soak/world.go
+++ b/cmd/quaybench/soak/world.go
@@ -226,6 +226,16 @@
 	return slices.ContainsFunc(s, func(one span) bool { return one.from.Before(to) && from.Before(one.to) })
 }
 
+// lastEnd is the end of the last span that began before a time; from where none ends later.
+func (s spans) lastEnd(from, before time.Time) time.Time {
+	for _, one := range s {
+		if one.from.Before(before) && one.to.After(from) {
+			from = one.to
+		}
+	}
+	return from
+}
+
 // start starts the process; it may be out of order until it has caught up.
 func (b *box) start() error {
 	b.mu.Lock()
