--- a/pkg/registry/restored.go
+++ b/pkg/registry/restored.go
@@ -68,6 +68,9 @@
 	r.put(entry)
 	delete(r.lapsed, entry.ID)
 	r.held[entry.ID] = now.Add(restoredHold)
+	if r.quiet {
+		return
+	}
 	r.Log.Info("endpoint stays gone, though the restored store lists it",
 		zap.String("Endpoint", entry.ID),
 		zap.Stringer("Version", entry.Version))
