--- a/pkg/gateway/scale_test.go
+++ b/pkg/gateway/scale_test.go
@@ -8,11 +8,13 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/partition"
+	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/registry"
 	"github.com/quaylead/quaylead/pkg/route"
 	"github.com/quaylead/quaylead/pkg/settings"
@@ -131,6 +133,48 @@
 	})
 }
 
+const (
+	// retoldMost bounds what one box tells another one of all endpoints, and retakenMost what
+	// that one allocates.
+	retoldMost  = 768 << 10
+	retakenMost = 16 << 20
+)
+
+// TestRestoreIsToldOnce has all rows be of a later epoch, as after a restore of the store that
+// changed none: they are told, and change nothing.
+func TestRestoreIsToldOnce(t *testing.T) {
+	Convey("Another box takes all rows once, in parts, and has the directory that it had", t, func() {
+		teller, taker := boxWith(t, manyEndpoints), boxWith(t, manyEndpoints)
+		before := taker.registry.Directory()
+		restored := epoch.Join(1, 1)
+		teller.tellEndpoints(0, manyEndpoints, restored)
+		told, parts := 0, 0
+		took := allocated(func() {
+			since := taker.knownVersion()
+			for more := true; more; parts++ {
+				directory := teller.Directory(since)
+				told += proto.Size(directory)
+				var entries []registry.Entry
+				for _, message := range directory.Endpoints {
+					entries = append(entries, entryOf(message))
+					since = max(since, message.Version)
+				}
+				if more = directory.More; more {
+					taker.registry.OfferPage(entries, "teller")
+				} else {
+					taker.registry.OfferEntries(entries, peer.KnowledgeOf(directory.Knowledge), "teller")
+				}
+			}
+		})
+		t.Logf("%d bytes in %d parts, %d allocated", told, parts, took)
+		So(taker.knownVersion(), ShouldEqual, teller.knownVersion())
+		So(taker.registry.Directory(), ShouldEqual, before)
+		So(told, ShouldBeLessThan, retoldMost)
+		So(took, ShouldBeLessThan, retakenMost)
+		So(teller.Directory(taker.knownVersion()).Endpoints, ShouldBeEmpty)
+	})
+}
+
 // TestGroupsComeAndGo has a box keep groups of engines only while its requests use them.
 func TestGroupsComeAndGo(t *testing.T) {
 	Convey("A large pool has groups where prompts go, and drops those that rest", t, func() {
