platform/standin: servers and the operator write their own last word again

Traced: all boxes were killed, and two restores overlapped; what the stand-in wrote again after the second was the state of the first copy, in which two servers were ready, as if they had written that. No server writes so; the boxes, which had just started, went by the rows. Change: the store keeps what the operator and the servers wrote last, and that is what they write again.

--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -285,10 +285,10 @@
 	w.trouble(f.away + f.again + rewrittenIn)
 	w.store.SetFault(standin.StoreFault{Silent: true})
 	_ = interval.Wait(ctx, f.away)
-	lost := w.store.Restore(from)
+	w.store.Restore(from)
 	w.store.SetFault(standin.StoreFault{})
 	_ = interval.Wait(ctx, f.again)
-	w.store.WriteAgain(lost, from)
+	w.store.WriteAgain()
 }
 
 // rewrittenIn is how long what is written again may take to be known.
