pkg/registry: two readers of the list of boxes share what they told of

What callers saw: nothing yet. Cause: since rows of boxes are written again, two goroutines read the list, and both note the rows that can not be read; unguarded, a map of the one may be read while the other replaces it. Change: the notes are looked at and replaced under the lock.

--- a/pkg/registry/boxes.go
+++ b/pkg/registry/boxes.go
@@ -83,6 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	bad := map[string]epoch.Version{}
 	for i := range listed {
 		row := &listed[i]
