pkg/gateway: who else may decide is told by rank alone

The wait is not needed: boxes that are only listed count in the ranking already, so that boxes which start together find the same first one before they hear each other.

--- a/pkg/gateway/rank.go
+++ b/pkg/gateway/rank.go
@@ -62,15 +62,11 @@
 	return g.Settings.Name
 }
 
-// settleTime is for how long after its start a box may rank first only as it has not heard of
-// others yet.
-const settleTime = 2 * time.Second
-
 // contested tells whether other boxes may decide for the group's engines as well: this one does
 // not rank first, whatever it thinks of the one that does. The lock is held.
-func (s *scheduler) contested(now time.Time) bool {
+func (s *scheduler) contested() bool {
 	g := s.gateway
-	return g.stopping.Load() || now.Sub(g.startedAt) < settleTime || s.rank()[0].Name != g.Settings.Name
+	return g.stopping.Load() || s.rank()[0].Name != g.Settings.Name
 }
 
 // mostUnheard bounds the boxes that are tried though they are only listed: after a start
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -284,7 +284,7 @@
 func (s *scheduler) look(now time.Time) {
 	s.lookedAt = now
 	s.pool.ColdPart = s.coldPart(now)
-	if contested := s.contested(now); contested != s.pool.Contested {
+	if contested := s.contested(); contested != s.pool.Contested {
 		s.pool.Contested = contested
 		s.log.Info("dispatch contested", zap.String("Service", s.service), zap.Bool("Contested", contested))
 	}
