pkg/registry: boxes wait for those that read before them, however slow these are

Cause: turns at the store went by time. Each 600 ms six more boxes read the whole table, whether those before them were done or not; all of them together slow the store, so that readings take longer, and more boxes read.

New: a line and a counter for each reading begun, with its reason and how many boxes come before.

Change: a box waits while six before it are alive and reach the store; those that do not are passed over as for following it. Only boxes that nobody has heard of go by time, in steps that grow with what this box's own call for the list took. By counts: TestTurnsOfSlowStore, 6 readers of 100 where a reading takes 20 s, 9 where three of the first are turned away; without the wait it did not build, and the rule by time has all turns over after 6 s.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -188,6 +188,8 @@
 
 		Follows:       g.fleet.Follows,
 		Turn:          g.fleet.Turn,
+		Ahead:         g.fleet.Ahead,
+		ReadingWhole:  g.Metrics.ReadingWhole,
 		StoreLost:     g.noteStore,
 		LostElsewhere: g.fleet.StoreLost,
 		LeavingTime:   g.Settings.LeavingTime,
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/record"
+	"github.com/quaylead/quaylead/pkg/registry"
 )
 
 // MetricsPath is where the counters and histograms are read, as one JSON object.
@@ -34,6 +35,8 @@
 	// endpoints to which nothing was sent in the end, as they had become ones that get
 	// nothing.
 	rests, handedBack expvar.Int
+	// readings counts the readings of all endpoints that were begun, by reason.
+	readings expvar.Map
 }
 
 // Publish puts the metrics under their expvar names. It may be called once in a
@@ -48,6 +51,7 @@
 	expvar.Publish("Missing", &m.missing)
 	expvar.Publish("Rests", &m.rests)
 	expvar.Publish("HandedBack", &m.handedBack)
+	expvar.Publish("Readings", &m.readings)
 }
 
 // FirstEvent counts the time to a stream's first event.
@@ -78,6 +82,9 @@
 // Rested counts an endpoint's word that it wants rest.
 func (m *Metrics) Rested() { m.rests.Add(1) }
 
+// ReadingWhole counts a reading of all endpoints that begins.
+func (m *Metrics) ReadingWhole(why registry.Reason) { m.readings.Add(string(why), 1) }
+
 // HandedBack counts a choice of an endpoint to which nothing was sent.
 func (m *Metrics) HandedBack() { m.handedBack.Add(1) }
 
--- a/pkg/membership/followers.go
+++ b/pkg/membership/followers.go
@@ -26,22 +26,37 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.search()
-	ahead, lost := 0, 0
-	var longest time.Duration
+	before := ahead{}
 	own := position(v.Self.Box, followRing)
 	for _, one := range v.takers {
 		if one.Zone != v.Self.Zone || one.box == nil || one.box.follows >= own {
 			continue
 		}
-		if one.StoreLost {
-			lost++
-			longest = max(longest, time.Since(one.storeLostAt))
-			continue
-		}
-		ahead++
+		before.count(one)
+	}
+	return before.standing() < followersEach
+}
+
+// ahead counts boxes that come before another one.
+type ahead struct {
+	reaching, lost int
+	// longest is how long one of those that do not reach the store has not.
+	longest time.Duration
+}
+
+func (a *ahead) count(one *entry) {
+	if one.StoreLost {
+		a.lost++
+		a.longest = max(a.longest, time.Since(one.storeLostAt))
+		return
 	}
-	passedOver := min(lost, mostPassedOver+int(longest/passMore))
-	return ahead+lost-passedOver < followersEach
+	a.reaching++
+}
+
+// standing are those for which no other box stands in.
+func (a *ahead) standing() int {
+	passedOver := min(a.lost, mostPassedOver+int(a.longest/passMore))
+	return a.reaching + a.lost - passedOver
 }
 
 // Turn is the number of other boxes that come before this one where all have just started and
@@ -49,23 +64,42 @@
 // heard of yet. Those with more processor time come first: reading a large table and telling it
 // takes a small box many times as long, and all wait for it. A box of a large fleet knows a part
 // of the list only, so that somewhat more boxes find themselves to be among the first.
-func (v *View) Turn() (ahead int) {
+func (v *View) Turn() (count int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.prepare()
 	v.noteLive()
 	now := time.Now()
-	own := position(v.Self.Box, followRing)
 	for _, box := range v.all {
-		usable := box.alive || (!box.heardOf && now.After(box.failedUntil))
-		if !usable || box.cores < v.Self.Cores {
-			continue
+		if (box.alive || (!box.heardOf && now.After(box.failedUntil))) && v.readsFirst(box) {
+			count++
 		}
-		if box.cores > v.Self.Cores || box.follows < own {
-			ahead++
+	}
+	return count
+}
+
+// Ahead is the number of boxes before this one, as of Turn, that are alive and reach the store,
+// or for which no other one stands in.
+func (v *View) Ahead() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.prepare()
+	v.search()
+	before := ahead{}
+	for _, one := range v.takers {
+		if one.box != nil && v.readsFirst(one.box) {
+			before.count(one)
 		}
 	}
-	return ahead
+	return before.standing()
+}
+
+// readsFirst tells whether a box comes before this one in the order of Turn.
+func (v *View) readsFirst(box *candidate) bool {
+	if box.cores != v.Self.Cores {
+		return box.cores > v.Self.Cores
+	}
+	return box.follows < position(v.Self.Box, followRing)
 }
 
 // Followers is the number of boxes that follow the store, or try to.
--- a/pkg/registry/follow.go
+++ b/pkg/registry/follow.go
@@ -17,35 +17,44 @@
 	// for others to tell it what the store holds. Sessions stand within half a second,
 	// and callers come seconds later. After a restart callers wait already.
 	firstStartWait = 700 * time.Millisecond
-	// toldPatience is how long a box that knows nothing yet lets others tell it.
+	// toldPatience is how long a box that knows nothing yet lets others tell it where no box
+	// of the fleet has run before.
 	toldPatience = 3 * time.Second
-	// turnStep is the time in which those that read the store tell the others, and turnMost
-	// bounds the time until the last one reads for itself. Where all boxes start at once
-	// and each reads for itself, a table of many pages is read once for each box.
-	turnStep = 600 * time.Millisecond
-	turnMost = 6 * time.Second
+	// turnStep is the time in which those that read the store tell the others, at least, and
+	// turnCalls the same in calls of this box for the list of boxes: where the store or the
+	// box is slow, so is all that follows. It goes for boxes that are listed and not heard,
+	// and turnMost bounds the time until the last one reads for itself.
+	turnStep  = 600 * time.Millisecond
+	turnCalls = 10
+	turnMost  = 10 * turnStep
+	// turnLongest bounds the wait for boxes that are alive and reach the store.
+	turnLongest = time.Minute
 	// listPatience is how long a box waits for the list of boxes, which tells its turn.
-	listPatience = 500 * time.Millisecond
+	listPatience = 3 * time.Second
+	// turnBoxes is the number of boxes that read at once.
+	turnBoxes = 6
+	// turnLook is the time between two looks whether it is this box's turn.
+	turnLook = 50 * time.Millisecond
 )
 
-// awaitTurnToRead waits until it falls to this box to read what it does not know, where the
-// fleet has run before and it has just started, or until others have told it. Those whose turn
-// it is may be gone, or turned away by the store: the next ones follow after a while.
-func (r *Registry) awaitTurnToRead(ctx context.Context, began time.Time) error {
-	if r.Turn == nil || r.FirstStart {
-		return ctx.Err()
+// awaitTurnToRead waits until it falls to this box to read what it does not know, or until
+// others have told it. Where all boxes start at once and each reads for itself, a table of many
+// pages is read once for each box, which slows the store for all, so that even more read.
+func (r *Registry) awaitTurnToRead(ctx context.Context) error {
+	if r.FirstStart {
+		if err := interval.Wait(ctx, firstStartWait); err != nil {
+			return err
+		}
 	}
+	began := time.Now()
 	listed, cancel := context.WithTimeout(ctx, listPatience)
 	defer cancel()
 	select {
 	case <-listed.Done():
 	case <-r.boxesListed():
 	}
-	for r.uninformed() {
-		due := min(turnStep*time.Duration(r.Turn()/turnBoxes), turnMost)
-		if time.Since(began) >= due {
-			break
-		}
+	step := max(turnStep, turnCalls*time.Since(began))
+	for listed := time.Now(); r.uninformed() && !r.mayRead(time.Since(listed), step); {
 		if err := interval.Wait(ctx, interval.Jittered(turnLook)); err != nil {
 			return err
 		}
@@ -53,12 +62,22 @@
 	return ctx.Err()
 }
 
-const (
-	// turnBoxes is the number of boxes that read at once.
-	turnBoxes = 6
-	// turnLook is the time between two looks whether it is this box's turn.
-	turnLook = 50 * time.Millisecond
-)
+// mayRead tells whether it falls to this box to read, some time after it found out its turn.
+// Those before it that are alive and reach the store read and tell it, however long that takes;
+// those that are only listed may be gone.
+func (r *Registry) mayRead(waited, step time.Duration) bool {
+	if r.FirstStart && waited < toldPatience && !r.Follows() {
+		return false
+	}
+	if r.Ahead != nil && r.Ahead() >= turnBoxes && waited < turnLongest {
+		return false
+	}
+	if r.Turn == nil {
+		return true
+	}
+	turns := time.Duration(r.Turn() / turnBoxes)
+	return waited >= min(turns, turnMost/turnStep)*step
+}
 
 func (r *Registry) boxesListed() chan struct{} {
 	r.listedOnce.Do(func() { r.listed = make(chan struct{}) })
@@ -66,20 +85,15 @@
 }
 
 // awaitFollow waits until it falls to this box to follow the store. A box that knows
-// nothing, and is told nothing, looks for itself, as does one that lacks what nobody can
-// tell it; nil means that it never does. It returns the context's error if that ends first.
+// nothing, and is told nothing, looks for itself in its turn, as does one that lacks what
+// nobody can tell it; nil means that it never does. It returns the context's error if that
+// ends first.
 func (r *Registry) awaitFollow(ctx context.Context, informed bool, lacks func(now time.Time) bool) error {
 	if r.Follows == nil {
 		return ctx.Err()
 	}
-	began := time.Now()
 	if !informed {
-		if err := r.awaitTurnToRead(ctx, began); err != nil {
-			return err
-		}
-	}
-	if !informed && r.FirstStart {
-		if err := interval.Wait(ctx, firstStartWait); err != nil {
+		if err := r.awaitTurnToRead(ctx); err != nil || r.uninformed() {
 			return err
 		}
 	}
@@ -88,9 +102,6 @@
 		if lacks != nil && lacks(time.Now()) {
 			return ctx.Err()
 		}
-		if r.uninformed() && (!r.FirstStart || time.Since(began) > toldPatience) {
-			return ctx.Err()
-		}
 		waited = true
 		if err := interval.Wait(ctx, interval.Jittered(followLook)); err != nil {
 			return err
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -158,6 +158,11 @@
 	// Turn is how many other boxes are to read the store before this one, where all have just
 	// started and know nothing. It is asked once the list of boxes is known. Nil means none.
 	Turn func() int
+	// Ahead is how many of these are alive and reach the store. Nil means none.
+	Ahead func() int
+	// ReadingWhole is called as a reading of all endpoints begins; nil means that nobody is
+	// to know.
+	ReadingWhole func(why Reason)
 	// StoreLost is called when the calls of this box begin to fail, and when they work
 	// again, and LostElsewhere tells whether those of another box fail.
 	StoreLost     func(lost bool)
@@ -336,6 +341,9 @@
 	for r.awaitFollow(ctx, r.Directory() != nil, r.isUnserved) == nil {
 		since := r.Position()
 		whole = whole || since == 0
+		if whole {
+			r.noteWhole(since, again.failures)
+		}
 		entries, version, err := r.nextEndpoints(ctx, since, whole)
 		r.noteCall(err)
 		if err != nil {
--- a/pkg/registry/turns_test.go
+++ b/pkg/registry/turns_test.go
@@ -141,3 +141,34 @@
 		})
 	}
 }
+
+// TestTurnsOfSlowStore guards against boxes that read for themselves as those before them are
+// slow, which slows the store for all.
+func TestTurnsOfSlowStore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// takes is the time of a reading, and lost how many of the first boxes are alive and
+		// turned away.
+		takes time.Duration
+		lost  int
+		most  int
+	}{
+		{"the others wait for the first ones, however slow", 20 * time.Second, 0, turnBoxes},
+		{"others stand in for those that the store turns away", 5 * time.Second, 3, turnBoxes + 3},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(c.name, t, func() {
+				state := &fakeStore{state: fakeState{config: []byte("version 1")}}
+				state.change(func(s *fakeState) { s.put("a", 1) })
+				f := newRestarted(state, c.lost)
+				for i, box := range f.boxes {
+					f.stores[i].takes = c.takes
+					box.Ahead = func() int { return max(0, i-c.lost) }
+				}
+				took, readers := f.play()
+				So(readers, ShouldBeLessThanOrEqualTo, c.most)
+				So(took, ShouldBeLessThan, c.takes+3*time.Second)
+			})
+		})
+	}
+}
