cmd/quaybench/soak: deadly requests come to all boxes at once, and end three engines at most

The soak sent a request that ends servers to one box at a time and judged only what was sent three seconds after the third end, so that boxes which each grant three engines passed. Plain servers stay with the users' rule.

--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -133,6 +134,17 @@
 		So(sentLate(runs(7)), ShouldEqual, 1)
 		So(sentLate(runs(10)), ShouldEqual, 4)
 	})
+	Convey("A request that ends a fourth engine is found, one that only runs there is none", t, func() {
+		ends := func(number int, path string, ended bool) standin.Run {
+			return standin.Run{Body: deadlyMark, Server: fmt.Sprint("llm-", number), Target: "POST " + path, Deadly: ended, Began: at(float64(number)), Ended: at(float64(number))}
+		}
+		streams := "/" + names[standin.Stream] + "/1"
+		four := []standin.Run{ends(1, streams, true), ends(2, streams, true), ends(2, streams, true), ends(3, streams, true), ends(4, streams, false)}
+		So(enginesEnded(four), ShouldEqual, 3)
+		four[4].Deadly = true
+		So(enginesEnded(four), ShouldEqual, 4)
+		So(enginesEnded([]standin.Run{ends(1, "/look/1", true)}), ShouldEqual, 0)
+	})
 }
 
 func TestWordsChecked(t *testing.T) {
--- a/cmd/quaybench/soak/deadly.go
+++ b/cmd/quaybench/soak/deadly.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/quarantine"
@@ -44,8 +45,8 @@
 	return nil
 }
 
-// sendDeadly sends one request, each time to some box and with another ID, until the time
-// of the fault is over.
+// sendDeadly sends one request, each time to some box or to all of them together, and with
+// another ID, until the time of the fault is over.
 func (w *world) sendDeadly(ctx context.Context, f deadly, length time.Duration) {
 	draw := rand.New(rand.NewPCG(f.seed, 1))
 	route := names[standin.Lookup]
@@ -53,17 +54,29 @@
 		route = names[standin.Stream]
 	}
 	for number, end := 0, time.Now().Add(length); time.Now().Before(end); number++ {
-		ask := standin.Ask{
-			ID:       fmt.Sprintf("%08x%08x", f.number, number),
-			Host:     host,
-			Path:     "/" + route + "/1",
-			Key:      "key-0",
-			Deadline: callerDeadline,
+		to := w.boxes
+		if !f.together {
+			at := draw.IntN(len(w.boxes))
+			to = w.boxes[at : at+1]
 		}
-		if f.service == "llm" {
-			ask.Shared = 1000000
+		group := errgroup.Group{}
+		for i, b := range to {
+			ask := standin.Ask{
+				ID:       fmt.Sprintf("%08x%04x%04x", f.number, number, i),
+				Host:     host,
+				Path:     "/" + route + "/1",
+				Key:      "key-0",
+				Deadline: callerDeadline,
+			}
+			if f.service == "llm" {
+				ask.Shared = 1000000
+			}
+			group.Go(func() error {
+				sendOnce(b, ask, fmt.Sprintf("%s %d", deadlyMark, f.number))
+				return nil
+			})
 		}
-		sendOnce(w.boxes[draw.IntN(len(w.boxes))], ask, fmt.Sprintf("%s %d", deadlyMark, f.number))
+		_ = group.Wait()
 		if interval.Wait(ctx, time.Duration(draw.Float64()*float64(f.pause))) != nil {
 			return
 		}
@@ -90,9 +103,9 @@
 	_ = (&fasthttp.Response{}).Read(bufio.NewReader(conn))
 }
 
-// checkDeadly holds that a request under which three servers ended is sent to no more than
-// three others, once boxes have had time to tell each other. Boxes that were cut off or
-// stood still meanwhile count for themselves.
+// checkDeadly holds that a request ends three engines at most, and that one under which three
+// servers ended is sent to no more than three others, once boxes have had time to tell each
+// other. Boxes that were cut off or stood still meanwhile count for themselves.
 func (w *world) checkDeadly() (broken []string) {
 	byBody := map[string][]standin.Run{}
 	for _, run := range w.truth.All() {
@@ -102,13 +115,31 @@
 	}
 	for body, runs := range byBody {
 		slices.SortFunc(runs, func(a, b standin.Run) int { return a.Began.Compare(b.Began) })
-		if late := sentLate(runs); late > moreSends && !w.boxTroubleDuring(runs[0].Began, runs[len(runs)-1].Began) {
+		if w.boxTroubleDuring(runs[0].Began, runs[len(runs)-1].Began) {
+			continue
+		}
+		if ended := enginesEnded(runs); ended > quarantine.MostEnds {
+			broken = append(broken, fmt.Sprintf("%q ended %d engines", body, ended))
+		}
+		if late := sentLate(runs); late > moreSends {
 			broken = append(broken, fmt.Sprintf("%q was sent to %d servers, %d of them long after three had ended", body, len(runs), late))
 		}
 	}
 	return broken
 }
 
+// enginesEnded counts the engines that some runs ended. Plain servers are not counted: no box
+// decides for all there.
+func enginesEnded(runs []standin.Run) int {
+	ended := map[string]bool{}
+	for _, run := range runs {
+		if run.Deadly && strings.Contains(run.Target, "/"+names[standin.Stream]+"/") {
+			ended[run.Server] = true
+		}
+	}
+	return len(ended)
+}
+
 // sentLate counts the runs that began later than the bound after the third end.
 func sentLate(runs []standin.Run) (late int) {
 	ended := slices.DeleteFunc(slices.Clone(runs), func(run standin.Run) bool { return run.Ended.IsZero() })
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -82,6 +82,8 @@
 	// pause is the longest time between two.
 	pause time.Duration
 	seed  uint64
+	// together has it come to all boxes at once each time.
+	together bool
 }
 
 func (killed) injection()      {}
@@ -116,7 +118,7 @@
 func (f departing) String() string   { return f.server.ID + " leaves by its answers" }
 func (f configured) String() string  { return "a new configuration" }
 func (f deadly) String() string {
-	return fmt.Sprintf("a request that ends servers of %s, again within %s each time", f.service, f.pause)
+	return fmt.Sprintf("a request that ends servers of %s, again within %s each time, at all boxes at once: %t", f.service, f.pause, f.together)
 }
 
 func drawFault(draw *rand.Rand, w *world) injection {
@@ -151,6 +153,8 @@
 			number:  draw.IntN(1 << 30),
 			pause:   time.Duration(50+draw.IntN(800)) * time.Millisecond,
 			seed:    draw.Uint64(),
+
+			together: draw.IntN(2) == 0,
 		}
 	case 13:
 		return departing{server: s}
