pkg/dispatch: accounts of ends are asked for only where there are any

Whether any ended is known before.

What is decided is the same: TestExposure, TestMostEndsUnderChange and the drawn ways pass as before.

--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -8,11 +8,28 @@
 	"github.com/quaylead/quaylead/pkg/quarantine"
 )
 
-// BenchmarkDecide is one look at a long line before engines without room.
+// BenchmarkDecide is one look at a long line before engines without room, and with room at one
+// of them, also where other boxes may decide.
 func BenchmarkDecide(b *testing.B) {
+	for name, set := range map[string]struct{ room, contested bool }{
+		"no room":         {},
+		"room":            {room: true},
+		"room, contested": {room: true, contested: true},
+	} {
+		b.Run(name, func(b *testing.B) { benchmarkDecide(b, set.room, set.contested) })
+	}
+}
+
+func benchmarkDecide(b *testing.B, room, contested bool) {
 	p := newTestPool(90, 4e6)
+	p.Contested = contested
 	now := start
 	for i, e := range p.inOrder {
+		if i == 0 && room {
+			// It is idle, and its slots are taken.
+			e.running = e.Slots
+			continue
+		}
 		for n := range 4 {
 			p.book(askOf(fmt.Sprint("fill", i, n), "other", now, Part{ID: uint64(10000 + i*4 + n), Tokens: 20000}), e, now)
 		}
--- a/pkg/dispatch/exposure.go
+++ b/pkg/dispatch/exposure.go
@@ -79,7 +79,7 @@
 	case len(at) == 0 && verdict.Ends == 0 && !p.Contested:
 		r.wider = true
 	default:
-		r.first = p.firstFor(ask, now)
+		r.first = p.firstFor(ask, verdict.Ends, now)
 	}
 	return r
 }
@@ -90,15 +90,18 @@
 
 // firstFor is the engine that a request's fingerprint ranks first, of those that may serve it:
 // alike at all boxes that know the same engines, whatever else they know. The next engine
-// follows one that ended under the request, and one that failed only when no account of that
-// can be on its way: nil until then.
-func (p *Pool) firstFor(ask *Ask, now time.Time) *engine {
+// follows one that ended under the request, as ends did, and one that failed only when no
+// account of that can be on its way: nil until then.
+func (p *Pool) firstFor(ask *Ask, ends int, now time.Time) *engine {
 	var first *engine
 	var weight uint64
 	usable := false
 	for _, e := range p.inOrder {
 		takes := p.look(e, now).usable && p.allows(e, ask, now)
-		if !takes && now.Sub(e.failedAt) >= accountTime || p.Ledger.Ended(ask.Fingerprint, e.start()) {
+		if !takes && now.Sub(e.failedAt) >= accountTime {
+			continue
+		}
+		if ends > 0 && p.Ledger.Ended(ask.Fingerprint, e.start()) {
 			continue
 		}
 		if own := e.weight(ask.Fingerprint); first == nil || own > weight {
