pkg/gateway: a request that is granted two engines which are not there is decided here

What callers saw: while a box that dispatches grants engines that are not there, all their requests were refused for half a second.

Change: the box is left as late as before, but a request waits for it no longer than two such grants: then this box decides for it, which is safe since a request ends three engines whichever boxes decide.

--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -52,11 +52,11 @@
 	if p == nil {
 		return to, notRun(request.NoEndpoint, "the service has no engine now", comeBackAfterFailure())
 	}
-	for {
+	for missed := 0; ; missed++ {
 		suspended := c.gateway.waking.Noticed()
 		ask := c.ask()
 		s := p.group(ask)
-		v, err := s.acquire(c.ctx, ask)
+		v, err := s.acquire(c.ctx, ask, missed >= mostMissed)
 		if err != nil {
 			return to, c.ended()
 		}
@@ -75,6 +75,10 @@
 	}
 }
 
+// mostMissed is the number of engines that one request is granted by the box that dispatches and
+// that get nothing from this one, before this one decides: it knows better what is there.
+const mostMissed = 2
+
 // granted is the engine of a grant, unless it gets nothing from this box by what this box
 // knows: the grant is then handed back.
 func (c *call) granted(s *scheduler, v verdict) (to destination, usable bool) {
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -326,8 +326,9 @@
 // ownRouter stands for this box among those that ask.
 const ownRouter = 0
 
-// acquire waits until a request is granted an engine or turned away.
-func (s *scheduler) acquire(ctx context.Context, ask *dispatch.Ask) (verdict, error) {
+// acquire waits until a request is granted an engine or turned away, by this box where it is
+// to decide alone.
+func (s *scheduler) acquire(ctx context.Context, ask *dispatch.Ask, alone bool) (verdict, error) {
 	ask.Router = ownRouter
 	if why := s.enter(ask.Customer); why != dispatch.Admitted {
 		return s.turnHere(why, ask), nil
@@ -335,14 +336,17 @@
 	s.mu.Lock()
 	s.noteAsked(ask, time.Now())
 	s.mu.Unlock()
-	v, err := s.ask(ctx, ask)
+	v, err := s.ask(ctx, ask, alone)
 	s.leave(ask.Customer, v)
 	return v, err
 }
 
 // ask has the box that dispatches decide, or this one.
-func (s *scheduler) ask(ctx context.Context, ask *dispatch.Ask) (verdict, error) {
+func (s *scheduler) ask(ctx context.Context, ask *dispatch.Ask, alone bool) (verdict, error) {
 	for range mostAsked {
+		if alone {
+			break
+		}
 		box := s.target()
 		if box == s.gateway.Settings.Name {
 			return s.askOwn(ctx, ask, 1)
