--- a/pkg/dispatch/deadly_test.go
+++ b/pkg/dispatch/deadly_test.go
@@ -12,7 +12,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/quaylead/quaylead/pkg/quarantine"
-	"github.com/quaylead/quaylead/pkg/route"
 )
 
 // One request ended eleven engines in a row: it came again at any box, with another ID each
