--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -68,9 +68,12 @@
 	if r.unjudged == nil || len(r.lapsed) > 0 {
 		return
 	}
-	looks := r.knowledge.Looks
+	looks, before := r.knowledge.Looks, r.knowledge.Known
 	r.knowledge, r.unjudged = *r.unjudged, nil
 	r.knowledge.Looks = looks
+	r.Log.Info("endpoints are told to others again",
+		zap.Stringer("From", before),
+		zap.Stringer("To", r.knowledge.Known))
 }
 
 // update changes the entries, and publishes them where that matters.
@@ -342,6 +345,9 @@
 	now := time.Now()
 	looked := false
 	r.update(now, func() (changed bool) {
+		if !r.served(then) {
+			r.logUnserved(then, from)
+		}
 		changed = r.mergeAll(entries, from, now)
 		looked = then.Looks > r.knowledge.Looks
 		if known := r.reached().Known; known.Precedes(then.Known) && known != 0 {
@@ -355,6 +361,16 @@
 	}
 }
 
+// logUnserved tells of a box whose account of the endpoints leaves out what went before it knew any.
+func (r *Registry) logUnserved(other route.Knowledge, from string) {
+	r.Log.Warn("endpoints taken from a box that can not tell all changes",
+		zap.Stringer("Known", r.reached().Known),
+		zap.Stringer("Base", other.Base),
+		zap.Stringer("GapAfter", other.GapAfter),
+		zap.Stringer("GapBefore", other.GapBefore),
+		zap.String("From", from))
+}
+
 // join adds what another box knows. The lock is held.
 func (r *Registry) join(other route.Knowledge) {
 	r.learn(func(k *route.Knowledge) { k.Join(other) })
--- a/pkg/registry/follow.go
+++ b/pkg/registry/follow.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 )
@@ -100,6 +102,7 @@
 	waited := false
 	for !r.Follows() {
 		if lacks != nil && lacks(time.Now()) {
+			r.Log.Info("the store is read for what no other box can tell", zap.Stringer("Known", r.Position()))
 			return ctx.Err()
 		}
 		waited = true
@@ -107,6 +110,9 @@
 			return err
 		}
 	}
+	if waited && lacks != nil {
+		r.Log.Info("this box follows the store", zap.Bool("LostElsewhere", r.LostElsewhere()))
+	}
 	if waited && r.LostElsewhere() {
 		// What went just now may have gone because the store was away: the boxes that
 		// followed it know, and this one has to judge as they do.
