pkg/registry: an endpoint that left is used for ever after the teller of news started again, failing

What callers see: requests go to an endpoint that the store no longer lists for as long as the box lives. A box hears that another one knows more, checks that it can be told all it lacks, and asks; in between the other one starts again and reads the store whole, so that what went meanwhile is in no account of it. The answer's position is taken all the same. The test fails each time: Expected '3' to be less than '3'.

--- a/pkg/registry/knowledge_test.go
+++ b/pkg/registry/knowledge_test.go
@@ -216,3 +216,32 @@
 		})
 	}
 }
+
+// TestRestartedTellerHidesNoRemoval guards against endpoints that stay in use for ever where the box
+// that told of news starts again before it is asked.
+func TestRestartedTellerHidesNoRemoval(t *testing.T) {
+	Convey("A box that the teller can no longer serve looks for itself", t, func() {
+		store := &versionedStore{entries: map[string]Entry{}}
+		store.write("left", func(e *Entry) { e.Endpoint = endpointOf("left") })
+		box, teller := &reader{Registry: newRegistry()}, &reader{Registry: newRegistry()}
+		box.look(store, true)
+		teller.look(store, true)
+		store.write("joined", func(e *Entry) { e.Endpoint = endpointOf("joined") })
+		teller.look(store, false)
+		_, ask := box.HeardKnowledge(teller.Knowledge(), teller.Newest())
+		So(ask, ShouldBeTrue)
+
+		store.write("left", func(e *Entry) { e.Gone = true })
+		teller = &reader{Registry: newRegistry()}
+		teller.look(store, true)
+		entries, then, _ := teller.Since(box.Position())
+		box.OfferEntries(valuesOf(entries), then, "teller")
+		So(has(box.Registry, "joined"), ShouldBeTrue)
+		So(box.Knowledge().Known, ShouldBeLessThan, store.version)
+		So(box.isUnserved(time.Now().Add(unservedLeast+unservedSpread)), ShouldBeTrue)
+
+		box.look(store, false)
+		So(has(box.Registry, "left"), ShouldBeFalse)
+		So(box.isUnserved(time.Now().Add(time.Minute)), ShouldBeFalse)
+	})
+}
