pkg/registry: what a box can not tell all of does not move the position

What callers see: requests go to an endpoint that the store no longer lists, for as long as the box lives, and from every box that starts by asking that one.

Cause: whether a peer serves this box was checked when its knowledge was heard, and its answer, which comes later, was taken whatever the peer was by then. A peer that has started again, or lost the history, since knows nothing of what went before its first reading. The answer carries the knowledge that it was made with, and is judged by that now: where it does not serve, its accounts are taken and the position stays, so that the box looks for itself within a second, as it does where nobody can tell it.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -340,15 +340,19 @@
 	return entries, r.knowledge, more
 }
 
-// OfferEntries merges what a peer tells: all that changed after what was known here.
+// OfferEntries merges what a peer tells: all that changed after what was known here. The peer may
+// have started again since its knowledge was heard, so that it can no longer serve this box.
 func (r *Registry) OfferEntries(entries []Entry, then route.Knowledge, from string) {
 	now := time.Now()
 	looked := false
 	r.update(now, func() (changed bool) {
-		if !r.served(then) {
+		served := r.served(then)
+		changed = r.mergeAll(entries, from, now)
+		if !served {
 			r.logUnserved(then, from)
+			r.unserved.note(then.Known, now)
+			return changed
 		}
-		changed = r.mergeAll(entries, from, now)
 		looked = then.Looks > r.knowledge.Looks
 		if known := r.reached().Known; known.Precedes(then.Known) && known != 0 {
 			r.logRestored(known, then.Known, from)
