pkg/registry: an answer of the store that is older than what is known is dropped

What callers see: requests go to an endpoint that the store no longer lists, for as long as the box lives, and from every box that starts by asking that one.

Cause: an answer is as of the version at which it was made, and was merged as if it were as of now. A box reads the table; while the answer is on its way an endpoint goes, another box tells so, and the position passes the removal. The answer then lists the endpoint, of which the box knows nothing any more, and puts it in force; its removal is behind the position and never read. All boxes that start at once read at once and are told meanwhile, and a slow store or a slow box makes the answer late.

Answers that come at once, as TestDifferencesAddUp and TestRestoredHistories have them, can not show it.

Why it works: where the position has passed both the position that was asked from and the version of the answer, all that the answer tells is known already.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -22,13 +22,16 @@
 	version epoch.Version
 }
 
-// takeRead merges what the store says as of a version. Whole marks that the entries
-// are all there are, and not only those that changed. It returns how many were passed over
-// though they differ from what is known.
-func (r *Registry) takeRead(entries []Entry, version epoch.Version, whole bool, now time.Time) (passedOver int) {
+// takeAnswer merges what the store says as of a version, in answer to a call that was made at a
+// position. Whole marks that the entries are all there are, and not only those that changed. It
+// returns how many were passed over though they differ from what is known.
+func (r *Registry) takeAnswer(entries []Entry, since, version epoch.Version, whole bool, now time.Time) (passedOver int) {
 	r.update(now, func() (changed bool) {
 		r.passedOver = 0
 		defer func() { passedOver = r.passedOver }()
+		if r.isOutdated(since, version) {
+			return false
+		}
 		r.noteRead(version, now)
 		if whole {
 			entries = append(entries, r.absent(entries, version)...)
@@ -40,6 +43,21 @@
 	return passedOver
 }
 
+// isOutdated tells whether others have told more than an answer of the store knows, since the call
+// was made. It may list an endpoint whose removal is behind the position by now, and would not be
+// read any more. The lock is held.
+func (r *Registry) isOutdated(since, version epoch.Version) bool {
+	known := r.reached().Known
+	if known <= since || known <= version {
+		return false
+	}
+	r.Log.Info("answer of the store is older than what is known",
+		zap.Stringer("Since", since),
+		zap.Stringer("Version", version),
+		zap.Stringer("Known", known))
+	return true
+}
+
 // reached is what is known here, with what is not judged yet. The lock is held.
 func (r *Registry) reached() route.Knowledge {
 	if r.unjudged != nil {
--- /dev/null
+++ b/pkg/registry/histories_test.go
@@ -0,0 +1,134 @@
+package registry
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// answer is one to a call of the store or of another box, which comes some time after it was made.
+type answer struct {
+	box *Registry
+	// take merges it.
+	take func()
+}
+
+// slowHistory is a drawn fleet whose calls take time.
+type slowHistory struct {
+	*rand.Rand
+	store   versionedStore
+	boxes   []*Registry
+	answers []answer
+}
+
+const (
+	slowHistories = 400
+	slowSteps     = 400
+	slowBoxes     = 4
+	slowEndpoints = 5
+)
+
+func (h *slowHistory) box() *Registry { return h.boxes[h.IntN(len(h.boxes))] }
+
+// read has a box call the store.
+func (h *slowHistory) read(box *Registry, whole bool) {
+	since, version := box.Position(), h.store.version
+	whole = whole || since == 0
+	entries := h.store.whole()
+	if !whole {
+		entries = h.store.since(since)
+	}
+	h.answers = append(h.answers, answer{box: box, take: func() {
+		box.takeAnswer(entries, since, version, whole, time.Now())
+	}})
+}
+
+// hear has a box hear another one, and ask it where that knows more.
+func (h *slowHistory) hear(box, other *Registry) {
+	if _, ask := box.HeardKnowledge(other.Knowledge(), other.Newest()); !ask {
+		return
+	}
+	name := slices.Index(h.boxes, other)
+	h.answers = append(h.answers, answer{box: box, take: func() {
+		// It may have started again.
+		entries, then, _ := h.boxes[name].Since(box.Position())
+		h.answers = append(h.answers, answer{box: box, take: func() { box.OfferEntries(valuesOf(entries), then, "other") }})
+	}})
+}
+
+func (h *slowHistory) step() {
+	id := fmt.Sprintf("engine-%d", h.IntN(slowEndpoints))
+	switch h.IntN(12) {
+	case 0, 1:
+		h.store.write(id, func(e *Entry) { e.Gone, e.Leaving, e.Address = false, false, fmt.Sprint(h.store.version) })
+	case 2:
+		if !h.store.entries[id].Gone {
+			h.store.write(id, func(e *Entry) { e.Leaving = true })
+		}
+	case 3:
+		h.store.write(id, func(e *Entry) { e.Gone = true })
+	case 4:
+		h.read(h.box(), h.IntN(3) == 0)
+	case 5:
+		if h.IntN(4) == 0 {
+			again := h.IntN(len(h.boxes))
+			h.answers = slices.DeleteFunc(h.answers, func(a answer) bool { return a.box == h.boxes[again] })
+			h.boxes[again] = newRegistry()
+		}
+	case 6, 7, 8:
+		h.hear(h.box(), h.box())
+	default:
+		if len(h.answers) > 0 {
+			at := h.IntN(len(h.answers))
+			due := h.answers[at]
+			h.answers = slices.Delete(h.answers, at, at+1)
+			due.take()
+		}
+	}
+}
+
+// broken tells of a box that knows all up to the store's version, and has other endpoints.
+func (h *slowHistory) broken() string {
+	for i, box := range h.boxes {
+		if box.Knowledge().Known != h.store.version || box.Directory() == nil {
+			continue
+		}
+		got := map[string]route.Endpoint{}
+		for _, endpoint := range box.Directory().All() {
+			endpoint.Hash = 0
+			got[endpoint.ID] = endpoint
+		}
+		if !maps.Equal(got, h.store.endpoints()) {
+			return fmt.Sprintf("box %d has %v, the store %v", i, got, h.store.endpoints())
+		}
+	}
+	return ""
+}
+
+// TestOldAnswersBringNothingBack guards against endpoints that have left and are used again because
+// an answer from before came late.
+func TestOldAnswersBringNothingBack(t *testing.T) {
+	broken := 0
+	for seed := range uint64(slowHistories) {
+		h := &slowHistory{Rand: rand.New(rand.NewPCG(seed, 0)), store: versionedStore{entries: map[string]Entry{}}}
+		for range slowBoxes {
+			h.boxes = append(h.boxes, newRegistry())
+		}
+		for range slowSteps {
+			h.step()
+			if why := h.broken(); why != "" {
+				t.Logf("seed %d: %s", seed, why)
+				broken++
+				break
+			}
+		}
+	}
+	if broken > 0 {
+		t.Errorf("%d of %d drawn histories broken", broken, slowHistories)
+	}
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -360,7 +360,7 @@
 		}
 		again.reset()
 		r.endpointsRead(time.Now())
-		passedOver := r.takeRead(entries, version, whole, time.Now())
+		passedOver := r.takeAnswer(entries, since, version, whole, time.Now())
 		if (whole && since > 0) || version < since {
 			r.Log.Info("endpoints read from another version",
 				zap.Stringer("Since", since),
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -216,6 +216,11 @@
 	}
 }
 
+// takeRead takes an answer of the store that came at once.
+func (r *Registry) takeRead(entries []Entry, version epoch.Version, whole bool, now time.Time) (passedOver int) {
+	return r.takeAnswer(entries, r.Position(), version, whole, now)
+}
+
 func has(r *Registry, id string) bool {
 	_, ok := r.Directory().Find(id)
 	return ok
