pkg/registry: an entry that lapses is told at once, with its time

What callers see: requests go to an endpoint for seconds after it said that it leaves, from all boxes but the six that follow the store.

Cause: a box that took an entry for lapsed in an outage held back all that it learnt until that was judged, as the outcome had no version of its own by which others could ask for it. One silent departure held back another endpoint's plain word by 1.8 s, and a series of them for as long as it lasted.

Evidence: TestNewsDoesNotWaitForLapses failed before (position 6 told where 10 was read, and so on for five entries a second apart) and passes now.

Why it works: a removal has a version in any case. An entry that lapses is kept and told under it, with the time for which its endpoint is still used, and each box ends that by itself: there is no second thing to tell, nothing is held back, and the position is the same for a box and for what it tells. A box that was never without the store bounds what it is told by its own last look, as TestLooksAfterOwnOutage wants it.

Tests: TestJudgedAfterOthersAreKnownIsTold wanted the teller to judge for both; each box judges now, so it checks that both were told at once, and that both drop it (TestLapseIsToldWithWhatWasHeardMeanwhile). TestRestoredRows wanted the position to stay behind; it is told and another box keeps and drops the entry alike. TestLooksAfterOwnOutage told a look without what was seen, which no box does now; it tells both, with the bound unchanged. In TestLapsesAreTold the other box ends lapses as Run does.

--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -116,7 +116,6 @@
 			zap.Duration("Suspended", g.waking.Noticed()),
 			zap.Int("Alive", g.fleet.CountLive()+1),
 			zap.Stringer("Known", g.registry.Knowledge().Known),
-			zap.Stringer("Position", g.registry.Position()),
 			zap.Int64("PeerBytesSent", traffic.Sent.Load()),
 			zap.Int64("PeerBytesReceived", traffic.Received.Load()),
 			zap.Int64("Updates", traffic.Updates.Load()),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -134,6 +134,10 @@
 }
 
 func endpointMessage(entry *registry.Entry, now time.Time) *peerpb.Endpoint {
+	lapsesIn := time.Duration(0)
+	if !entry.LapsesAt.IsZero() {
+		lapsesIn = max(time.Microsecond, entry.LapsesAt.Sub(now))
+	}
 	return &peerpb.Endpoint{
 		ID:      entry.ID,
 		Version: uint64(entry.Version),
@@ -147,12 +151,20 @@
 		Held:    entry.Held,
 		Born:    entry.Born,
 		ColdFor: max(0, entry.ColdUntil.Sub(now)).Microseconds(),
+
+		LapsesIn: lapsesIn.Microseconds(),
 	}
 }
 
 // entryOf is the reverse of endpointMessage.
-func entryOf(message *peerpb.Endpoint) registry.Entry {
+func entryOf(message *peerpb.Endpoint, now time.Time) registry.Entry {
+	lapsesAt := time.Time{}
+	if message.LapsesIn > 0 {
+		lapsesAt = now.Add(time.Duration(message.LapsesIn) * time.Microsecond)
+	}
 	return registry.Entry{
+		LapsesAt: lapsesAt,
+
 		Version: epoch.Version(message.Version),
 		Gone:    message.Gone,
 		Held:    message.Held,
@@ -250,7 +262,7 @@
 		}
 		entries := make([]registry.Entry, 0, len(directory.Endpoints))
 		for _, message := range directory.Endpoints {
-			entries = append(entries, entryOf(message))
+			entries = append(entries, entryOf(message, time.Now()))
 			since = max(since, message.Version)
 		}
 		more = directory.More && len(entries) > 0
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -14,14 +14,6 @@
 // fromStore names the store as the origin of news; others are boxes' names.
 const fromStore = "store"
 
-// lapse is an entry that went while the store was unwell.
-type lapse struct {
-	// until is how long its endpoint is still used.
-	until time.Time
-	// version is that of its removal.
-	version epoch.Version
-}
-
 // takeAnswer merges what the store says as of a version, in answer to a call that was made at a
 // position. Whole marks that the entries are all there are, and not only those that changed. It
 // returns how many were passed over though they differ from what is known.
@@ -37,7 +29,7 @@
 			entries = append(entries, r.absent(entries, version)...)
 		}
 		changed = r.mergeAll(entries, fromStore, now)
-		r.learn(func(k *route.Knowledge) { k.Read(version, whole) })
+		r.knowledge.Read(version, whole)
 		return changed
 	})
 	return passedOver
@@ -47,7 +39,7 @@
 // was made. It may list an endpoint whose removal is behind the position by now, and would not be
 // read any more. The lock is held.
 func (r *Registry) isOutdated(since, version epoch.Version) bool {
-	known := r.reached().Known
+	known := r.knowledge.Known
 	if known <= since || known <= version {
 		return false
 	}
@@ -58,52 +50,12 @@
 	return true
 }
 
-// reached is what is known here, with what is not judged yet. The lock is held.
-func (r *Registry) reached() route.Knowledge {
-	if r.unjudged != nil {
-		return *r.unjudged
-	}
-	return r.knowledge
-}
-
-// learn changes what is known. What this box takes for lapsed, others may have to judge by
-// themselves: they are not told of more until it is judged. The lock is held.
-func (r *Registry) learn(change func(*route.Knowledge)) {
-	next := r.reached()
-	next.Looks = r.knowledge.Looks
-	change(&next)
-	if len(r.lapsed) > 0 {
-		r.unjudged = &next
-		return
-	}
-	r.knowledge, r.unjudged = next, nil
-}
-
-// judge takes all that was read as known once nothing counts as lapsed, so that others hear
-// at once of what did not come back. It is no new look: what it told is seconds old. The
-// lock is held.
-func (r *Registry) judge() {
-	if r.unjudged == nil || len(r.lapsed) > 0 {
-		return
-	}
-	looks, before := r.knowledge.Looks, r.knowledge.Known
-	r.knowledge, r.unjudged = *r.unjudged, nil
-	r.knowledge.Looks = looks
-	r.Log.Info("endpoints are told to others again",
-		zap.Stringer("From", before),
-		zap.Stringer("To", r.knowledge.Known))
-}
-
 // update changes the entries, and publishes them where that matters.
 func (r *Registry) update(now time.Time, change func() (changed bool)) {
 	r.mu.Lock()
-	if r.lapsed == nil {
-		r.lapsed = map[string]lapse{}
-	}
 	changed := change()
 	changed = r.endLapses(now) || changed
 	changed = r.endHolds(now) || changed
-	r.judge()
 	if changed || r.directory.Load() == nil {
 		r.publish()
 	}
@@ -122,7 +74,7 @@
 	}
 	var gone []Entry
 	r.entries.each(func(known *Entry) {
-		if !present[known.ID] && (!known.Gone || known.Held) {
+		if !present[known.ID] && (!known.Gone || known.Held) && known.LapsesAt.IsZero() {
 			removed := *known
 			removed.Gone, removed.Held, removed.Version = true, false, version
 			gone = append(gone, removed)
@@ -174,9 +126,11 @@
 func (r *Registry) merge(entry Entry, from string, now time.Time) bool {
 	entry.Hash = xxhash.Sum64String(entry.ID)
 	known, had := r.entries.find(entry.ID)
-	// What changed up to the position is known: an account that is not has been replaced. That
-	// an entry is gone may still be unjudged here.
-	replaced := from != fromStore && !entry.Gone && entry.Version <= r.reached().Known
+	if had && entry.Gone && entry.Version == known.Version && !known.LapsesAt.IsZero() {
+		return r.remove(known, entry, from, now)
+	}
+	// What changed up to the position is known: an account that is not has been replaced.
+	replaced := from != fromStore && !entry.Gone && entry.Version <= r.knowledge.Known
 	if replaced || (had && entry.Version <= known.Version) {
 		if entry.Leaving && entry.Version.Precedes(known.Version) {
 			return r.depart(lifecycle.Departure{Endpoint: entry.ID, Born: entry.Born}, from, now)
@@ -192,6 +146,10 @@
 	if entry.Gone && !entry.Held {
 		return r.remove(known, entry, from, now)
 	}
+	if !entry.LapsesAt.IsZero() {
+		entry.LapsesAt = r.toldLapseEnd(entry.LapsesAt, now)
+		return r.lapse(known, entry, from, now)
+	}
 	if had && entry.Outdated(&known.Facts) {
 		r.Log.Info("entry of an earlier start passed over",
 			zap.String("Endpoint", entry.ID),
@@ -212,9 +170,7 @@
 	}
 	r.put(entry)
 	delete(r.held, entry.ID)
-	if entry.Version > r.lapsed[entry.ID].version {
-		delete(r.lapsed, entry.ID)
-	}
+	delete(r.lapsing, entry.ID)
 	if had && !known.Gone && entry.Endpoint == known.Endpoint {
 		return false
 	}
@@ -236,28 +192,19 @@
 }
 
 // remove takes the word that an entry is gone. The box that read it in the store
-// judges whether an outage of the store may be the reason; what peers tell was
-// judged there.
+// judges whether an outage of the store may be the reason, and tells the others.
 func (r *Registry) remove(known, entry Entry, from string, now time.Time) bool {
+	if from == fromStore && known.ID != "" && !known.Gone && !r.leaves(&known.Endpoint) && now.Sub(r.unwellAt) < unwellFor {
+		lapsing := known
+		lapsing.Version = entry.Version
+		if known.LapsesAt.IsZero() {
+			lapsing.LapsesAt = r.lapseEnd()
+		}
+		return r.lapse(known, lapsing, from, now)
+	}
 	if known.ID == "" {
 		known.ID = entry.ID
 	}
-	// While an entry counts as lapsed, its removal is read with each look.
-	lapsed, had := r.lapsed[entry.ID]
-	if had && from == fromStore && entry.Version <= lapsed.version {
-		return false
-	}
-	if !known.Gone && !r.leaves(&known.Endpoint) && from == fromStore && now.Sub(r.unwellAt) < unwellFor {
-		if !had {
-			lapsed.until = r.returnedAt.Add(r.grace())
-			r.Log.Info("entry lapsed during an outage, endpoint still used",
-				zap.String("Endpoint", entry.ID),
-				zap.Duration("Outage", now.Sub(r.unwellAt)))
-		}
-		lapsed.version = entry.Version
-		r.lapsed[entry.ID] = lapsed
-		return false
-	}
 	wasGone := known.Gone
 	r.bury(known, entry.Version)
 	if !wasGone {
@@ -269,23 +216,44 @@
 	return !wasGone
 }
 
+// lapse takes the word that an entry was removed in an outage, and its endpoint is still used for a
+// while. What is known to be gone stays so.
+func (r *Registry) lapse(known, entry Entry, from string, now time.Time) bool {
+	if known.Gone {
+		r.bury(known, entry.Version)
+		return false
+	}
+	if r.lapsing == nil {
+		r.lapsing = map[string]struct{}{}
+	}
+	r.lapsing[entry.ID] = struct{}{}
+	r.put(entry)
+	r.Log.Info("entry lapsed during an outage, endpoint still used",
+		zap.String("Endpoint", entry.ID),
+		zap.Stringer("Version", entry.Version),
+		zap.Duration("Outage", now.Sub(r.unwellAt)),
+		zap.Duration("For", entry.LapsesAt.Sub(now)),
+		zap.String("From", from))
+	return known.ID == ""
+}
+
 func (r *Registry) bury(known Entry, version epoch.Version) {
 	known.Version = version
-	known.Gone, known.Held = true, false
+	known.Gone, known.Held, known.LapsesAt = true, false, time.Time{}
 	r.put(known)
-	delete(r.lapsed, known.ID)
+	delete(r.lapsing, known.ID)
 	delete(r.held, known.ID)
 }
 
-// endLapses drops endpoints whose entries did not come back.
+// endLapses drops endpoints whose entries did not come back. Each box does so by itself, so that
+// nothing has to be told then. The lock is held.
 func (r *Registry) endLapses(now time.Time) (changed bool) {
-	for id, lapsed := range r.lapsed {
-		if now.Before(lapsed.until) {
+	for id := range r.lapsing {
+		entry, _ := r.entries.find(id)
+		if now.Before(entry.LapsesAt) {
 			continue
 		}
-		known, _ := r.entries.find(id)
-		known.ID = id
-		r.bury(known, max(lapsed.version, r.reached().Known))
+		r.bury(entry, entry.Version)
 		changed = true
 		r.Log.Info("endpoint gone: its entry did not come back", zap.String("Endpoint", id))
 	}
@@ -372,10 +340,10 @@
 			return changed
 		}
 		looked = then.Looks > r.knowledge.Looks
-		if known := r.reached().Known; known.Precedes(then.Known) && known != 0 {
+		if known := r.knowledge.Known; known.Precedes(then.Known) && known != 0 {
 			r.logRestored(known, then.Known, from)
 		}
-		r.join(then)
+		r.knowledge.Join(then)
 		return changed
 	})
 	if looked {
@@ -386,19 +354,13 @@
 // logUnserved tells of a box whose account of the endpoints leaves out what went before it knew any.
 func (r *Registry) logUnserved(other route.Knowledge, from string) {
 	r.Log.Warn("endpoints taken from a box that can not tell all changes",
-		zap.Stringer("Known", r.reached().Known),
+		zap.Stringer("Known", r.knowledge.Known),
 		zap.Stringer("Base", other.Base),
 		zap.Stringer("GapAfter", other.GapAfter),
 		zap.Stringer("GapBefore", other.GapBefore),
 		zap.String("From", from))
 }
 
-// join adds what another box knows. The lock is held.
-func (r *Registry) join(other route.Knowledge) {
-	r.learn(func(k *route.Knowledge) { k.Join(other) })
-	r.knowledge.Looks = max(r.knowledge.Looks, other.Looks)
-}
-
 // OfferPage merges a part of what a peer tells. A box that serves nothing yet goes on so until
 // it has all: by a part of the endpoints it would send all requests there.
 func (r *Registry) OfferPage(entries []Entry, from string) {
@@ -415,10 +377,10 @@
 }
 
 // served tells whether what another box knows is all that this one lacks. Accounts of later
-// versions than this box knows all changes up to are known here while entries count as
-// lapsed: what came of them has to be known there as well. The lock is held.
+// versions than this box knows all changes up to are known here from boxes that could not serve
+// it: what came of them has to be known there as well. The lock is held.
 func (r *Registry) served(other route.Knowledge) bool {
-	own := r.reached()
+	own := r.knowledge
 	if own.Known == 0 || !other.Serves(own) {
 		return own.Known == 0
 	}
@@ -434,7 +396,7 @@
 // this box has to look for itself.
 func (r *Registry) HeardKnowledge(other route.Knowledge, newest epoch.Version) (news, ask bool) {
 	r.mu.Lock()
-	known, upTo := r.knowledge, r.reached().Known
+	known, upTo := r.knowledge, r.knowledge.Known
 	ahead := other.Known > upTo
 	switch {
 	case ahead && !r.served(other):
@@ -442,7 +404,7 @@
 	case ahead && (newest > upTo || upTo == 0):
 		ask = true
 	default:
-		r.join(other)
+		r.knowledge.Join(other)
 	}
 	news = r.knowledge != known
 	looked := r.knowledge.Looks > known.Looks
--- a/pkg/registry/follow.go
+++ b/pkg/registry/follow.go
@@ -152,7 +152,7 @@
 func (r *Registry) isUnserved(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.reached().Known >= r.unserved.known {
+	if r.knowledge.Known >= r.unserved.known {
 		r.unserved = unserved{}
 	}
 	return !r.unserved.due.IsZero() && now.After(r.unserved.due)
--- a/pkg/registry/knowledge_test.go
+++ b/pkg/registry/knowledge_test.go
@@ -192,6 +192,7 @@
 			pass := func(length time.Duration) {
 				for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 					other.hear(&reader{Registry: follower})
+					other.update(time.Now(), func() bool { return false })
 				}
 			}
 			pass(time.Second)
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -43,8 +43,11 @@
 	Gone bool
 	// Held entries are Gone by what was known before the store was restored from a copy that
 	// lists them. They count again after a while, unless the store has news of them.
-	Held    bool
-	Problem error
+	Held bool
+	// LapsesAt is until when the endpoint of an entry is used that was removed in an outage; the
+	// Version is that of its removal. Zero in entries that are listed, and in those that are Gone.
+	LapsesAt time.Time
+	Problem  error
 }
 
 // Box is what a box writes of itself, for the others to find it.
@@ -215,9 +218,8 @@
 	// changed.
 	lost   bool
 	lostAt time.Time
-	// lapsed are entries that went while the store was unwell; they are used for
-	// a while, unless they come back.
-	lapsed map[string]lapse
+	// lapsing are the IDs of the entries that lapse.
+	lapsing map[string]struct{}
 	// held are the entries that are Held, and when they count again.
 	held map[string]time.Time
 	// read is the newest version of this box's own readings of the endpoints, and declared
@@ -232,12 +234,11 @@
 	// badBoxes are the versions of the rows of boxes that could not be read, by name, so
 	// that each is told of once.
 	badBoxes map[string]epoch.Version
-	// unjudged is the knowledge with all that was read and heard since entries count as
-	// lapsed; nil while none does.
-	unjudged *route.Knowledge
 	// unwellAt is when a call about the endpoints last failed, and returnedAt when
 	// any box was first known to read them again after that.
 	unwellAt, returnedAt time.Time
+	// lookedAt is when any box was last known to read the endpoints.
+	lookedAt time.Time
 }
 
 const (
@@ -370,9 +371,7 @@
 				zap.Int("PassedOver", passedOver))
 		}
 		whole = false
-		if !r.lapsePending() {
-			r.Looked()
-		}
+		r.Looked()
 		r.renewDeclared(ctx)
 		if r.awaitTurn(ctx) != nil {
 			return nil
@@ -381,19 +380,15 @@
 	return nil
 }
 
-// lapsePending tells whether this box still uses an endpoint whose entry went, as it
-// was itself without the store just then. Others may not have been, and have to judge
-// by looks of their own: told that they need not look, they sent requests to an
-// endpoint for 3.3 s after it had left, of 2 s allowed.
 func (r *Registry) lapsePending() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.lapsed) > 0
+	return len(r.lapsing) > 0
 }
 
 // awaitTurn waits until no box has looked at the endpoints for a while.
 func (r *Registry) awaitTurn(ctx context.Context) error {
-	bound := float64(cmp.Or(r.LeavingTime, defaultLeavingTime))
+	bound := float64(r.leavingTime())
 	for {
 		heard := r.heardLooks.Load()
 		wait := time.Duration((lookSoonest + lookSpread*rand.Float64()) * bound)
@@ -420,6 +415,7 @@
 	if !r.returnedAt.After(r.unwellAt) {
 		r.returnedAt = now
 	}
+	r.lookedAt = now
 }
 
 // followLapses drops in time what did not come back or was not written again, and counts again
@@ -436,17 +432,29 @@
 	return nil
 }
 
-// grace is how long after the store's return lapsed entries are used.
-func (r *Registry) grace() time.Duration {
-	return min(lapseGrace, cmp.Or(r.LeavingTime, defaultLeavingTime)-lapseReserve)
+// lapseEnd is until when an endpoint is used whose entry went, as this box reads now. The lock is
+// held.
+func (r *Registry) lapseEnd() time.Time {
+	return r.returnedAt.Add(min(lapseGrace, r.leavingTime()-lapseReserve))
+}
+
+// toldLapseEnd is the same for what another box tells now: it may have been without the store
+// alone, while this one knows that the endpoint was listed at the last look. The lock is held.
+func (r *Registry) toldLapseEnd(told, now time.Time) time.Time {
+	own := r.lookedAt.Add(r.leavingTime() - lapseReserve)
+	if now.Sub(r.lookedAt) >= r.leavingTime() || told.Before(own) {
+		return told
+	}
+	return own
 }
 
+func (r *Registry) leavingTime() time.Duration { return cmp.Or(r.LeavingTime, defaultLeavingTime) }
+
 // Position is the version up to which this box has read the endpoints, or was told of them.
-// What it tells others is complete up to its Knowledge only.
 func (r *Registry) Position() epoch.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reached().Known
+	return r.knowledge.Known
 }
 
 func (r *Registry) nextEndpoints(ctx context.Context, since epoch.Version, whole bool) ([]Entry, epoch.Version, error) {
--- a/pkg/registry/renew.go
+++ b/pkg/registry/renew.go
@@ -25,6 +25,6 @@
 		return err
 	}
 	r.takeDeclared(declared, &orderReader{log: r.Log}, true)
-	r.takeRead(entries, version, whole, time.Now())
+	r.takeAnswer(entries, since, version, whole, time.Now())
 	return nil
 }
--- a/pkg/registry/restored.go
+++ b/pkg/registry/restored.go
@@ -66,7 +66,7 @@
 		r.held = map[string]time.Time{}
 	}
 	r.put(entry)
-	delete(r.lapsed, entry.ID)
+	delete(r.lapsing, entry.ID)
 	r.held[entry.ID] = now.Add(restoredHold)
 	if r.quiet {
 		return
