pkg/registry: a failed call does not prolong the use of an endpoint that left

What callers see: where calls of the store fail now and then, requests go to an endpoint for longer than its departure may take to be known.

Cause: an entry that went within two seconds of a failed call was put down to the outage, and used for a time from the return, which each failure moved, however short the outage was. What is known of the entry was left out: it was listed at the last look.

Evidence: TestFailedCallsDoNotProlongLapses failed before (a removal between two looks a tenth of a second, one and 1.8 s apart, with a failed call in between: still used two seconds after the first look) and passes now.

Why it works: an endpoint is used until the last look plus the time for leaving. Only where nobody had looked for as long as that may an outage be why the entry went, as it takes a server three signs of life that are not written; then the time runs from the return as before.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -231,7 +231,7 @@
 	r.Log.Info("entry lapsed during an outage, endpoint still used",
 		zap.String("Endpoint", entry.ID),
 		zap.Stringer("Version", entry.Version),
-		zap.Duration("Outage", now.Sub(r.unwellAt)),
+		zap.Duration("Outage", r.returnedAt.Sub(r.unwellSince)),
 		zap.Duration("For", entry.LapsesAt.Sub(now)),
 		zap.String("From", from))
 	return known.ID == ""
--- a/pkg/registry/lapses_test.go
+++ b/pkg/registry/lapses_test.go
@@ -82,6 +82,25 @@
 	})
 }
 
+// TestFailedCallsDoNotProlongLapses guards against endpoints that have left and are used for longer
+// with each call of the store that fails.
+func TestFailedCallsDoNotProlongLapses(t *testing.T) {
+	Convey("What left between two looks, with failed calls in between, is not used beyond the time", t, func() {
+		for _, pause := range []time.Duration{100 * time.Millisecond, time.Second, 1800 * time.Millisecond} {
+			r := newRegistry()
+			looked := time.Now()
+			r.endpointsRead(looked)
+			r.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 1}}, 1, true, looked)
+			r.unwellAt = looked.Add(pause - 50*time.Millisecond)
+			back := looked.Add(pause)
+			r.endpointsRead(back)
+			r.takeRead([]Entry{{Endpoint: endpointOf("a"), Version: 2, Gone: true}}, 2, false, back)
+			r.update(looked.Add(defaultLeavingTime), func() bool { return false })
+			So(has(r, "a"), ShouldBeFalse)
+		}
+	})
+}
+
 func TestReplacedAccountIsPassedOver(t *testing.T) {
 	Convey("An account that comes late from a box does not bring back what has ended since", t, func() {
 		r := newRegistry()
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -234,11 +234,12 @@
 	// badBoxes are the versions of the rows of boxes that could not be read, by name, so
 	// that each is told of once.
 	badBoxes map[string]epoch.Version
-	// unwellAt is when a call about the endpoints last failed, and returnedAt when
-	// any box was first known to read them again after that.
-	unwellAt, returnedAt time.Time
-	// lookedAt is when any box was last known to read the endpoints.
-	lookedAt time.Time
+	// unwellAt is when a call about the endpoints last failed, returnedAt when any box was first
+	// known to read them again after that, and unwellSince when any last had before.
+	unwellAt, returnedAt, unwellSince time.Time
+	// lookedAt is when any box was last known to read the endpoints, and lookedBefore when the
+	// time before.
+	lookedAt, lookedBefore time.Time
 }
 
 const (
@@ -413,9 +414,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.returnedAt.After(r.unwellAt) {
-		r.returnedAt = now
+		r.returnedAt, r.unwellSince = now, r.lookedAt
 	}
-	r.lookedAt = now
+	r.lookedBefore, r.lookedAt = r.lookedAt, now
 }
 
 // followLapses drops in time what did not come back or was not written again, and counts again
@@ -432,16 +433,30 @@
 	return nil
 }
 
-// lapseEnd is until when an endpoint is used whose entry went, as this box reads now. The lock is
-// held.
+// presentUntil is how long an endpoint may be used that was listed at a look, where its entry may
+// have gone right after that because it leaves.
+func (r *Registry) presentUntil(look time.Time) time.Time {
+	return look.Add(r.leavingTime() - lapseReserve)
+}
+
+// lapseEnd is until when an endpoint is used whose entry went, as this box reads now. Where nobody
+// had looked for as long as a departure may take to be known, the outage may be why it went, and a
+// server that lives writes its entry again. The lock is held.
 func (r *Registry) lapseEnd() time.Time {
-	return r.returnedAt.Add(min(lapseGrace, r.leavingTime()-lapseReserve))
+	end := r.presentUntil(r.lookedBefore)
+	if r.returnedAt.Sub(r.unwellSince) < r.leavingTime() {
+		return end
+	}
+	if back := r.returnedAt.Add(min(lapseGrace, r.leavingTime()-lapseReserve)); back.After(end) {
+		end = back
+	}
+	return end
 }
 
 // toldLapseEnd is the same for what another box tells now: it may have been without the store
-// alone, while this one knows that the endpoint was listed at the last look. The lock is held.
+// alone. The lock is held.
 func (r *Registry) toldLapseEnd(told, now time.Time) time.Time {
-	own := r.lookedAt.Add(r.leavingTime() - lapseReserve)
+	own := r.presentUntil(r.lookedAt)
 	if now.Sub(r.lookedAt) >= r.leavingTime() || told.Before(own) {
 		return told
 	}
--- a/pkg/registry/restored.go
+++ b/pkg/registry/restored.go
@@ -29,7 +29,7 @@
 	}
 	r.logRestored(before, version, fromStore)
 	if now.Sub(r.unwellAt) >= unwellFor {
-		r.unwellAt, r.returnedAt = now, now
+		r.unwellAt, r.returnedAt, r.unwellSince = now, now, time.Time{}
 	}
 	select {
 	case r.restored() <- struct{}{}:
