pkg/registry: a box that nobody can tell looks within the time for leaving

What callers see: after boxes that followed the store were killed, a box that lived goes on sending to an endpoint for longer than its departure may take to be known.

Cause: 1.2 s between two looks and up to a second of waiting for others to tell were more than the two seconds together, and did not go by the time that is set for leaving.

Why it works: the wait is a tenth to three tenths of that time now, after six tenths between looks.

--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -336,7 +336,7 @@
 		changed = r.mergeAll(entries, from, now)
 		if !served {
 			r.logUnserved(then, from)
-			r.unserved.note(then.Known, now)
+			r.unserved.note(then.Known, r.leavingTime(), now)
 			return changed
 		}
 		looked = then.Looks > r.knowledge.Looks
@@ -400,7 +400,7 @@
 	ahead := other.Known > upTo
 	switch {
 	case ahead && !r.served(other):
-		r.unserved.note(other.Known, time.Now())
+		r.unserved.note(other.Known, r.leavingTime(), time.Now())
 	case ahead && (newest > upTo || upTo == 0):
 		ask = true
 	default:
--- a/pkg/registry/follow.go
+++ b/pkg/registry/follow.go
@@ -130,18 +130,18 @@
 	due   time.Time
 }
 
-// unservedLeast and unservedSpread are how long a box that lacks something lets others tell
-// it. The first one that looks tells the others, so they look at different times; together
-// they are half of the two seconds within which users want it known that an endpoint left.
+// unservedLeast and unservedSpread are how long a box that lacks something lets others tell it, in
+// parts of the time in which leaving endpoints have to be known. The first one that looks tells the
+// others, so they look at different times. The time between two looks goes before.
 const (
-	unservedLeast  = 300 * time.Millisecond
-	unservedSpread = 700 * time.Millisecond
+	unservedLeast  = 0.1
+	unservedSpread = 0.2
 )
 
 // note notes that others know up to a version.
-func (u *unserved) note(known epoch.Version, now time.Time) {
+func (u *unserved) note(known epoch.Version, leaving time.Duration, now time.Time) {
 	if u.due.IsZero() {
-		u.due = now.Add(unservedLeast + rand.N(unservedSpread))
+		u.due = now.Add(time.Duration((unservedLeast + unservedSpread*rand.Float64()) * float64(leaving)))
 	}
 	u.known = max(u.known, known)
 }
--- a/pkg/registry/knowledge_test.go
+++ b/pkg/registry/knowledge_test.go
@@ -239,7 +239,7 @@
 		box.OfferEntries(valuesOf(entries), then, "teller")
 		So(has(box.Registry, "joined"), ShouldBeTrue)
 		So(box.Knowledge().Known, ShouldBeLessThan, store.version)
-		So(box.isUnserved(time.Now().Add(unservedLeast+unservedSpread)), ShouldBeTrue)
+		So(box.isUnserved(time.Now().Add(defaultLeavingTime)), ShouldBeTrue)
 
 		box.look(store, false)
 		So(has(box.Registry, "left"), ShouldBeFalse)
