pkg/registry: an older word of an endpoint, written late, does not undo that it leaves

What callers see: requests go to an endpoint that said it leaves, from all boxes, until it writes its entry again.

Cause: the newest row counted. Where a write has no answer it may be done seconds later, so that an earlier word of an endpoint can stand in the store after the one that says it leaves. What an answer said was kept against such rows, what a row had said was not.

Evidence: TestLateRowDoesNotUndoLeaving failed before and passes now.

Why it works: an endpoint that leaves takes that back by a later start only, whoever said so.

--- a/pkg/registry/departures_test.go
+++ b/pkg/registry/departures_test.go
@@ -149,3 +149,19 @@
 		So(leaving(r), ShouldBeTrue)
 	})
 }
+
+// TestLateRowDoesNotUndoLeaving guards against requests to an endpoint that leaves, where an older
+// word of it is written after the one that says so.
+func TestLateRowDoesNotUndoLeaving(t *testing.T) {
+	Convey("A row of the same start that says otherwise changes nothing, and one of a later start does", t, func() {
+		r := newRegistry()
+		r.takeRead([]Entry{rowOf(1, 7, false)}, 1, true, departed)
+		r.takeRead([]Entry{rowOf(2, 7, true)}, 2, false, departed)
+		r.takeRead([]Entry{rowOf(3, 7, false)}, 3, false, departed)
+		So(endpointIn(r, "e").Leaving, ShouldBeTrue)
+		told, _ := r.Departures(0, "", departed)
+		So(told, ShouldHaveLength, 1)
+		r.takeRead([]Entry{rowOf(4, 8, false)}, 4, false, departed)
+		So(endpointIn(r, "e").Leaving, ShouldBeFalse)
+	})
+}
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -158,7 +158,7 @@
 			zap.Int64("KnownBorn", known.Born))
 		return false
 	}
-	if had && known.Version.Precedes(entry.Version) {
+	if had {
 		r.outlive(&entry, &known, now)
 	}
 	if entry.Held {
--- a/pkg/registry/histories_test.go
+++ b/pkg/registry/histories_test.go
@@ -65,9 +65,14 @@
 	id := fmt.Sprintf("engine-%d", h.IntN(slowEndpoints))
 	switch h.IntN(12) {
 	case 0, 1:
-		h.store.write(id, func(e *Entry) { e.Gone, e.Leaving, e.Address = false, false, fmt.Sprint(h.store.version) })
+		h.store.write(id, func(e *Entry) {
+			if e.Gone || e.Born == 0 {
+				e.Born, e.Leaving = int64(h.store.version), false
+			}
+			e.Gone, e.Address = false, fmt.Sprint(h.store.version)
+		})
 	case 2:
-		if !h.store.entries[id].Gone {
+		if row := h.store.entries[id]; row.Born != 0 && !row.Gone {
 			h.store.write(id, func(e *Entry) { e.Leaving = true })
 		}
 	case 3:
--- a/pkg/registry/restored.go
+++ b/pkg/registry/restored.go
@@ -44,9 +44,10 @@
 		zap.String("From", from))
 }
 
-// outlive keeps what is known of the same start of an endpoint where a row of a later epoch
-// says otherwise: the row may be older than what is known, whatever its version. An endpoint
-// that leaves never takes that back, and one that is gone is held. The lock is held.
+// outlive keeps what is known of the same start of an endpoint where a later row says otherwise. An
+// endpoint that leaves never takes that back: the row is an older word of it that was written late. A
+// row of a later epoch may be older than what is known, whatever its version, and an endpoint that is
+// gone is held. The lock is held.
 func (r *Registry) outlive(entry, known *Entry, now time.Time) {
 	if entry.Supersedes(&known.Facts) {
 		return
@@ -54,7 +55,7 @@
 	if known.Leaving && !entry.Leaving {
 		r.depart(lifecycle.Departure{Endpoint: known.ID, Born: known.Born}, "", now)
 	}
-	writtenSince := entry.Version.Counter() > known.Version.Counter()
+	writtenSince := !known.Version.Precedes(entry.Version) || entry.Version.Counter() > known.Version.Counter()
 	if known.Gone && !entry.Gone && !writtenSince {
 		entry.Gone, entry.Held = true, true
 	}
