pkg/peer: all parts of an account of the endpoints come from one life of a box

What callers see: requests go to an endpoint that left, for as long as the box that asked lives.

Cause: an account in parts was asked for part by part, each over the session that there was then. Where the box that tells starts again in between, the first parts list what the later ones leave out, as it went before the second life read anything; a box that starts also kept parts of an account that was broken off, and completed them with another box's.

Why it works: the parts come over one session, which ends with the life, and are taken together, with the knowledge of the last one, or not at all.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -253,28 +253,24 @@
 
 // fetchDirectory takes what changed of the endpoints since what is known here.
 func (g *Gateway) fetchDirectory(from string, _ uint64) {
-	since := g.knownVersion()
-	for more := true; more; {
-		directory, err := g.exchange.FetchDirectory(from, since)
-		if err != nil {
-			g.Logs.For(logflags.Peer).Warn("endpoints not taken from peer", zap.String("Peer", from), zap.Error(err))
-			return
-		}
-		entries := make([]registry.Entry, 0, len(directory.Endpoints))
-		for _, message := range directory.Endpoints {
-			entries = append(entries, entryOf(message, time.Now()))
-			since = max(since, message.Version)
-		}
-		more = directory.More && len(entries) > 0
-		if more {
-			g.registry.OfferPage(entries, from)
-		} else {
-			g.registry.OfferEntries(entries, peer.KnowledgeOf(directory.Knowledge), from)
-		}
+	directory, err := g.exchange.FetchDirectory(from, g.knownVersion())
+	if err != nil {
+		g.Logs.For(logflags.Peer).Warn("endpoints not taken from peer", zap.String("Peer", from), zap.Error(err))
+		return
 	}
+	g.registry.OfferEntries(entriesOf(directory), peer.KnowledgeOf(directory.Knowledge), from)
 	g.exchange.Wake()
 }
 
+func entriesOf(directory *peerpb.Directory) []registry.Entry {
+	now := time.Now()
+	entries := make([]registry.Entry, 0, len(directory.Endpoints))
+	for _, message := range directory.Endpoints {
+		entries = append(entries, entryOf(message, now))
+	}
+	return entries
+}
+
 // Silent notes that a peer's session ended.
 func (g *Gateway) Silent(from peer.Sender) {
 	g.fleet.Silent(from)
--- a/pkg/peer/fetch.go
+++ b/pkg/peer/fetch.go
@@ -81,15 +81,33 @@
 	return links
 }
 
-// FetchDirectory asks one peer for what changed of the endpoints after a version.
+// FetchDirectory asks one peer for what changed of the endpoints after a version. All parts of the
+// answer come over one session, so that a peer that starts again meanwhile ends it: parts of two
+// lives would leave out what went in between.
 func (e *Exchange) FetchDirectory(from string, since uint64) (directory *peerpb.Directory, err error) {
 	defer func() { err = trace.Wrap(err, "fetching the directory from %s", from) }()
-	snapshot, err := e.snapshotOf(from, &peerpb.SnapshotRequest{Directory: true, Since: since})
-	if err != nil {
-		return nil, err
+	session := e.session(from)
+	if session == nil {
+		return nil, trace.NotFound("no session to the peer")
 	}
 	directory = &peerpb.Directory{}
-	return directory, proto.Unmarshal(snapshot.Content, directory)
+	for more := true; more; {
+		snapshot, err := e.fetchFrom(session, &peerpb.SnapshotRequest{Directory: true, Since: since})
+		if err != nil {
+			return nil, err
+		}
+		part := &peerpb.Directory{}
+		if err := proto.Unmarshal(snapshot.Content, part); err != nil {
+			return nil, err
+		}
+		directory.Endpoints = append(directory.Endpoints, part.Endpoints...)
+		directory.Knowledge = part.Knowledge
+		for _, endpoint := range part.Endpoints {
+			since = max(since, endpoint.Version)
+		}
+		more = part.More && len(part.Endpoints) > 0
+	}
+	return directory, nil
 }
 
 // session returns the open session to a peer; nil means that there is none.
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -361,21 +361,6 @@
 		zap.String("From", from))
 }
 
-// OfferPage merges a part of what a peer tells. A box that serves nothing yet goes on so until
-// it has all: by a part of the endpoints it would send all requests there.
-func (r *Registry) OfferPage(entries []Entry, from string) {
-	now := time.Now()
-	r.mu.Lock()
-	starts := r.directory.Load() == nil
-	if starts {
-		r.mergeAll(entries, from, now)
-	}
-	r.mu.Unlock()
-	if !starts {
-		r.update(now, func() (changed bool) { return r.mergeAll(entries, from, now) })
-	}
-}
-
 // served tells whether what another box knows is all that this one lacks. Accounts of later
 // versions than this box knows all changes up to are known here from boxes that could not serve
 // it: what came of them has to be known there as well. The lock is held.
