pkg/registry: boxes that know the same version find out that they know other endpoints

What callers see: a box that is wrong about an endpoint, from whatever cause, goes on so for as long as it lives, as does each box that starts by asking it.

Change: what a box tells of its knowledge has a digest of the endpoints that are listed as of it, kept up to date with each entry that changes. Two boxes of the same version and other digests say so in their logs, and each reads all endpoints once, a tenth to three tenths of the time for leaving later; one that was right does so ever more seldom while the difference lasts. Eight bytes in each update.

--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -159,6 +159,7 @@
 		GapAfter:  uint64(k.GapAfter),
 		GapBefore: uint64(k.GapBefore),
 		Looks:     k.Looks,
+		Digest:    k.Digest,
 	}
 }
 
@@ -170,6 +171,7 @@
 		GapAfter:  epoch.Version(message.GetGapAfter()),
 		GapBefore: epoch.Version(message.GetGapBefore()),
 		Looks:     message.GetLooks(),
+		Digest:    message.GetDigest(),
 	}
 }
 
--- /dev/null
+++ b/pkg/registry/divergence.go
@@ -0,0 +1,84 @@
+package registry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// divergence is what this box does about another one that knows the same version, and other
+// endpoints: one of them is wrong, and its own table would never tell it. It reads all, once.
+type divergence struct {
+	// due is when this box reads all; zero while it is not known to differ.
+	due time.Time
+	// restUntil is until when differences are passed over, and rest how long the last such time
+	// was: it doubles while readings change nothing, as it is the other box then that is wrong, or
+	// the boxes take the same rows differently.
+	restUntil time.Time
+	rest      time.Duration
+}
+
+// divergenceRest and divergenceRestMost bound the times in which differences are passed over.
+const (
+	divergenceRest     = 2 * time.Second
+	divergenceRestMost = 10 * time.Minute
+)
+
+// settle notes a reading of all endpoints, and whether it changed any.
+func (d *divergence) settle(changed bool, now time.Time) {
+	if d.due.IsZero() {
+		return
+	}
+	d.rest = min(max(divergenceRest, 2*d.rest), divergenceRestMost)
+	if changed {
+		d.rest = divergenceRest
+	}
+	d.due, d.restUntil = time.Time{}, now.Add(d.rest)
+}
+
+// mixDigest spreads the bits of a version over all of a digest.
+const mixDigest = 0x9e3779b97f4a7c15
+
+// digestOf is an entry's part of the digest; nil, and what is not listed, has none.
+func digestOf(entry *Entry) uint64 {
+	if entry == nil || entry.Gone || !entry.LapsesAt.IsZero() {
+		return 0
+	}
+	mixed := entry.Hash ^ uint64(entry.Version)*mixDigest
+	mixed ^= mixed >> 32
+	return mixed * mixDigest
+}
+
+// toldDigest is 0 where entries are known beyond the version up to which all are. The lock is held.
+func (r *Registry) toldDigest() uint64 {
+	if r.newest > r.knowledge.Known || len(r.held) > 0 {
+		return 0
+	}
+	return r.digest
+}
+
+// compare looks at the digest of a box that knows as much. The lock is held.
+func (r *Registry) compare(other route.Knowledge, now time.Time) {
+	own := r.toldDigest()
+	if other.Known != r.knowledge.Known || other.Digest == 0 || own == 0 || !r.divergence.due.IsZero() || now.Before(r.divergence.restUntil) {
+		return
+	}
+	if other.Digest == own {
+		return
+	}
+	r.divergence.due = now.Add(time.Duration((unservedLeast + unservedSpread*rand.Float64()) * float64(r.leavingTime())))
+	r.Log.Warn("another box knows other endpoints of the same version", zap.Stringer("Known", other.Known))
+}
+
+// isDivergent tells whether this box has to read all endpoints, as another one knows others.
+func (r *Registry) isDivergent(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.divergence.due.IsZero() && now.After(r.divergence.due)
+}
+
+// lacks tells whether this box has to look at the store by itself, whoever follows it.
+func (r *Registry) lacks(now time.Time) bool { return r.isUnserved(now) || r.isDivergent(now) }
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -30,6 +30,9 @@
 		}
 		changed = r.mergeAll(entries, fromStore, now)
 		r.knowledge.Read(version, whole)
+		if whole {
+			r.divergence.settle(changed, now)
+		}
 		return changed
 	})
 	return passedOver
@@ -116,6 +119,8 @@
 
 // put keeps an entry. The lock is held.
 func (r *Registry) put(entry Entry) {
+	before, _ := r.entries.at(entry.ID)
+	r.digest ^= digestOf(before) ^ digestOf(&entry)
 	r.entries.put(entry)
 	r.newest = max(r.newest, entry.Version)
 	r.touched = append(r.touched, entry.ID)
@@ -302,7 +307,9 @@
 func (r *Registry) Knowledge() route.Knowledge {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.knowledge
+	known := r.knowledge
+	known.Digest = r.toldDigest()
+	return known
 }
 
 // Newest is the highest version of an account of an endpoint.
@@ -382,6 +389,7 @@
 func (r *Registry) HeardKnowledge(other route.Knowledge, newest epoch.Version) (news, ask bool) {
 	r.mu.Lock()
 	known, upTo := r.knowledge, r.knowledge.Known
+	r.compare(other, time.Now())
 	ahead := other.Known > upTo
 	switch {
 	case ahead && !r.served(other):
--- a/pkg/registry/histories_test.go
+++ b/pkg/registry/histories_test.go
@@ -103,6 +103,9 @@
 		if box.Knowledge().Known != h.store.version || box.Directory() == nil {
 			continue
 		}
+		if !box.divergence.due.IsZero() {
+			return fmt.Sprintf("box %d takes itself to differ from another one", i)
+		}
 		got := map[string]route.Endpoint{}
 		for _, endpoint := range box.Directory().All() {
 			endpoint.Hash = 0
--- a/pkg/registry/readings.go
+++ b/pkg/registry/readings.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/quaylead/quaylead/pkg/epoch"
@@ -17,6 +19,8 @@
 	AfterFailure Reason = "failure"
 	// WithoutHistory is for one to which the store can not tell what changed.
 	WithoutHistory Reason = "history"
+	// Divergent is for one that knows as much as another box, and other endpoints.
+	Divergent Reason = "divergence"
 )
 
 // noteWhole tells that a reading of all endpoints begins.
@@ -25,6 +29,8 @@
 	switch {
 	case failures > 0:
 		why = AfterFailure
+	case r.isDivergent(time.Now()):
+		why = Divergent
 	case since > 0:
 		why = WithoutHistory
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -212,8 +212,11 @@
 	knowledge route.Knowledge
 	// unserved is what this box lacks and has heard of from nobody that can tell it.
 	unserved unserved
-	// newest is the highest version of an entry.
+	// newest is the highest version of an entry, and digest sums up those that are listed.
 	newest epoch.Version
+	digest uint64
+	// divergence is what is to be done about another digest.
+	divergence divergence
 	// lost is set while this box's calls of the store fail; lostAt is when that last
 	// changed.
 	lost   bool
@@ -340,9 +343,9 @@
 func (r *Registry) followEndpoints(ctx context.Context) error {
 	again := backoff{peers: r.Peers}
 	whole := false
-	for r.awaitFollow(ctx, r.Directory() != nil, r.isUnserved) == nil {
+	for r.awaitFollow(ctx, r.Directory() != nil, r.lacks) == nil {
 		since := r.Position()
-		whole = whole || since == 0
+		whole = whole || since == 0 || r.isDivergent(time.Now())
 		if whole {
 			r.noteWhole(since, again.failures)
 		}
--- a/pkg/route/knowledge.go
+++ b/pkg/route/knowledge.go
@@ -16,6 +16,9 @@
 	// Looks numbers the looks of all boxes at the store: the one that looks counts on
 	// from the highest number it has heard. Two that look at once may take the same.
 	Looks uint64
+	// Digest sums up the endpoints that are listed as of Known, for boxes that know as much to find
+	// out that they differ; 0 where it is not told.
+	Digest uint64
 }
 
 // Serves tells whether what changed here after the other's Known is all that the other
