cmd/quaybench/soak: servers leave without a word, and all boxes return with a slow store

The trouble of the last faults: a server whose entry goes and that serves on, in calm times and while all boxes, killed in one moment, come back to a slow store. Work for it is judged as for any server that left.

--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -16,7 +17,7 @@
 )
 
 // injection is one of killed, paused, stopped, hungUp, linkFault, storeFault,
-// forgotten, restored, serverFault, leaving, departing, configured and deadly.
+// forgotten, restored, serverFault, leaving, departing, vanishing, blackout, configured and deadly.
 type injection interface {
 	fmt.Stringer
 	injection()
@@ -71,6 +72,16 @@
 // its row stays as it was.
 type departing struct{ server *server }
 
+// vanishing takes a server away without a word, after another one came: its row goes, and it serves on.
+type vanishing struct{ server *server }
+
+// blackout ends all boxes in one moment. While they return the store is slow, and a server vanishes.
+type blackout struct {
+	server *server
+	// slow is the store's delay, and vanishes when the server does, from the return on.
+	slow, vanishes time.Duration
+}
+
 // configured has a new configuration accepted.
 type configured struct{}
 
@@ -97,6 +108,8 @@
 func (serverFault) injection() {}
 func (leaving) injection()     {}
 func (departing) injection()   {}
+func (vanishing) injection()   {}
+func (blackout) injection()    {}
 func (configured) injection()  {}
 func (deadly) injection()      {}
 
@@ -116,7 +129,11 @@
 func (f serverFault) String() string { return f.server.ID + " " + f.how }
 func (f leaving) String() string     { return f.server.ID + " leaves" }
 func (f departing) String() string   { return f.server.ID + " leaves by its answers" }
-func (f configured) String() string  { return "a new configuration" }
+func (f vanishing) String() string   { return f.server.ID + " leaves without a word" }
+func (f blackout) String() string {
+	return fmt.Sprintf("all boxes killed, the store slow by %s, %s leaves without a word %s after", f.slow, f.server.ID, f.vanishes)
+}
+func (f configured) String() string { return "a new configuration" }
 func (f deadly) String() string {
 	return fmt.Sprintf("a request that ends servers of %s, again within %s each time, at all boxes at once: %t", f.service, f.pause, f.together)
 }
@@ -124,7 +141,7 @@
 func drawFault(draw *rand.Rand, w *world) injection {
 	b := w.boxes[draw.IntN(len(w.boxes))]
 	s := w.drawServer(draw)
-	switch draw.IntN(19) {
+	switch draw.IntN(22) {
 	case 0:
 		return killed{boxes: []*box{b}}
 	case 1:
@@ -163,6 +180,14 @@
 			away:  time.Duration(50+draw.IntN(1500)) * time.Millisecond,
 			again: time.Duration(draw.IntN(1500)) * time.Millisecond,
 		}
+	case 16, 17:
+		return vanishing{server: s}
+	case 18:
+		return blackout{
+			server:   s,
+			slow:     time.Duration(draw.IntN(600)) * time.Millisecond,
+			vanishes: time.Duration(draw.IntN(1500)) * time.Millisecond,
+		}
 	default:
 		return drawServerFault(draw, s)
 	}
@@ -274,6 +299,10 @@
 		return w.takeAway(ctx, f.server)
 	case departing:
 		return w.depart(f.server)
+	case vanishing:
+		return w.vanish(f.server)
+	case blackout:
+		return w.blackOut(ctx, f, length)
 	case configured:
 		return w.accept()
 	case deadly:
@@ -373,6 +402,35 @@
 	return nil
 }
 
+// vanish takes the entry of a server away, which serves on.
+func (w *world) vanish(s *server) error {
+	if err := w.addServer(s.Service); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s.left.IsZero() {
+		s.left = time.Now()
+		w.store.Unregister(s.ID)
+	}
+	return nil
+}
+
+func (w *world) blackOut(ctx context.Context, f blackout, length time.Duration) error {
+	group := errgroup.Group{}
+	for _, b := range w.boxes {
+		group.Go(func() error { return b.killFor(ctx, length) })
+	}
+	_ = interval.Wait(ctx, length)
+	w.trouble(f.vanishes + rewrittenIn)
+	w.store.SetFault(standin.StoreFault{Delay: f.slow})
+	_ = interval.Wait(ctx, f.vanishes)
+	err := w.vanish(f.server)
+	_ = interval.Wait(ctx, rewrittenIn)
+	w.store.SetFault(standin.StoreFault{})
+	return errors.Join(err, group.Wait())
+}
+
 // leavingTime is how long a leaving server's entry stays; it serves on until the
 // end of the run, so that work sent to it all the same is seen.
 const leavingTime = 3 * time.Second
