pkg/gateway: an entry that lapses is gone to boxes of an earlier release

While a release is rolled out, boxes that do not know of lapses would have taken such an entry for one that is listed, and used its endpoint for ever, as its removal is told only once. Many entries that lapse at once are not logged one by one.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -139,19 +139,18 @@
 		lapsesIn = max(time.Microsecond, entry.LapsesAt.Sub(now))
 	}
 	return &peerpb.Endpoint{
-		ID:      entry.ID,
-		Version: uint64(entry.Version),
-		Service: entry.Service,
-		Address: entry.Address,
-		Zone:    entry.Zone,
-		Slots:   uint32(entry.Slots),
-		Release: entry.Release,
-		Leaving: entry.Leaving,
-		Gone:    entry.Gone,
-		Held:    entry.Held,
-		Born:    entry.Born,
-		ColdFor: max(0, entry.ColdUntil.Sub(now)).Microseconds(),
-
+		ID:       entry.ID,
+		Version:  uint64(entry.Version),
+		Service:  entry.Service,
+		Address:  entry.Address,
+		Zone:     entry.Zone,
+		Slots:    uint32(entry.Slots),
+		Release:  entry.Release,
+		Leaving:  entry.Leaving,
+		Gone:     entry.Gone || lapsesIn > 0,
+		Held:     entry.Held,
+		Born:     entry.Born,
+		ColdFor:  max(0, entry.ColdUntil.Sub(now)).Microseconds(),
 		LapsesIn: lapsesIn.Microseconds(),
 	}
 }
@@ -163,12 +162,11 @@
 		lapsesAt = now.Add(time.Duration(message.LapsesIn) * time.Microsecond)
 	}
 	return registry.Entry{
+		Version:  epoch.Version(message.Version),
+		Gone:     message.Gone && lapsesAt.IsZero(),
 		LapsesAt: lapsesAt,
-
-		Version: epoch.Version(message.Version),
-		Gone:    message.Gone,
-		Held:    message.Held,
-		ColdFor: time.Duration(message.ColdFor) * time.Microsecond,
+		Held:     message.Held,
+		ColdFor:  time.Duration(message.ColdFor) * time.Microsecond,
 		Endpoint: route.Endpoint{
 			ID:      message.ID,
 			Service: message.Service,
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -233,6 +233,9 @@
 	}
 	r.lapsing[entry.ID] = struct{}{}
 	r.put(entry)
+	if r.quiet {
+		return known.ID == ""
+	}
 	r.Log.Info("entry lapsed during an outage, endpoint still used",
 		zap.String("Endpoint", entry.ID),
 		zap.Stringer("Version", entry.Version),
