pkg/registry: a lapse keeps the later start, and a divergent box does not press a lost store

Both found by reading the diff: a teller that missed a new start would have put the earlier one back for the time of the lapse, and a box that differs from another one, while calls fail, would have tried the store at each of its short waits, though few boxes are to. TestLapseKeepsTheLaterStart, TestDivergenceEnds.

--- a/pkg/registry/divergence.go
+++ b/pkg/registry/divergence.go
@@ -39,6 +39,13 @@
 	d.due, d.restUntil = time.Time{}, now.Add(d.rest)
 }
 
+// postpone puts the reading off after a failed call, so that few boxes try a store that is lost.
+func (d *divergence) postpone(now time.Time) {
+	if !d.due.IsZero() {
+		d.due = now.Add(divergenceRest)
+	}
+}
+
 // mixDigest spreads the bits of a version over all of a digest.
 const mixDigest = 0x9e3779b97f4a7c15
 
--- a/pkg/registry/divergence_test.go
+++ b/pkg/registry/divergence_test.go
@@ -36,6 +36,11 @@
 			hear()
 			So(wrong.lacks(now.Add(time.Minute)), ShouldBeFalse)
 		})
+		Convey("nor does it try again at once where the store is lost", func() {
+			wrong.endpointsFailed(errStoreDown)
+			So(wrong.lacks(time.Now().Add(divergenceRest/2)), ShouldBeFalse)
+			So(wrong.lacks(time.Now().Add(divergenceRest+time.Second)), ShouldBeTrue)
+		})
 		Convey("the other one reads all as well, and then ever more seldom", func() {
 			for rest := divergenceRest; rest < divergenceRestMost; rest *= 2 {
 				So(right.isDivergent(now.Add(time.Hour)), ShouldBeTrue)
--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -200,12 +200,8 @@
 // judges whether an outage of the store may be the reason, and tells the others.
 func (r *Registry) remove(known, entry Entry, from string, now time.Time) bool {
 	if from == fromStore && known.ID != "" && !known.Gone && !r.leaves(&known.Endpoint) && now.Sub(r.unwellAt) < unwellFor {
-		lapsing := known
-		lapsing.Version = entry.Version
-		if known.LapsesAt.IsZero() {
-			lapsing.LapsesAt = r.lapseEnd()
-		}
-		return r.lapse(known, lapsing, from, now)
+		entry.LapsesAt = r.lapseEnd()
+		return r.lapse(known, entry, from, now)
 	}
 	if known.ID == "" {
 		known.ID = entry.ID
@@ -228,6 +224,16 @@
 		r.bury(known, entry.Version)
 		return false
 	}
+	if known.ID != "" {
+		// The teller may know an earlier account of it.
+		until := entry.LapsesAt
+		if !known.LapsesAt.IsZero() && known.LapsesAt.Before(until) {
+			until = known.LapsesAt
+		}
+		version := entry.Version
+		entry = known
+		entry.Version, entry.LapsesAt = version, until
+	}
 	if r.lapsing == nil {
 		r.lapsing = map[string]struct{}{}
 	}
--- a/pkg/registry/lapses_test.go
+++ b/pkg/registry/lapses_test.go
@@ -50,6 +50,23 @@
 	})
 }
 
+// TestLapseKeepsTheLaterStart guards against an endpoint that goes back to an earlier start as it lapses.
+func TestLapseKeepsTheLaterStart(t *testing.T) {
+	Convey("What is known of the endpoint here stays, with the earlier of two ends", t, func() {
+		r := newRegistry()
+		now := time.Now()
+		r.takeRead([]Entry{bornAt("a", 5, 8)}, 5, true, now)
+		told := bornAt("a", 6, 7)
+		told.LapsesAt = now.Add(time.Second)
+		r.OfferEntries([]Entry{told}, route.Knowledge{Known: 6, Base: 1}, "peer")
+		So(endpointIn(r, "a").Born, ShouldEqual, 8)
+		told.Version, told.LapsesAt = 9, now.Add(time.Minute)
+		r.OfferEntries([]Entry{told}, route.Knowledge{Known: 9, Base: 1}, "peer")
+		r.update(now.Add(2*time.Second), func() bool { return false })
+		So(has(r, "a"), ShouldBeFalse)
+	})
+}
+
 // TestNewsDoesNotWaitForLapses guards against departures that other boxes hear of only when nothing
 // counts as lapsed any more.
 func TestNewsDoesNotWaitForLapses(t *testing.T) {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -490,4 +490,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unwellAt = time.Now()
+	r.divergence.postpone(r.unwellAt)
 }
