--- a/pkg/registry/endpoints.go
+++ b/pkg/registry/endpoints.go
@@ -217,40 +217,6 @@
 	return !wasGone
 }
 
-// lapse takes the word that an entry was removed in an outage, and its endpoint is still used for a
-// while. What is known to be gone stays so.
-func (r *Registry) lapse(known, entry Entry, from string, now time.Time) bool {
-	if known.Gone {
-		r.bury(known, entry.Version)
-		return false
-	}
-	if known.ID != "" {
-		// The teller may know an earlier account of it.
-		until := entry.LapsesAt
-		if !known.LapsesAt.IsZero() && known.LapsesAt.Before(until) {
-			until = known.LapsesAt
-		}
-		version := entry.Version
-		entry = known
-		entry.Version, entry.LapsesAt = version, until
-	}
-	if r.lapsing == nil {
-		r.lapsing = map[string]struct{}{}
-	}
-	r.lapsing[entry.ID] = struct{}{}
-	r.put(entry)
-	if r.quiet {
-		return known.ID == ""
-	}
-	r.Log.Info("entry lapsed during an outage, endpoint still used",
-		zap.String("Endpoint", entry.ID),
-		zap.Stringer("Version", entry.Version),
-		zap.Duration("Outage", r.returnedAt.Sub(r.unwellSince)),
-		zap.Duration("For", entry.LapsesAt.Sub(now)),
-		zap.String("From", from))
-	return known.ID == ""
-}
-
 func (r *Registry) bury(known Entry, version epoch.Version) {
 	known.Version = version
 	known.Gone, known.Held, known.LapsesAt = true, false, time.Time{}
@@ -259,21 +225,6 @@
 	delete(r.held, known.ID)
 }
 
-// endLapses drops endpoints whose entries did not come back. Each box does so by itself, so that
-// nothing has to be told then. The lock is held.
-func (r *Registry) endLapses(now time.Time) (changed bool) {
-	for id := range r.lapsing {
-		entry, _ := r.entries.find(id)
-		if now.Before(entry.LapsesAt) {
-			continue
-		}
-		r.bury(entry, entry.Version)
-		changed = true
-		r.Log.Info("endpoint gone: its entry did not come back", zap.String("Endpoint", id))
-	}
-	return changed
-}
-
 // publish makes the directory that others read, out of the one before and the entries that
 // changed. The lock is held.
 func (r *Registry) publish() {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -18,7 +18,6 @@
 	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/quarantine"
-	"github.com/quaylead/quaylead/pkg/rollout"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -31,112 +30,6 @@
 
 func isHistoryLost(err error) bool { return errors.Is(err, ErrHistoryLost) }
 
-// Entry is what the store says of one endpoint. Problem is set, and nothing
-// else but the ID and Version, when it can not be read.
-type Entry struct {
-	route.Endpoint
-	// Version is the store's counter at the entry's last change.
-	Version epoch.Version
-	// ColdFor is how much longer the endpoint is cold, as of the reading.
-	ColdFor time.Duration
-	// Gone entries were removed.
-	Gone bool
-	// Held entries are Gone by what was known before the store was restored from a copy that
-	// lists them. They count again after a while, unless the store has news of them.
-	Held bool
-	// LapsesAt is until when the endpoint of an entry is used that was removed in an outage; the
-	// Version is that of its removal. Zero in entries that are listed, and in those that are Gone.
-	LapsesAt time.Time
-	Problem  error
-}
-
-// Box is what a box writes of itself, for the others to find it.
-type Box struct {
-	Name        string
-	Zone        string
-	PeerAddress string
-	// Cores is the processor time that it has; 0 means unknown.
-	Cores float64
-}
-
-// ListedBox is a row of the store about a box. Problem is set, and nothing else but the
-// name and Version, when it can not be read.
-type ListedBox struct {
-	Box
-	// Version is the store's counter at the row's last change.
-	Version epoch.Version
-	Problem error
-}
-
-// Declared is what the operator has written, or what changed of it.
-type Declared struct {
-	// Version is the store's at the reading.
-	Version epoch.Version
-	// Content is the accepted configuration; nil means none, or no change.
-	Content []byte
-	// Evacuations are the orders for availability zones.
-	Evacuations []Evacuation
-	// Rollouts are the orders to move services to another version.
-	Rollouts []DeclaredRollout
-}
-
-// DeclaredRollout is an order to move a service to another version of its endpoints, or its
-// withdrawal. One with a Problem moves nothing.
-type DeclaredRollout struct {
-	rollout.Order
-	Withdrawn bool
-	Problem   error
-}
-
-// RolloutStatus is the row in which the operator reads how far an order is.
-type RolloutStatus struct {
-	Service, Target string
-	Verdict         rollout.Verdict
-	// Version is the store's counter at the row's last change; 0 means that there is none.
-	Version epoch.Version
-}
-
-// Evacuation is an order that nothing be sent to a zone, or its withdrawal. One with a
-// Problem names no zone.
-type Evacuation struct {
-	Zone string
-	// Version is the store's counter at the order's last change.
-	Version   epoch.Version
-	Withdrawn bool
-	Problem   error
-}
-
-// Store is the part of the platform that the registry needs. Versions are of
-// the store's one counter.
-type Store interface {
-	// Declared reads all that the operator has written.
-	Declared(ctx context.Context) (Declared, error)
-	// DeclaredSince waits for a change after the version.
-	DeclaredSince(ctx context.Context, version epoch.Version, wait time.Duration) (Declared, error)
-	// DecodeCatalog reads a configuration's content.
-	DecodeCatalog(content []byte) (*route.Catalog, error)
-	// Endpoints reads all entries.
-	Endpoints(ctx context.Context) (entries []Entry, version epoch.Version, err error)
-	// EndpointsSince reads what changed since the version, without waiting.
-	EndpointsSince(ctx context.Context, version epoch.Version) (entries []Entry, now epoch.Version, err error)
-	// Announce writes the entries of boxes.
-	Announce(ctx context.Context, boxes ...Box) error
-	// Boxes reads the entries of all boxes, or where most is over 0 of that many, such as are
-	// found with little: some, and those from a name on.
-	Boxes(ctx context.Context, from string, most int) ([]ListedBox, error)
-	// KeptRequests reads the requests under which endpoints ended.
-	KeptRequests(ctx context.Context) ([]KeptRequest, error)
-	// KeepRequests writes some of them; those without ends are removed.
-	KeepRequests(ctx context.Context, rows []quarantine.Kept) error
-	// RolloutStatus reads the row about a service.
-	RolloutStatus(ctx context.Context, service string) (RolloutStatus, error)
-	// WriteRolloutStatus writes it if it is still of the version given, and reports whether
-	// it was.
-	WriteRolloutStatus(ctx context.Context, status RolloutStatus) (written bool, err error)
-	// Close ends the calls that are under way.
-	Close()
-}
-
 // Registry follows the store. Its exported fields are set before Run.
 type Registry struct {
 	Store Store
@@ -271,17 +164,6 @@
 	retryMost    = 800 * time.Millisecond
 	retryPart    = 80 * time.Millisecond
 	retryLongest = 5 * time.Second
-	// lapseGrace is how long after the store's return an entry that went during the
-	// outage is still used; the users' pages say that a live server is back within
-	// two seconds. It ends lapseReserve before LeavingTime is over, as the entry may
-	// be that of an endpoint that has left.
-	lapseGrace   = 2200 * time.Millisecond
-	lapseReserve = 200 * time.Millisecond
-	// lapseLook is the time between two looks whether that time is over.
-	lapseLook = 100 * time.Millisecond
-	// unwellFor is how long after a failed call a lost entry is put down to the
-	// outage: one call's time-out and the longest wait after a failure.
-	unwellFor = 2 * time.Second
 	// boxesInterval is the mean time between two looks at the list of boxes.
 	boxesInterval = 10 * time.Second
 	// boxesPart is added to it for each box: new ones tell all they find, and
@@ -384,12 +266,6 @@
 	return nil
 }
 
-func (r *Registry) lapsePending() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.lapsing) > 0
-}
-
 // awaitTurn waits until no box has looked at the endpoints for a while.
 func (r *Registry) awaitTurn(ctx context.Context) error {
 	bound := float64(r.leavingTime())
@@ -412,60 +288,6 @@
 	r.endpointsRead(time.Now())
 }
 
-// endpointsRead notes that some box reads the endpoints.
-func (r *Registry) endpointsRead(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.returnedAt.After(r.unwellAt) {
-		r.returnedAt, r.unwellSince = now, r.lookedAt
-	}
-	r.lookedBefore, r.lookedAt = r.lookedAt, now
-}
-
-// followLapses drops in time what did not come back or was not written again, and counts again
-// what was held.
-func (r *Registry) followLapses(ctx context.Context) error {
-	for interval.Wait(ctx, lapseLook) == nil {
-		if r.lapsePending() || r.holdPending() {
-			r.update(time.Now(), func() bool { return false })
-		}
-		if r.endKeptOrders(time.Now()) {
-			r.Changed()
-		}
-	}
-	return nil
-}
-
-// presentUntil is how long an endpoint may be used that was listed at a look, where its entry may
-// have gone right after that because it leaves.
-func (r *Registry) presentUntil(look time.Time) time.Time {
-	return look.Add(r.leavingTime() - lapseReserve)
-}
-
-// lapseEnd is until when an endpoint is used whose entry went, as this box reads now. Where nobody
-// had looked for as long as a departure may take to be known, the outage may be why it went, and a
-// server that lives writes its entry again. The lock is held.
-func (r *Registry) lapseEnd() time.Time {
-	end := r.presentUntil(r.lookedBefore)
-	if r.returnedAt.Sub(r.unwellSince) < r.leavingTime() {
-		return end
-	}
-	if back := r.returnedAt.Add(min(lapseGrace, r.leavingTime()-lapseReserve)); back.After(end) {
-		end = back
-	}
-	return end
-}
-
-// toldLapseEnd is the same for what another box tells now: it may have been without the store
-// alone. The lock is held.
-func (r *Registry) toldLapseEnd(told, now time.Time) time.Time {
-	own := r.presentUntil(r.lookedAt)
-	if now.Sub(r.lookedAt) >= r.leavingTime() || told.Before(own) {
-		return told
-	}
-	return own
-}
-
 func (r *Registry) leavingTime() time.Duration { return cmp.Or(r.LeavingTime, defaultLeavingTime) }
 
 // Position is the version up to which this box has read the endpoints, or was told of them.
@@ -481,14 +303,3 @@
 	}
 	return r.Store.EndpointsSince(ctx, since)
 }
-
-// endpointsFailed notes an outage. A store that lost its history is well.
-func (r *Registry) endpointsFailed(err error) {
-	if isHistoryLost(err) {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.unwellAt = time.Now()
-	r.divergence.postpone(r.unwellAt)
-}
