--- a/pkg/registry/outages_test.go
+++ b/pkg/registry/outages_test.go
@@ -138,7 +138,7 @@
 
 func (f *outageFleet) look(i int) {
 	box, now := f.boxes[i], time.Now()
-	if !f.follows(i) && box.Directory() != nil && !box.isUnserved(now) {
+	if !f.follows(i) && box.Directory() != nil && !box.lacks(now) {
 		box.followed = false
 		return
 	}
@@ -251,6 +251,9 @@
 		if !box.up || box.Directory() == nil {
 			continue
 		}
+		if !box.divergence.due.IsZero() {
+			f.fail("box %d takes itself to differ from another one", i)
+		}
 		for _, endpoint := range box.Directory().All() {
 			left, leaves := f.leftAt[endpoint.ID]
 			if !leaves || !endpoint.Admits() {
