--- a/pkg/dispatch/cache.go
+++ b/pkg/dispatch/cache.go
@@ -28,6 +28,9 @@
 	// Born identifies the instance of the engine; 0 means unknown.
 	Born  int64
 	Parts []Part
+	// Rate is the measured rate at which the engine reads prompts, in tokens per second; 0 means
+	// unknown.
+	Rate float64
 }
 
 // maxCachedParts bounds the parts reported for one engine. An engine's cache holds fewer long
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -46,6 +46,11 @@
 	MissFactor, ShortMissFactor float64
 	// Window is the time over which customers' shares are counted.
 	Window time.Duration
+	// ZoneHomes distributes the homes of a shared part over availability zones and prefers the
+	// zone of the request, ColdHomes reads a part that is cached nowhere at one home first, and
+	// Fetch lets engines copy cached parts from each other. They require engines for which copies
+	// of a prompt are cheap: see route.Engine.HasCompactCache.
+	ZoneHomes, ColdHomes, Fetch bool
 	// ColdFactor and ColdExtra are by how much the fleet may exceed the operator's limit for
 	// cold engines in any second: a factor, and a number of requests.
 	ColdFactor, ColdExtra float64
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -86,6 +86,10 @@
 	// box's requests of the customer were granted in other groups of the service.
 	BoxHash uint64
 	OtherGroupUsage
+	// Zone is the availability zone of the box that sent it; empty means unknown.
+	Zone string
+	// Size is the number of bytes of its body.
+	Size int
 	// Arrived is when the router received it.
 	Arrived time.Time
 	// LatencyTarget is the time from Arrived within which its first event should come.
@@ -124,6 +128,12 @@
 	ReadTime time.Duration
 	// MissingTokens are the tokens of shared parts that the engine has to read again.
 	MissingTokens int
+	// FetchFrom is the ID of the engine from which it can copy cached parts of the prompt that it
+	// does not have; empty means none.
+	FetchFrom string
+	// Rate is the measured rate at which the engine reads prompts, in tokens per second; 0 means
+	// unknown.
+	Rate float64
 }
 
 // Refusal refuses a request, which is to be retried later.
--- a/pkg/gateway/messages.go
+++ b/pkg/gateway/messages.go
@@ -26,6 +26,7 @@
 		Endpoint:   endpoint,
 		Begun:      begun,
 		Zones:      req.Zones,
+		Size:       uint32(req.Size),
 
 		Release:       req.Releases.Version,
 		OtherReleases: req.Releases.Others,
@@ -60,6 +61,7 @@
 		Deadline:      now.Add(time.Duration(message.Remaining) * time.Microsecond),
 		Excluded:      message.Excluded,
 		Zones:         message.Zones,
+		Size:          int(message.Size),
 		Releases:      rollout.VersionFilter{Version: message.Release, Others: message.OtherReleases},
 		BoxHash:       message.Box,
 
@@ -80,7 +82,7 @@
 }
 
 func encodeCachedParts(cached dispatch.CachedParts) *peerpb.Call {
-	message := &peerpb.Kept{Endpoint: cached.Endpoint, Born: cached.Born}
+	message := &peerpb.Kept{Endpoint: cached.Endpoint, Born: cached.Born, Rate: uint32(cached.Rate)}
 	for _, part := range cached.Parts {
 		message.PartIDs = append(message.PartIDs, part.ID)
 		message.PartTokens = append(message.PartTokens, uint32(part.Tokens))
@@ -182,6 +184,8 @@
 		Read:       v.readTime.Microseconds(),
 		Missing:    uint32(v.missingTokens),
 		Resting:    v.noEligibleEngine,
+		FetchFrom:  v.fetchFrom,
+		Rate:       uint32(v.rate),
 	}
 }
 
@@ -196,5 +200,7 @@
 		readTime:         time.Duration(message.Read) * time.Microsecond,
 		missingTokens:    int(message.Missing),
 		noEligibleEngine: message.Resting,
+		fetchFrom:        message.FetchFrom,
+		rate:             float64(message.Rate),
 	}
 }
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -137,6 +137,8 @@
 		Deadline:      time.Now().Add(c.remaining()),
 		Excluded:      c.excluded,
 		Zones:         c.zones,
+		Zone:          c.gateway.Settings.Zone,
+		Size:          len(c.http.Request.Body()),
 		Releases:      c.gateway.rollouts.pickVersions(c.service.Name),
 
 		Fingerprint: c.fingerprint,
--- a/pkg/gateway/pending.go
+++ b/pkg/gateway/pending.go
@@ -35,6 +35,10 @@
 	wait, readTime time.Duration
 	// missingTokens are the tokens of shared prompt parts that the engine does not have cached.
 	missingTokens int
+	// fetchFrom is the engine from which the granted one can copy cached parts; empty means none.
+	fetchFrom string
+	// rate is the measured rate of the granted engine in tokens per second; 0 means unknown.
+	rate float64
 	// decidedBy is the name of the box that decided.
 	decidedBy string
 }
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -322,7 +322,7 @@
 	defer s.mu.Unlock()
 	s.lastStream++
 	s.preparePool()
-	s.streams[s.lastStream] = &incomingStream{box: from.Box, stream: stream, since: time.Now()}
+	s.streams[s.lastStream] = &incomingStream{box: from.Box, zone: from.Zone, stream: stream, since: time.Now()}
 	s.log.Info("dispatching for a box",
 		zap.String("Service", s.groupName),
 		zap.String("Box", from.Box),
@@ -370,6 +370,7 @@
 			Endpoint: kind.Kept.Endpoint,
 			Born:     kind.Kept.Born,
 			Parts:    decodeParts(kind.Kept.PartIDs, kind.Kept.PartTokens),
+			Rate:     float64(kind.Kept.Rate),
 		}, now)
 		return
 	case *peerpb.Call_Rest:
@@ -405,6 +406,9 @@
 // that waits for a verdict. The caller holds the lock.
 func (s *scheduler) handleRequest(streamID uint64, message *peerpb.Ask, stream *peer.DispatchStream, now time.Time) {
 	req := decodeRequest(message, streamID, now)
+	if from := s.streams[streamID]; from != nil {
+		req.Zone = from.zone
+	}
 	if message.Endpoint != "" {
 		s.pool.Adopt(req, message.Endpoint, message.Begun, now)
 		return
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -117,6 +117,7 @@
 // incomingStream is a stream on which another box asks this one.
 type incomingStream struct {
 	box    string
+	zone   string
 	stream *peer.DispatchStream
 	since  time.Time
 }
@@ -181,6 +182,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.groupCount, s.persistent = groups, groups <= maxPersistentGroups
+	compact := service.Engine.HasCompactCache()
+	s.pool.Rules.ZoneHomes, s.pool.Rules.ColdHomes = compact, compact
+	s.pool.Rules.Fetch = compact && service.Engine.CopiesCache
 	s.pool.Groups = groups
 	s.pool.Configure(service, tokensPerSecond)
 }
@@ -303,6 +307,8 @@
 				wait:          d.Wait,
 				readTime:      d.ReadTime,
 				missingTokens: d.MissingTokens,
+				fetchFrom:     d.FetchFrom,
+				rate:          d.Rate,
 			})
 		case dispatch.Refusal:
 			s.deliver(d.Request, verdict{retryAfter: d.RetryAfter, overShare: d.OverShare, noEligibleEngine: d.NoEligibleEngine, waiting: d.Queued})
--- a/pkg/gateway/translator.go
+++ b/pkg/gateway/translator.go
@@ -36,6 +36,9 @@
 	// LastEvent is the ID of the event after which a stream continues; empty means from the
 	// start.
 	LastEvent string
+	// FetchFrom is the address of the engine from which the endpoint is to copy cached parts of
+	// the prompt first; empty means none.
+	FetchFrom string
 }
 
 // ResponseInfo is the information in the head of an endpoint's response.
--- a/pkg/route/catalog.go
+++ b/pkg/route/catalog.go
@@ -28,6 +28,8 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
+	// queued are the plain services with a route that AllowsQueueing.
+	queued map[string]bool
 }
 
 // Route is one routing rule of a Catalog.
@@ -62,6 +64,17 @@
 	AllowedRegions []string
 }
 
+// minQueueingTime is how much longer than its latency target the time limit of a route has to be
+// for its requests to be queued.
+const minQueueingTime = time.Second
+
+// AllowsQueueing reports whether requests to plain services may be queued before they are sent to
+// an endpoint: the operator allows them to be held for much longer than their latency target. A
+// route without a time limit does not allow it.
+func (r *Route) AllowsQueueing() bool {
+	return !r.Streaming && r.LatencyTarget > 0 && r.Timeout-r.LatencyTarget >= minQueueingTime
+}
+
 // Target is a service that receives a fraction of a route's requests.
 type Target struct {
 	Service string
@@ -107,6 +120,22 @@
 	Slots int
 	// CacheTokens is the memory of one engine for running requests and its prefix cache.
 	CacheTokens int
+	// TokenBytes is the size of the KV cache of one token in bytes; 0 means unknown.
+	TokenBytes int
+	// CopiesCache is set if an engine can copy cached parts of a prompt from another one, and
+	// CopyRate is the rate of that in bytes per second; 0 means unknown.
+	CopiesCache bool
+	CopyRate    float64
+}
+
+// maxCompactTokenBytes is the KV cache of one token up to which copies of a prompt are cheap: a
+// prompt of 16,000 tokens then takes at most half a gigabyte.
+const maxCompactTokenBytes = 32 << 10
+
+// HasCompactCache reports whether cached prompts are small enough that it pays to keep several
+// copies of a prompt, and to copy it between engines. A nil Engine has no cache.
+func (e *Engine) HasCompactCache() bool {
+	return e != nil && e.TokenBytes > 0 && e.TokenBytes <= maxCompactTokenBytes
 }
 
 // Customer is one customer of the operator.
@@ -144,6 +173,14 @@
 			return cmp.Compare(len(b.Prefix), len(a.Prefix))
 		})
 	}
+	c.queued = map[string]bool{}
+	for i := range c.Routes {
+		for _, target := range c.Routes[i].Targets {
+			if c.Services[target.Service].Engine == nil && c.Routes[i].AllowsQueueing() {
+				c.queued[target.Service] = true
+			}
+		}
+	}
 	c.byKey = map[string]*Customer{}
 	for i := range c.Customers {
 		for _, key := range c.Customers[i].Keys {
@@ -171,6 +208,10 @@
 	return strings.ToLower(host)
 }
 
+// QueuesPlain reports whether the requests to a plain service are queued for its slots, because
+// one of its routes allows it.
+func (c *Catalog) QueuesPlain(service string) bool { return c.queued[service] }
+
 // CustomerOf returns the customer that has a key, or nil.
 func (c *Catalog) CustomerOf(key string) *Customer {
 	return c.byKey[key]
