--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -94,6 +94,8 @@
 	Arrived time.Time
 	// LatencyTarget is the time from Arrived within which its first event should come.
 	LatencyTarget time.Duration
+	// GapTarget is the time within which each further event should come; 0 means none.
+	GapTarget time.Duration
 	// Deadline is the time after which nobody waits for the response.
 	Deadline time.Time
 	// Excluded are the endpoints that it must not go to again.
--- a/pkg/gateway/messages.go
+++ b/pkg/gateway/messages.go
@@ -27,6 +27,7 @@
 		Begun:      begun,
 		Zones:      req.Zones,
 		Size:       uint32(req.Size),
+		GapTarget:  req.GapTarget.Microseconds(),
 
 		Release:       req.Releases.Version,
 		OtherReleases: req.Releases.Others,
@@ -62,6 +63,7 @@
 		Excluded:      message.Excluded,
 		Zones:         message.Zones,
 		Size:          int(message.Size),
+		GapTarget:     time.Duration(message.GapTarget) * time.Microsecond,
 		Releases:      rollout.VersionFilter{Version: message.Release, Others: message.OtherReleases},
 		BoxHash:       message.Box,
 
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -134,6 +134,7 @@
 		Prompt:        *c.Prompt,
 		Arrived:       c.arrived,
 		LatencyTarget: latencyTarget,
+		GapTarget:     c.route.GapTarget,
 		Deadline:      time.Now().Add(c.remaining()),
 		Excluded:      c.excluded,
 		Zones:         c.zones,
--- a/pkg/route/catalog.go
+++ b/pkg/route/catalog.go
@@ -122,6 +122,8 @@
 	CacheTokens int
 	// TokenBytes is the size of the KV cache of one token in bytes; 0 means unknown.
 	TokenBytes int
+	// EventTokens is the number of tokens in one event of a stream; 0 means unknown.
+	EventTokens int
 	// CopiesCache is set if an engine can copy cached parts of a prompt from another one, and
 	// CopyRate is the rate of that in bytes per second; 0 means unknown.
 	CopiesCache bool
