pkg/dispatch: drawn loads with transfers of cached parts

The simulations of a pool and a fleet had no transfers, crashes of many engines or leaving engines. They now copy parts for grants with a source, one transfer after another at each engine, and fail those whose source is gone.

Two dispatchers: at most 2 transfers from one engine, none from an engine without the part. go test ./dispatch: ok.

--- a/pkg/dispatch/fleet_simulation_test.go
+++ b/pkg/dispatch/fleet_simulation_test.go
@@ -20,6 +20,8 @@
 	seconds map[string][]secondUsage
 	// begun is when the run began.
 	begun time.Time
+	// down are the engines that accept no connections.
+	down map[string]bool
 	// waiting are the queued requests by ID, and running those at engines.
 	waiting, running map[string]*fleetRequest
 }
@@ -54,6 +56,7 @@
 		histories:  make([]History, routers),
 		hop:        2 * time.Millisecond,
 		seconds:    map[string][]secondUsage{},
+		down:       map[string]bool{},
 		waiting:    map[string]*fleetRequest{},
 		running:    map[string]*fleetRequest{},
 	}
@@ -75,6 +78,13 @@
 // play sends the requests of all groups for a time. If takeOver is not zero, another pool takes
 // over then.
 func (f *fleetSimulation) play(length, takeOver time.Duration, groups ...callerGroup) {
+	end := f.now.Add(length)
+	f.schedule(length, takeOver, groups...)
+	f.until(end)
+}
+
+// schedule schedules what play runs.
+func (f *fleetSimulation) schedule(length, takeOver time.Duration, groups ...callerGroup) {
 	end := f.now.Add(length)
 	number := 0
 	for _, c := range groups {
@@ -94,13 +104,13 @@
 	if takeOver > 0 {
 		f.at(f.now.Add(takeOver), f.takeOver)
 	}
-	f.until(end)
 }
 
 // receive handles a caller's request at its router.
 func (f *fleetSimulation) receive(req *fleetRequest) {
 	req.cost = req.Cost()
 	f.second(req.Customer).requested += req.cost
+	f.tally(req.Request).requested++
 	if f.routers[req.router].Enter(req.Customer, false, f.now) != Admitted {
 		wait := fraction(req.LatencyTarget, f.pool.Rules.MaxWaitFraction)
 		f.refuse(req, wait+time.Duration(f.rand.Int64N(int64(wait))))
@@ -114,9 +124,14 @@
 	f.pool.Submit(req.Request, f.now)
 }
 
-// refuse makes a caller retry once.
+// refuse records a refusal, after which the caller retries.
 func (f *fleetSimulation) refuse(req *fleetRequest, retryAfter time.Duration) {
 	f.second(req.Customer).refused = true
+	f.retry(req, retryAfter)
+}
+
+// retry makes a caller retry once.
+func (f *fleetSimulation) retry(req *fleetRequest, retryAfter time.Duration) {
 	if req.isRetry {
 		return
 	}
@@ -143,16 +158,27 @@
 }
 
 func (f *fleetSimulation) run(req *fleetRequest, g Grant) {
+	if f.down[g.Endpoint] {
+		f.pool.End(req.ID, Unreachable{}, f.now)
+		f.retry(req, f.hop)
+		return
+	}
 	begins := f.read(g)
 	req.endpoint = g.Endpoint
 	f.running[req.ID] = req
 	f.histories[req.router].Grant(req.Request, f.now)
 	f.at(begins, func() {
+		if f.running[req.ID] != req {
+			return
+		}
 		req.begun = true
 		f.second(req.Customer).granted += req.cost
-		f.pool.Begin(req.ID, f.now)
+		f.begin(req.Request)
 	})
 	f.at(begins.Add(time.Duration(req.ExpectedOutput())*f.tokenInterval), func() {
+		if f.running[req.ID] != req {
+			return
+		}
 		delete(f.running, req.ID)
 		f.pool.End(req.ID, Done{}, f.now)
 	})
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -25,6 +25,8 @@
 	cached map[string]map[uint64]bool
 	// freeAt is when each engine has read all prompts that it got.
 	freeAt map[string]time.Time
+	// copies is nil if engines copy nothing from each other.
+	copies *copySimulation
 	events eventHeap
 	rand   *rand.Rand
 	now    time.Time
@@ -199,22 +201,21 @@
 	s.at(begins.Add(time.Duration(g.Request.ExpectedOutput())*s.tokenInterval), func() { s.pool.End(g.Request.ID, Done{}, s.now) })
 }
 
-// read makes an engine read a prompt after those that it got before, and returns when the first
-// token comes.
+// read makes an engine read a prompt after those that it got before, and after the transfer of the
+// grant, if any. It returns when the first token comes.
 func (s *simulation) read(g Grant) (begins time.Time) {
+	from := later(s.copies.run(s, g), s.freeAt[g.Endpoint])
 	tokens := 0
 	for _, part := range g.Request.Parts {
 		if !s.cached[g.Endpoint][part.ID] {
 			tokens += part.Tokens
 			s.cached[g.Endpoint][part.ID] = true
+			s.copies.countRead(g, part, s.now)
 		}
 	}
-	from := s.now
-	if s.freeAt[g.Endpoint].After(from) {
-		from = s.freeAt[g.Endpoint]
-	}
 	reading := time.Duration(float64(tokens) / s.readRate * float64(time.Second))
 	s.freeAt[g.Endpoint] = from.Add(reading)
+	s.copies.recordShared(g, from.Add(reading))
 	return from.Add(reading + s.firstTokenDelay)
 }
 
