--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -8,24 +8,46 @@
 	"github.com/quaylead/quaylead/pkg/quarantine"
 )
 
+// benchmarkCase is a state of the pool in BenchmarkDecide.
+type benchmarkCase struct{ room, contested, fetch bool }
+
 // BenchmarkDecide measures one decision with many requests waiting: without room at any engine,
-// with room at one of them, and with room while other boxes may dispatch too.
+// with room at one of them, and with room while other boxes may dispatch too; and these with
+// engines that can copy the parts of all requests.
 func BenchmarkDecide(b *testing.B) {
-	for name, set := range map[string]struct{ room, contested bool }{
-		"no room":         {},
-		"room":            {room: true},
-		"room, contested": {room: true, contested: true},
+	for name, set := range map[string]benchmarkCase{
+		"no room":                   {},
+		"room":                      {room: true},
+		"room, contested":           {room: true, contested: true},
+		"room, fetching":            {room: true, fetch: true},
+		"room, contested, fetching": {room: true, contested: true, fetch: true},
 	} {
-		b.Run(name, func(b *testing.B) { benchmarkDecide(b, set.room, set.contested) })
+		b.Run(name, func(b *testing.B) { benchmarkDecide(b, set) })
+	}
+}
+
+// letFetch makes the engines able to copy cached parts, and each of some parts cached at as many
+// engines as are evaluated.
+func letFetch(p *Pool, parts int) {
+	p.Rules.Fetch = true
+	p.Configure(copyingService, p.tokensPerSecond)
+	for part := range parts {
+		for i := range maxSources {
+			engine := fmt.Sprint("e", (part+7*i)%len(p.sorted))
+			p.ApplyCacheReport(CachedParts{Endpoint: engine, Parts: []Part{{ID: uint64(part), Tokens: 13000}}}, start)
+		}
 	}
 }
 
-func benchmarkDecide(b *testing.B, room, contested bool) {
+func benchmarkDecide(b *testing.B, set benchmarkCase) {
 	p := newTestPool(90, 4e6)
-	p.Contested = contested
+	p.Contested = set.contested
+	if set.fetch {
+		letFetch(p, 100)
+	}
 	now := start
 	for i, e := range p.sorted {
-		if i == 0 && room {
+		if i == 0 && set.room {
 			// It is idle, but its slots are taken.
 			e.running = e.Slots
 			continue
--- a/pkg/dispatch/endpoints.go
+++ b/pkg/dispatch/endpoints.go
@@ -60,6 +60,7 @@
 	for _, part := range p.parts {
 		part.ranked = nil
 	}
+	p.dropLostSources()
 }
 
 // engineOfInstance returns the engine for a report about one instance of an endpoint; nil if there
--- a/pkg/dispatch/leaving.go
+++ b/pkg/dispatch/leaving.go
@@ -17,6 +17,7 @@
 // SetLeaving sets the engines that are leaving and still serve. They get no requests, but what
 // they have cached can be copied. It is called before SetEndpoints, which drops them.
 func (p *Pool) SetLeaving(endpoints []route.Endpoint, now time.Time) {
+	before := len(p.leaving)
 	leaving := make(map[string]*engine, len(endpoints))
 	for _, endpoint := range endpoints {
 		e := p.leaving[endpoint.ID]
@@ -35,6 +36,9 @@
 		leaving[endpoint.ID] = e
 	}
 	p.leaving = leaving
+	if len(leaving) < before {
+		p.dropLostSources()
+	}
 }
 
 // isLeavingSource reports whether an engine is leaving and still serves.
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -288,7 +288,10 @@
 		factor = p.Rules.ShortMissFactor
 	}
 	tokens, shared := e.missingTokens(&req.Prompt)
+	if !p.Rules.Fetch || shared == 0 {
+		return e.readTime(tokens) + fraction(e.readTime(shared), factor)
+	}
 	t := p.planTransfer(e, req, shared, now)
 	again := e.readTime(shared-t.tokens) + fraction(e.readTime(t.tokens), copyCost)
-	return t.duration + e.readTime(tokens-t.tokens) + time.Duration(float64(again)*factor)
+	return t.duration + e.readTime(tokens-t.tokens) + fraction(again, factor)
 }
--- a/pkg/dispatch/sources.go
+++ b/pkg/dispatch/sources.go
@@ -44,6 +44,17 @@
 	x.sweepThreshold = 2 * len(x.byPart)
 }
 
+// dropLostSources removes the engines that are no longer listed and no longer leaving.
+func (p *Pool) dropLostSources() {
+	for part, engines := range p.sources.byPart {
+		engines = slices.DeleteFunc(engines, func(e *engine) bool { return p.engines[e.ID] != e && p.leaving[e.ID] != e })
+		p.sources.byPart[part] = engines
+		if len(engines) == 0 {
+			delete(p.sources.byPart, part)
+		}
+	}
+}
+
 // partSource is an engine from which parts of a prompt can be copied.
 type partSource struct {
 	*engine
--- a/pkg/dispatch/transfer_test.go
+++ b/pkg/dispatch/transfer_test.go
@@ -371,6 +371,16 @@
 			So(plan(p, "e0", withPart("2", 7, start), start).source, ShouldNotBeNil)
 		}
 	})
+	Convey("The index of sources forgets engines that are gone", t, func() {
+		p := newCopyingPool(9)
+		for i := range 9 {
+			reportPart(p, fmt.Sprint("e", i), 7)
+		}
+		p.SetEndpoints(zonedEndpoints(6), start)
+		So(p.sources.byPart[7], ShouldHaveLength, maxSources-3)
+		p.SetEndpoints(nil, start)
+		So(p.sources.byPart, ShouldBeEmpty)
+	})
 	Convey("The index of sources forgets parts that no engine has", t, func() {
 		p := newCopyingPool(1)
 		for part := range uint64(3 * maxParts) {
