pkg/placement, pkg/dispatch: homes of prompts by the measured rates of engines

Engines of 0.7 and 1.7 of the usual speed were homes of equally many shared parts, and the rates of engines were lost with the dispatcher.

Homes are chosen by weighted rendezvous hashing. Weights follow from rates averaged over 12 s of reading, in steps of a quarter with hysteresis; within a quarter of the median all are equal and the order is that of the hash alone. A part has homes worth MinHomes average engines. On uneven engines, shared tokens read again count as the time of an average engine. Grants carry the rate; routers hand it over with the cached parts.

Even engines with noise decide as with equal weights, decision by decision (TestEvenEnginesWithNoise). Shares hold when a third of the engines becomes 2.5 times slower (TestSharesOnSlowerEngines).

--- a/pkg/dispatch/cache.go
+++ b/pkg/dispatch/cache.go
@@ -37,29 +37,33 @@
 // parts than that.
 const maxCachedParts = 128
 
-// CachedParts returns the estimated contents of the engines' prefix caches, for a new
-// dispatcher. Short parts are left out.
+// CachedParts returns the estimated contents of the engines' prefix caches and their rates, for a
+// new dispatcher. Short parts are left out.
 func (p *Pool) CachedParts() (all []CachedParts) {
 	for _, e := range p.sorted {
-		cached := CachedParts{Endpoint: e.ID, Born: e.Born}
+		cached := CachedParts{Endpoint: e.ID, Born: e.Born, Rate: e.rating.Rate()}
 		for elem := e.cache.Front(); elem != nil && len(cached.Parts) < maxCachedParts; elem = elem.Next() {
 			if part := elem.Value.(cachedPart).Part; part.Tokens >= maxShortShared {
 				cached.Parts = append(cached.Parts, part)
 			}
 		}
-		if len(cached.Parts) > 0 {
+		if len(cached.Parts) > 0 || cached.Rate > 0 {
 			all = append(all, cached)
 		}
 	}
 	return all
 }
 
-// AddCachedParts adds another router's estimate of an engine's prefix cache.
+// AddCachedParts adds another router's estimate of an engine's prefix cache, and of its rate.
 func (p *Pool) AddCachedParts(cached CachedParts, now time.Time) {
 	e := p.engineOfInstance(cached.Endpoint, cached.Born, now)
 	if e == nil {
 		return
 	}
+	if cached.Rate > 0 {
+		e.rating.AddReport(cached.Rate)
+		p.weighedAt = time.Time{}
+	}
 	for _, part := range cached.Parts {
 		e.addCachedOldest(part, false)
 		p.recordCachedPart(part, e, now)
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -160,7 +160,7 @@
 	}
 	s.running[g.Endpoint] = append(s.running[g.Endpoint], req)
 	if s.cached[g.Endpoint] == nil {
-		s.cached[g.Endpoint] = map[uint64]bool{}
+		s.cached[g.Endpoint] = map[uint64]cachedAt{}
 	}
 	begins := s.read(g)
 	s.at(begins, func() {
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -13,6 +13,7 @@
 		return nil
 	}
 	p.updateShare(now)
+	p.updateWeights(now)
 	p.updateEstimates()
 	p.round++
 	p.best = p.bestSnapshot(now)
@@ -68,7 +69,7 @@
 	wait := p.predictedWait(e, now)
 	tokens, shared := e.missingTokens(&req.Prompt)
 	p.addGrant(req, e, now)
-	return &Grant{Request: req, Endpoint: e.ID, Wait: wait, ReadTime: e.readTime(tokens), MissingTokens: shared}
+	return &Grant{Request: req, Endpoint: e.ID, Wait: wait, ReadTime: e.readTime(tokens), MissingTokens: shared, Rate: e.rating.Rate()}
 }
 
 // addGrant records a grant in the pool, at the engine and in the usage of the customer.
--- a/pkg/dispatch/endpoints.go
+++ b/pkg/dispatch/endpoints.go
@@ -49,17 +49,16 @@
 	}
 }
 
-// updateEngineOrder updates sorted, and drops the rankings of engines by part, which are computed
-// again when they are needed.
+// updateEngineOrder updates sorted, and drops the rankings of engines by part and the weights,
+// which are computed again when they are needed.
 func (p *Pool) updateEngineOrder() {
 	p.sorted = p.sorted[:0]
 	for _, e := range p.engines {
 		p.sorted = append(p.sorted, e)
 	}
 	slices.SortFunc(p.sorted, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
-	for _, part := range p.parts {
-		part.ranked = nil
-	}
+	p.weighedAt = time.Time{}
+	p.dropRankings()
 }
 
 // engineOfInstance returns the engine for a report about one instance of an endpoint; nil if there
--- a/pkg/dispatch/fairness_test.go
+++ b/pkg/dispatch/fairness_test.go
@@ -67,11 +67,11 @@
 	f := newFleetSimulation(fleetRouters, s.engines, statedRate*engines, readRate)
 	f.tokenInterval = 12 * time.Millisecond
 	groups := []callerGroup{
-		{digestCustomer("first", s.first*engines), s.routers},
-		{digestCustomer("second", s.second*engines), fleetRouters},
+		{sources: digestCustomer("first", s.first*engines), routers: s.routers},
+		{sources: digestCustomer("second", s.second*engines), routers: fleetRouters},
 	}
 	for i := range otherCustomers {
-		groups = append(groups, callerGroup{digestCustomer(fmt.Sprint("other", i), s.others*engines/otherCustomers), 1 + i%fleetRouters})
+		groups = append(groups, callerGroup{sources: digestCustomer(fmt.Sprint("other", i), s.others*engines/otherCustomers), routers: 1 + i%fleetRouters})
 	}
 	f.play(length, s.takeOver, groups...)
 	return f
@@ -139,6 +139,10 @@
 	routers []int
 	// takeOver is when another pool takes over; 0 means never.
 	takeOver time.Duration
+	speeds   engineSpeeds
+	// surgeAt is when all customers begin to send 1.7 times as many of the longest prompts; 0
+	// means never.
+	surgeAt time.Duration
 }
 
 func drawFleet(draw *rand.Rand) drawnFleet {
@@ -163,9 +167,16 @@
 	stated := statedRate * float64(d.engines)
 	f := newFleetSimulation(fleetRouters, d.engines, stated, readRate)
 	f.tokenInterval = 12 * time.Millisecond
+	f.speeds = d.speeds
 	var groups []callerGroup
 	for i, demand := range d.demands {
-		groups = append(groups, callerGroup{digestCustomer(fmt.Sprint("customer", i), demand*stated/float64(d.customers)), d.routers[i]})
+		sources := digestCustomer(fmt.Sprint("customer", i), demand*stated/float64(d.customers))
+		groups = append(groups, callerGroup{sources: sources, routers: d.routers[i]})
+		if d.surgeAt > 0 {
+			longest := sources[0]
+			longest.perSecond *= 0.7
+			groups = append(groups, callerGroup{sources: []source{longest}, routers: d.routers[i], after: d.surgeAt})
+		}
 	}
 	f.play(length, d.takeOver, groups...)
 	return f
--- a/pkg/dispatch/fleet_simulation_test.go
+++ b/pkg/dispatch/fleet_simulation_test.go
@@ -45,6 +45,8 @@
 type callerGroup struct {
 	sources []source
 	routers int
+	// after is when they come.
+	after time.Duration
 }
 
 func newFleetSimulation(routers, engines int, tokensPerSecond, readRate float64) *fleetSimulation {
@@ -80,7 +82,7 @@
 	for _, c := range groups {
 		for i := range c.sources {
 			from := &c.sources[i]
-			for when := f.next(f.now, from); when.Before(end); when = f.next(when, from) {
+			for when := f.next(f.now.Add(c.after), from); when.Before(end); when = f.next(when, from) {
 				number++
 				req := &fleetRequest{Request: f.newRequest(from, number, when), router: f.rand.IntN(c.routers)}
 				f.at(when, func() { f.receive(req) })
--- a/pkg/dispatch/handover_test.go
+++ b/pkg/dispatch/handover_test.go
@@ -215,7 +215,7 @@
 	b.running[req.ID] = req
 	s.running[g.Endpoint] = append(s.running[g.Endpoint], req)
 	if s.cached[g.Endpoint] == nil {
-		s.cached[g.Endpoint] = map[uint64]bool{}
+		s.cached[g.Endpoint] = map[uint64]cachedAt{}
 	}
 	begins := s.read(g)
 	if req.crashesEngine {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -10,12 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/quaylead/quaylead/pkg/lifecycle"
+	"github.com/quaylead/quaylead/pkg/placement"
 )
 
 // partStats records the demand for a shared part, and where it is cached.
 type partStats struct {
-	// ranked are the engines by rendezvous hash, so that the order of the others stays when an
-	// engine is added or removed.
+	// ranked are the engines by weighted rendezvous hash, so that the order of the others stays
+	// when an engine is added or removed, or its weight moves.
 	ranked []*engine
 	// holders are engines that read the part, and may still have it cached.
 	holders []*engine
@@ -81,7 +80,7 @@
 		p.parts[key] = stats
 	}
 	if stats.ranked == nil {
-		stats.ranked = rank(key, p.sorted)
+		stats.ranked = placement.Rank(key, p.sorted, (*engine).node)
 	}
 	if first {
 		p.assumeCached(stats, prompt, now)
@@ -112,41 +111,20 @@
 func (p *Pool) homes(req *Request, now time.Time) []*engine {
 	stats := p.statsFor(&req.Prompt, now)
 	stats.decay(now)
-	count := p.Rules.MinHomes + int(stats.load/p.Rules.LoadPerHome)
-	homes := make([]*engine, 0, count)
+	plan := p.homePlan()
+	homes, weight := make([]*engine, 0, plan.Min), 0.0
 	for _, e := range stats.ranked {
+		if plan.Suffices(len(homes), weight, stats.load) {
+			break
+		}
 		if p.snapshot(e, now).usable && p.allows(e, req, now) {
 			homes = append(homes, e)
-		}
-		if len(homes) == count {
-			break
+			weight += e.rating.Weight()
 		}
 	}
 	return homes
 }
 
-func rank(key uint64, engines []*engine) []*engine {
-	type weighted struct {
-		engine *engine
-		weight uint64
-	}
-	weights := make([]weighted, 0, len(engines))
-	var seed [8]byte
-	binary.LittleEndian.PutUint64(seed[:], key)
-	for _, e := range engines {
-		digest := xxhash.New()
-		digest.Write(seed[:])
-		digest.WriteString(e.ID)
-		weights = append(weights, weighted{engine: e, weight: digest.Sum64()})
-	}
-	slices.SortFunc(weights, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
-	ranked := make([]*engine, len(weights))
-	for i := range weights {
-		ranked[i] = weights[i].engine
-	}
-	return ranked
-}
-
 // predictedWait returns an engine's predicted wait, scaled up for what other routers are likely
 // to have sent.
 func (p *Pool) predictedWait(e *engine, now time.Time) time.Duration {
@@ -288,5 +266,5 @@
 		factor = p.Rules.ShortMissFactor
 	}
 	tokens, shared := e.missingTokens(&req.Prompt)
-	return e.readTime(tokens) + time.Duration(float64(e.readTime(shared))*factor)
+	return e.readTime(tokens) + fraction(p.missTime(e, shared), factor)
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -39,6 +39,9 @@
 	// LoadPerHome is the fraction of an engine's time that the requests for a shared part may
 	// take before the part gets one more home.
 	LoadPerHome float64
+	// CopyCost is the cost of a copy of a shared part at a further home, relative to reading it
+	// there: the load that justifies the home grows with it.
+	CopyCost float64
 	// MissFactor weighs the time for reading shared parts again, in addition to the time itself,
 	// for prompts that go only to the homes of their parts. ShortMissFactor is for prompts whose
 	// shared parts are short: they may go to any engine, and there are far more of them. With 2
@@ -67,6 +70,7 @@
 		MaxWaitFraction:          0.24,
 		MinHomes:                 2,
 		LoadPerHome:              0.25,
+		CopyCost:                 1,
 		MissFactor:               2,
 		Window:                   4 * time.Second,
 
@@ -140,6 +144,12 @@
 	// have to read them.
 	granted, read window
 	targets       latencyTargets
+	// weighedAt is when the weights of the engines were last updated. uneven is set if any two of
+	// them differ, and weightsMoved if any moved since TakeMovedWeights.
+	weighedAt            time.Time
+	uneven, weightsMoved bool
+	// meanRate is the mean of the measured rates of the engines.
+	meanRate float64
 	// tallies are by customer, since they were last taken.
 	tallies map[string]*Tally
 }
--- a/pkg/dispatch/prefill.go
+++ b/pkg/dispatch/prefill.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/placement"
+)
 
 // prefillEstimate estimates how fast an engine reads prompts, from its first requests on.
 type prefillEstimate struct {
@@ -16,6 +20,10 @@
 	// sampleTokens and sampleTime are the tokens and the reading time of the current sample.
 	sampleTokens float64
 	sampleTime   time.Duration
+
+	// rating averages the rate over a longer time than rate, so that noise does not move the
+	// homes of prompts.
+	rating placement.Rating
 }
 
 const (
@@ -67,8 +75,10 @@
 
 // recordRead adds tokens and the time taken to read them to the current sample of the rate.
 func (p *prefillEstimate) recordRead(tokens int, took time.Duration) {
+	took = max(took, 0)
+	p.rating.Add(float64(tokens), min(took, time.Duration(tokens)*time.Second/minRate))
 	p.sampleTokens += float64(tokens)
-	p.sampleTime += max(took, 0)
+	p.sampleTime += took
 	enough := minSampleTime
 	if p.rateSamples < earlySamples {
 		enough = minEarlySampleTime
@@ -106,8 +116,13 @@
 // engines that read 110,000 tokens a second, and requests were refused for that.
 func (p *Pool) updateEstimates() {
 	mean := p.meanEstimate()
+	p.meanRate = mean.rate
 	for _, e := range p.sorted {
-		if !e.isMeasured() {
+		switch {
+		case e.isMeasured():
+		case p.uneven && e.rating.Rate() > 0:
+			e.rate = e.rating.Rate()
+		default:
 			e.rate = mean.rate
 		}
 	}
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -22,14 +22,21 @@
 	firstTokenDelay time.Duration
 	tokenInterval   time.Duration
 	// cached parts cost no reading time.
-	cached map[string]map[uint64]bool
+	cached map[string]map[uint64]cachedAt
+	// cacheTokens is the capacity of an engine's cache; 0 means that it is not limited.
+	cacheTokens int
 	// freeAt is when each engine has read all prompts that it got.
 	freeAt map[string]time.Time
-	events eventHeap
-	rand   *rand.Rand
-	now    time.Time
+	speeds engineSpeeds
+	// readTokens are the tokens that engines read.
+	readTokens float64
+	events     eventHeap
+	rand       *rand.Rand
+	now        time.Time
 
 	tallies map[tallyKey]*tally
+	// observe is called with each decision; nil means that nobody observes.
+	observe func(Decision)
 	// otherGroups returns what a customer gets in other groups; nil means that there are none.
 	otherGroups func(customer string) OtherGroupUsage
 }
@@ -43,6 +50,12 @@
 	}
 }
 
+// cachedAt is a part in an engine's cache, and when it was last used.
+type cachedAt struct {
+	tokens int
+	at     time.Time
+}
+
 type tallyKey struct{ customer, route string }
 
 // tally counts the outcomes of requests.
@@ -84,7 +97,7 @@
 		readRate:        readRate,
 		firstTokenDelay: 50 * time.Millisecond,
 		tokenInterval:   10 * time.Millisecond,
-		cached:          map[string]map[uint64]bool{},
+		cached:          map[string]map[uint64]cachedAt{},
 		freeAt:          map[string]time.Time{},
 		rand:            rand.New(rand.NewPCG(3, 4)),
 		now:             start,
@@ -96,7 +109,7 @@
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i)
 		endpoints = append(endpoints, route.Endpoint{ID: id, Service: "llm", Slots: 128})
-		s.cached[id] = map[uint64]bool{}
+		s.cached[id] = map[uint64]cachedAt{}
 	}
 	s.pool.SetEndpoints(endpoints, s.now)
 	return s
@@ -128,6 +141,15 @@
 	for tick := s.now; tick.Before(end.Add(time.Second)); tick = tick.Add(4 * time.Millisecond) {
 		s.at(tick, s.decide)
 	}
+	s.at(end.Add(time.Second), s.drain)
+}
+
+// drain decides until nothing waits.
+func (s *simulation) drain() {
+	if s.pool.Waiting() > 0 {
+		s.decide()
+		s.at(s.now.Add(4*time.Millisecond), s.drain)
+	}
 }
 
 // until runs the events that are due before a time.
@@ -181,6 +203,9 @@
 
 func (s *simulation) decide() {
 	for _, d := range s.pool.Decide(s.now) {
+		if s.observe != nil {
+			s.observe(d)
+		}
 		switch d := d.(type) {
 		case Grant:
 			s.run(d)
@@ -199,23 +224,50 @@
 	s.at(begins.Add(time.Duration(g.Request.ExpectedOutput())*s.tokenInterval), func() { s.pool.End(g.Request.ID, Done{}, s.now) })
 }
 
-// read makes an engine read a prompt after those that it got before, and returns when the first
-// token comes.
-func (s *simulation) read(g Grant) (begins time.Time) {
-	tokens := 0
-	for _, part := range g.Request.Parts {
-		if !s.cached[g.Endpoint][part.ID] {
+// missing returns how many tokens of a prompt an engine does not have cached.
+func (s *simulation) missing(endpoint string, prompt *Prompt) (tokens int) {
+	for _, part := range prompt.Parts {
+		if _, ok := s.cached[endpoint][part.ID]; !ok {
 			tokens += part.Tokens
-			s.cached[g.Endpoint][part.ID] = true
 		}
 	}
+	return tokens
+}
+
+// cache records what an engine has cached after it read a prompt: the last parts that fit.
+func (s *simulation) cache(endpoint string, prompt *Prompt) {
+	cached := s.cached[endpoint]
+	for _, part := range prompt.Parts {
+		cached[part.ID] = cachedAt{part.Tokens, s.now}
+	}
+	total := 0
+	for _, part := range cached {
+		total += part.tokens
+	}
+	for s.cacheTokens > 0 && total > s.cacheTokens {
+		var oldest uint64
+		for id, part := range cached {
+			if other, ok := cached[oldest]; !ok || part.at.Before(other.at) || (part.at.Equal(other.at) && id < oldest) {
+				oldest = id
+			}
+		}
+		total -= cached[oldest].tokens
+		delete(cached, oldest)
+	}
+}
+
+// read makes an engine read a prompt after those that it got before, and returns when the first
+// token comes.
+func (s *simulation) read(g Grant) (begins time.Time) {
+	tokens := s.missing(g.Endpoint, &g.Request.Prompt)
+	s.cache(g.Endpoint, &g.Request.Prompt)
+	s.readTokens += float64(tokens)
 	from := s.now
 	if s.freeAt[g.Endpoint].After(from) {
 		from = s.freeAt[g.Endpoint]
 	}
-	reading := time.Duration(float64(tokens) / s.readRate * float64(time.Second))
-	s.freeAt[g.Endpoint] = from.Add(reading)
-	return from.Add(reading + s.firstTokenDelay)
+	s.freeAt[g.Endpoint] = s.speeds.readUntil(g.Endpoint, from, float64(tokens)/s.readRate)
+	return s.freeAt[g.Endpoint].Add(s.firstTokenDelay)
 }
 
 func (s *simulation) begin(req *Request) {
--- a/pkg/gateway/granted.go
+++ b/pkg/gateway/granted.go
@@ -27,6 +27,7 @@
 	s.poolHistories.recordGrant(req, time.Now())
 	if from != nil {
 		s.pool.Adopt(req, v.endpoint, false, time.Now())
+		s.pool.RecordRate(v.endpoint, v.rate)
 	}
 	if from != s.remote && s.remote != nil {
 		s.remote.stream.Send(encodeRequest(req, v.endpoint, false))
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -34,6 +34,8 @@
 	// rests counts how often an endpoint asked this box for rest, and handedBack the chosen
 	// endpoints to which nothing was sent in the end, as they no longer admitted requests.
 	rests, handedBack expvar.Int
+	// weightsMoved counts how often the weights of engines moved, by which homes are chosen.
+	weightsMoved expvar.Int
 	// fullReads counts the full reads of the endpoints that were begun, by reason.
 	fullReads expvar.Map
 }
@@ -51,6 +53,7 @@
 	expvar.Publish("Rests", &m.rests)
 	expvar.Publish("HandedBack", &m.handedBack)
 	expvar.Publish("Readings", &m.fullReads)
+	expvar.Publish("WeightsMoved", &m.weightsMoved)
 }
 
 // FirstEvent records the time to a stream's first event.
@@ -82,6 +85,9 @@
 // RestRequested counts a response in which an endpoint asks for rest.
 func (m *Metrics) RestRequested() { m.rests.Add(1) }
 
+// WeightsMoved counts a change of the weights of engines.
+func (m *Metrics) WeightsMoved() { m.weightsMoved.Add(1) }
+
 // FullRead counts a full read of the endpoints that begins.
 func (m *Metrics) FullRead(reason registry.FullReadReason) { m.fullReads.Add(string(reason), 1) }
 
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -207,8 +207,8 @@
 	return g.exchange.OpenDispatch(box, s.groupName)
 }
 
-// setRemote sets the dispatcher to ask, and sends it the rests, cached parts, running requests
-// and recent grants that it needs for its decisions. The caller holds the lock.
+// setRemote sets the dispatcher to ask, and sends it the rests, cached parts, rates of engines,
+// running requests and recent grants that it needs for its decisions. The caller holds the lock.
 func (s *scheduler) setRemote(r *remote) {
 	if s.remote != nil {
 		s.remote.stream.Close()
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -314,6 +314,7 @@
 			s.deliver(d.Request, verdict{retryAfter: d.RetryAfter, overShare: d.OverShare, noEligibleEngine: d.NoEligibleEngine, waiting: d.Queued})
 		}
 	}
+	s.logWeights()
 }
 
 // deliver delivers a verdict to the box that asked. A grant that can not be delivered is returned
