--- a/pkg/dispatch/cache.go
+++ b/pkg/dispatch/cache.go
@@ -37,11 +37,11 @@
 // parts than that.
 const maxCachedParts = 128
 
-// CachedParts returns the estimated contents of the engines' prefix caches, for a new
-// dispatcher. Short parts are left out.
+// CachedParts returns the estimated contents of the engines' prefix caches and their rates, for a
+// new dispatcher. Short parts are left out.
 func (p *Pool) CachedParts() (all []CachedParts) {
 	for _, e := range p.reportedEngines() {
-		cached := CachedParts{Endpoint: e.ID, Born: e.Born}
+		cached := CachedParts{Endpoint: e.ID, Born: e.Born, Rate: e.rating.Rate()}
 		for elem := e.cache.Front(); elem != nil && len(cached.Parts) < maxCachedParts; elem = elem.Next() {
 			part := elem.Value.(cachedPart)
 			// The next dispatcher takes what is reported as the source of transfers. What is being
@@ -50,14 +50,14 @@
 				cached.Parts = append(cached.Parts, part.Part)
 			}
 		}
-		if len(cached.Parts) > 0 {
+		if len(cached.Parts) > 0 || cached.Rate > 0 {
 			all = append(all, cached)
 		}
 	}
 	return all
 }
 
-// AddCachedParts adds another router's estimate of an engine's prefix cache.
+// AddCachedParts adds another router's estimate of an engine's prefix cache, and of its rate.
 func (p *Pool) AddCachedParts(cached CachedParts, now time.Time) {
 	leaving := p.leavingInstance(cached.Endpoint, cached.Born)
 	if leaving != nil {
@@ -68,6 +68,10 @@
 	if e == nil {
 		return
 	}
+	if cached.Rate > 0 {
+		e.rating.AddReport(cached.Rate)
+		p.weighedAt = time.Time{}
+	}
 	p.addReportedParts(e, cached.Parts)
 	for _, part := range cached.Parts {
 		p.recordCachedPart(part, e, now)
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -13,6 +13,7 @@
 		return nil
 	}
 	p.updateShare(now)
+	p.updateWeights(now)
 	p.updateEstimates()
 	p.round++
 	p.best = p.bestSnapshot(now)
@@ -70,7 +71,15 @@
 	t := p.planTransfer(e, req, shared, now)
 	g := p.addGrant(req, e, now)
 	p.startTransfer(g, t, now)
-	grant := &Grant{Request: req, Endpoint: e.ID, Wait: wait, ReadTime: e.prefillTime(g), MissingTokens: shared - t.tokens, FetchedTokens: t.tokens}
+	grant := &Grant{
+		Request:       req,
+		Endpoint:      e.ID,
+		Wait:          wait,
+		ReadTime:      e.prefillTime(g),
+		MissingTokens: shared - t.tokens,
+		FetchedTokens: t.tokens,
+		Rate:          e.rating.Rate(),
+	}
 	if t.source != nil {
 		grant.FetchFrom = t.source.ID
 	}
