pkg/slot, pkg/dispatch: slots of plain services as a pool's capacity

Cause: each box picks plain endpoints by its own measurements and sends at once, so under a flood endpoints refuse most requests, whoever sent them.

Change: pkg/slot accounts for the slots of one endpoint: grants, the time for which requests hold a slot, refusals and ejections. dispatch.Pool uses it for services without engines, with the same accounts and the same max-min order; only placement, predicted waits and retry times differ.

--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -47,6 +47,8 @@
 	queues map[string]*routeQueue
 	// waiting is the number of requests in all queues.
 	waiting int
+	// waitingCost is the sum of their costs.
+	waitingCost float64
 	// otherGroups is what the customer requested and was granted in other groups of engines.
 	otherGroups otherGroupTotals
 }
@@ -107,6 +109,7 @@
 	q := a.queue(req.Route)
 	q.queue = append(q.queue, req)
 	a.waiting++
+	a.waitingCost += req.cost
 }
 
 func (a *account) dequeue(req *Request) {
@@ -114,6 +117,7 @@
 	if i := slices.Index(q.queue, req); i >= 0 {
 		q.queue = slices.Delete(q.queue, i, i+1)
 		a.waiting--
+		a.waitingCost -= req.cost
 	}
 }
 
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -12,6 +12,7 @@
 	if p.queued == 0 {
 		return nil
 	}
+	p.updateSlotRate(now)
 	p.updateShare(now)
 	p.updateEstimates()
 	p.round++
@@ -53,7 +54,7 @@
 				continue
 			}
 			req.triedRound = p.round
-			if e := p.place(req, p.shareLevel(a, req), now); e != nil {
+			if e := p.choose(a, req, now); e != nil {
 				return p.grant(a, req, e, now)
 			}
 		}
@@ -67,7 +68,7 @@
 	p.tallyFor(a.name).Granted += req.cost
 	wait := p.predictedWait(e, now)
 	tokens, shared := e.missingTokens(&req.Prompt)
-	p.addGrant(req, e, now)
+	e.takeSlot(p.addGrant(req, e, now), now)
 	return &Grant{Request: req, Endpoint: e.ID, Wait: wait, ReadTime: e.readTime(tokens), MissingTokens: shared}
 }
 
@@ -114,10 +115,13 @@
 	} else {
 		t.RefusedAfterWait += req.cost
 	}
-	return Refusal{Request: req, RetryAfter: p.retryAfter(a, req, isOver, now), OverShare: isOver, NoEligibleEngine: !p.hasEligibleEngine(req, now), Queued: queued}
+	return Refusal{Request: req, RetryAfter: p.retryTime(a, req, isOver, now), OverShare: isOver, NoEligibleEngine: !p.hasEligibleEngine(req, now), Queued: queued}
 }
 
 // maxWait returns how long a request may wait here, in nanoseconds.
 func (p *Pool) maxWait(req *Request) float64 {
+	if p.isPlain() {
+		return float64(p.maxPlainWait(req))
+	}
 	return p.Rules.MaxWaitFraction * float64(req.LatencyTarget)
 }
--- a/pkg/dispatch/endpoints.go
+++ b/pkg/dispatch/endpoints.go
@@ -20,7 +20,7 @@
 		e := p.engines[endpoint.ID]
 		switch {
 		case e == nil || endpoint.IsNewerInstanceThan(&e.Endpoint):
-			e = newEngine(endpoint, p.service.Engine.CacheTokens)
+			e = p.newEngine(endpoint)
 			changed = true
 			if !initial {
 				e.state.AssumeCold(lifecycle.Started, now.Add(p.coldBound.Duration))
@@ -44,9 +44,12 @@
 	e.Endpoint = endpoint
 	e.coldBound = p.coldBound
 	e.state.Update(endpoint.Facts, p.coldBound, now)
-	if e.Slots == 0 {
+	if e.Slots == 0 && p.service.Engine != nil {
 		e.Slots = p.service.Engine.Slots
 	}
+	if e.slots != nil {
+		e.slots.Slots = e.Slots
+	}
 }
 
 // updateEngineOrder updates sorted, and drops the rankings of engines by part, which are computed
@@ -77,7 +80,7 @@
 	case reported.Supersedes(&e.Facts):
 		endpoint := e.Endpoint
 		endpoint.Born = born
-		e = newEngine(endpoint, p.service.Engine.CacheTokens)
+		e = p.newEngine(endpoint)
 		e.state.AssumeCold(lifecycle.Started, now.Add(p.coldBound.Duration))
 		p.updateEngine(e, endpoint, now)
 		p.engines[id] = e
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -9,6 +9,7 @@
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/route"
+	"github.com/quaylead/quaylead/pkg/slot"
 )
 
 // engine is the estimated state of one engine, from the pool's grants and the routers' reports.
@@ -56,6 +57,8 @@
 	consecutiveFailures int
 	// consecutiveBroken counts broken responses without a first token between them.
 	consecutiveBroken int
+	// slots is the account of an endpoint of a plain service; nil for a model engine.
+	slots *slot.Endpoint
 	// suspects are the fingerprints of requests running here under which engines ended, with the
 	// number of these engines.
 	suspects map[quarantine.Fingerprint]int
@@ -279,6 +282,10 @@
 
 // finish removes a request that ended.
 func (e *engine) finish(g *grant, outcome Outcome, now time.Time) {
+	if e.slots != nil {
+		e.freeSlot(g, outcome, now)
+		return
+	}
 	if !g.begun {
 		e.removePending(g)
 	}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -7,6 +7,7 @@
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/route"
+	"github.com/quaylead/quaylead/pkg/slot"
 )
 
 // Rules are the settings of a pool. DefaultRules returns their defaults.
@@ -106,6 +107,8 @@
 
 	service         route.Service
 	tokensPerSecond float64
+	// times are the times for which requests hold the slots of a plain service; nil for engines.
+	times *slot.Times
 	// coldBound is the limit of a cold engine.
 	coldBound lifecycle.Bound
 	engines   map[string]*engine
@@ -123,6 +126,8 @@
 	// round numbers the calls of Decide. A request that found no room in a round finds none
 	// later in it, as engines only fill up.
 	round uint64
+	// fullRound is the last round in which no endpoint of a plain service had room for any request.
+	fullRound uint64
 	// best is the shortest wait at any engine when the round began, and whether any was idle.
 	best engineSnapshot
 
@@ -163,6 +168,7 @@
 	}
 	p.service = service
 	p.tokensPerSecond = tokensPerSecond
+	p.configureSlots()
 	p.coldBound = service.ColdStart.Bound(p.Rules.ColdFactor, p.Rules.ColdExtra)
 }
 
@@ -187,13 +193,14 @@
 		return
 	}
 	p.End(req.ID, Unused{}, now)
+	p.EstimateSlotTime(req)
 	req.cost = req.Cost()
 	p.targets.record(req.LatencyTarget, now, p.Rules.Window)
 	a := p.account(req.Customer)
 	a.addRequested(req, now, p.Rules.Window)
 	a.otherGroups.record(req.BoxHash, req.OtherGroupUsage, now)
 	p.tallyFor(req.Customer).Requested += req.cost
-	req.refuseNow = !p.hasEligibleEngine(req, now) || p.isQuarantined(req, now) || p.isBacklogTooLong(a, req, now)
+	req.refuseNow = !p.hasEligibleEngine(req, now) || p.isQuarantined(req, now) || p.isHopeless(a, req, now)
 	a.enqueue(req)
 	p.waiting[req.ID] = req
 	p.queued++
@@ -211,11 +218,13 @@
 	if e == nil {
 		return
 	}
+	p.EstimateSlotTime(req)
 	req.cost = req.Cost()
 	a := p.account(req.Customer)
 	a.addRequested(req, now, p.Rules.Window)
 	g := p.addGrant(req, e, now)
 	g.adopted = true
+	e.takeSlot(g, now)
 	if begun {
 		g.begun = true
 		e.removePending(g)
@@ -272,6 +281,7 @@
 			p.refund(g, now)
 		}
 	case Done:
+		p.completePlain(g)
 		if g.begun && !g.adopted {
 			p.tallyFor(g.req.Customer).Completed += g.req.cost
 		}
@@ -296,6 +306,7 @@
 	}
 	for id, g := range p.grants {
 		if g.req.Stream == stream {
+			g.engine.dropSlot(g, now)
 			p.End(id, Done{}, now)
 		}
 	}
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -86,6 +86,8 @@
 	// box's requests of the customer were granted in other groups of the service.
 	BoxHash uint64
 	OtherGroupUsage
+	// SlotTime is how long it is expected to hold a slot of a plain service; 0 for model engines.
+	SlotTime time.Duration
 	// Zone is the availability zone of the box that sent it; empty means unknown.
 	Zone string
 	// Size is the number of bytes of its body.
--- /dev/null
+++ b/pkg/slot/endpoint_test.go
@@ -0,0 +1,149 @@
+package slot
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var start = time.Unix(1700000000, 0)
+
+// learn makes an endpoint complete requests that each take so long.
+func learn(e *Endpoint, route string, took time.Duration) {
+	for i := range 100 {
+		id := fmt.Sprint("learn", i)
+		e.Grant(id, route, true, start)
+		e.End(id, Completed{}, start.Add(took))
+	}
+}
+
+// fill grants requests until there is no room, and returns their number.
+func fill(e *Endpoint, now time.Time) (granted int) {
+	for e.HasRoom(now) && granted < 100 {
+		e.Grant(fmt.Sprint("fill", granted), "r", true, now)
+		granted++
+	}
+	return granted
+}
+
+func TestRoom(t *testing.T) {
+	// The number beyond the slots covers the turnaround, and is small: what waits at an endpoint
+	// waits in no fair order.
+	for took, want := range map[time.Duration]int{
+		200 * time.Millisecond: 6,
+		60 * time.Millisecond:  7,
+		30 * time.Millisecond:  8,
+		5 * time.Millisecond:   12,
+	} {
+		Convey(fmt.Sprintf("An endpoint of six slots gets %d requests of %s", want, took), t, func() {
+			e := &Endpoint{Slots: 6, Times: &Times{}}
+			learn(e, "r", took)
+			So(fill(e, start), ShouldEqual, want)
+			So(e.HasFreeSlot(start), ShouldBeFalse)
+		})
+	}
+	Convey("An endpoint that refuses what is beyond its slots gets no more than these for a while", t, func() {
+		e := &Endpoint{Slots: 6, Times: &Times{}}
+		learn(e, "r", 60*time.Millisecond)
+		fill(e, start)
+		e.End("fill6", Refused{}, start)
+		So(e.HasRoom(start), ShouldBeFalse)
+		e.End("fill0", Completed{}, start)
+		later := start.Add(refusalPause)
+		So(e.HasRoom(later), ShouldBeTrue)
+		e.Grant("next", "r", true, later)
+		So(e.HasRoom(later), ShouldBeFalse)
+		So(e.HasRoom(start.Add(unqueuedTime)), ShouldBeTrue)
+	})
+	Convey("Ends of unknown requests, and repeated ones, change nothing", t, func() {
+		e := &Endpoint{Slots: 2, Times: &Times{}}
+		e.Grant("a", "r", true, start)
+		e.End("b", Unreachable{}, start)
+		e.End("a", Completed{}, start)
+		e.End("a", Unreachable{}, start)
+		So(e.Busy(), ShouldEqual, 0)
+		So(e.IsEjected(start), ShouldBeFalse)
+	})
+}
+
+func TestTimes(t *testing.T) {
+	Convey("The time in the endpoint's queue is no part of the time in the slot", t, func() {
+		e := &Endpoint{Slots: 1, Times: &Times{}}
+		now := start
+		e.Grant("0", "r", true, now)
+		for i := range 200 {
+			e.Grant(fmt.Sprint(i+1), "r", true, now)
+			now = now.Add(40 * time.Millisecond)
+			e.End(fmt.Sprint(i), Completed{}, now)
+		}
+		So(e.Expected("r"), ShouldBeBetween, 38*time.Millisecond, 42*time.Millisecond)
+	})
+	Convey("Routes are estimated apart, and an unknown one by the mean", t, func() {
+		e := &Endpoint{Slots: 6, Times: &Times{}}
+		learn(e, "short", 10*time.Millisecond)
+		learn(e, "long", 100*time.Millisecond)
+		So(e.Times.Expected("short"), ShouldBeLessThan, 15*time.Millisecond)
+		So(e.Times.Expected("long"), ShouldBeGreaterThan, 80*time.Millisecond)
+		So(e.Times.Expected("other"), ShouldBeBetween, 15*time.Millisecond, 100*time.Millisecond)
+	})
+	Convey("A slow endpoint is known as such, and does not make the others seem slow", t, func() {
+		times := &Times{}
+		slow, usual := &Endpoint{Slots: 6, Times: times}, &Endpoint{Slots: 6, Times: times}
+		for range 5 {
+			learn(usual, "r", 20*time.Millisecond)
+			slow.Grant("x", "r", true, start)
+			slow.End("x", Completed{}, start.Add(60*time.Millisecond))
+		}
+		So(slow.Expected("r"), ShouldBeGreaterThan, 5*usual.Expected("r")/4)
+		So(usual.Expected("r"), ShouldBeBetween, 18*time.Millisecond, 24*time.Millisecond)
+	})
+	Convey("Requests that another box granted are no samples", t, func() {
+		e := &Endpoint{Slots: 6, Times: &Times{}}
+		e.Grant("a", "r", false, start)
+		e.End("a", Completed{}, start.Add(time.Second))
+		So(e.Expected("r"), ShouldEqual, initialTime)
+	})
+}
+
+func TestFailures(t *testing.T) {
+	fail := func(e *Endpoint, outcome Outcome, now time.Time) {
+		e.Grant("f", "r", true, now)
+		e.End("f", outcome, now)
+	}
+	Convey("An endpoint that accepts no connection is ejected at once, then for twice as long", t, func() {
+		e := &Endpoint{Slots: 6, Times: &Times{}}
+		fail(e, Unreachable{}, start)
+		So(e.IsEjected(start.Add(minEjection-1)), ShouldBeTrue)
+		back := start.Add(minEjection)
+		So(e.IsEjected(back), ShouldBeFalse)
+		fail(e, Unreachable{}, back)
+		So(e.EjectedUntil(), ShouldEqual, back.Add(2*minEjection))
+	})
+	Convey("One broken response ejects no endpoint, and the failures of one crash count once", t, func() {
+		e := &Endpoint{Slots: 6, Times: &Times{}}
+		fail(e, Broken{}, start)
+		So(e.IsEjected(start), ShouldBeFalse)
+		for range 6 {
+			fail(e, Broken{}, start)
+		}
+		So(e.EjectedUntil(), ShouldEqual, start.Add(minEjection))
+	})
+	Convey("After an ejection an endpoint gets one request at a time until one succeeds", t, func() {
+		e := &Endpoint{Slots: 6, Times: &Times{}}
+		fail(e, Unreachable{}, start)
+		back := start.Add(minEjection)
+		So(fill(e, back), ShouldEqual, 1)
+		e.End("fill0", Completed{}, back)
+		So(fill(e, back), ShouldBeGreaterThanOrEqualTo, 6)
+	})
+	Convey("A request that was not sent says nothing about the endpoint", t, func() {
+		e := &Endpoint{Slots: 6, Times: &Times{}}
+		for range 10 {
+			fail(e, Unused{}, start)
+		}
+		So(e.IsEjected(start), ShouldBeFalse)
+		So(e.HasFreeSlot(start), ShouldBeTrue)
+	})
+}
