pkg/gateway: requests to queued plain services wait for a slot at the dispatcher

Cause: boxes do not coordinate their use of the slots of plain endpoints.

Change: where Catalog.QueuesPlain says so, servePlain obtains a grant through the scheduler of the service, as for engines. The pool exists only while the queue is or was on; a service without it is served as before.

Measured: pkg/gateway, pkg/slot and TestPlain* of pkg/dispatch pass.

--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -27,8 +27,9 @@
 	// costJitter is the fraction by which the costs of endpoints vary at random, so that boxes that
 	// decide alone do not all choose the same endpoint.
 	costJitter = 0.2
-	// busyWeight weighs the used fraction of an endpoint's slots against the time of a request.
-	busyWeight = 0.25
+	// busyWeight weighs the used fraction of an endpoint's slots against the time of a request, so
+	// that requests are spread: with 0.25, those of eight concurrent callers stayed in one zone.
+	busyWeight = 1
 )
 
 // isPlain reports whether the service has no engines.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -40,7 +40,9 @@
 	deadlineCause error
 	route         *route.Route
 	service       route.Service
-	customer      string
+	// queuesPlain is set if requests to the service, a plain one, are queued for its slots.
+	queuesPlain bool
+	customer    string
 	// fingerprint identifies repeats of the request, and lastEnd records the last endpoint that
 	// ended while it ran the request.
 	fingerprint quarantine.Fingerprint
@@ -174,7 +176,7 @@
 	if !known {
 		service = route.Service{Name: name}
 	}
-	c.service = service
+	c.service, c.queuesPlain = service, catalog.QueuesPlain(name)
 	var allowed bool
 	if c.zones, allowed = c.gateway.Settings.allowedZones(regionLists...); !allowed {
 		return notRun(request.NoEndpoint, "no availability zone lies in a region in which the request may be served", noRegionRetryDelay)
--- a/pkg/gateway/cold.go
+++ b/pkg/gateway/cold.go
@@ -120,7 +120,8 @@
 }
 
 // updateColdSenders determines for which bounded plain endpoints this box is a sender while
-// they are cold.
+// they are cold. Of a queued service there are no such senders: its dispatchers keep to the bound.
+// When a service is no longer queued, coldSenderDelay passes before a sender sends.
 func (g *Gateway) updateColdSenders() {
 	catalog := g.registry.Catalog()
 	if catalog == nil {
@@ -128,7 +129,7 @@
 	}
 	var endpoints []string
 	for name, service := range catalog.Services {
-		if service.Engine != nil || service.ColdStart.MaxPerSecond <= 0 {
+		if service.Engine != nil || service.ColdStart.MaxPerSecond <= 0 || catalog.QueuesPlain(name) {
 			continue
 		}
 		for _, endpoint := range g.registry.Directory().EndpointsOf(name) {
--- a/pkg/gateway/endpoints.go
+++ b/pkg/gateway/endpoints.go
@@ -25,9 +25,11 @@
 	for name, service := range catalog.Services {
 		if service.Engine == nil {
 			g.updatePlain(service, directory, changes, configChanged)
+		}
+		p, used := g.pools[name], service.Engine != nil || catalog.QueuesPlain(name)
+		if p == nil && !used {
 			continue
 		}
-		p := g.pools[name]
 		if p == nil {
 			p = &pool{gateway: g, name: name, histories: newHistories(g.Settings.ShareWindow)}
 			g.pools[name] = p
@@ -36,7 +38,7 @@
 		}
 		p.applyChanges(directory, changes)
 		if configChanged {
-			p.configure(service, catalog.Limits.TokensPerSecond)
+			p.configure(service, catalog.Limits.TokensPerSecond, !used)
 		}
 	}
 	g.attempts.cancelRestarted(directory)
@@ -80,7 +82,7 @@
 	}
 }
 
-// pool returns the pool of a service; nil if the service has no engines.
+// pool returns the pool of a service; nil if its requests are not dispatched.
 func (g *Gateway) pool(service string) *pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -31,6 +31,10 @@
 	// cached at the granted engines.
 	granted       expvar.Int
 	missingTokens expvar.Int
+	// plainWaits are the times that requests to plain services waited until they were granted a
+	// slot, and plainGranted counts these grants.
+	plainWaits   record.Latencies
+	plainGranted expvar.Int
 	// rests counts how often an endpoint asked this box for rest, and handedBack the chosen
 	// endpoints to which nothing was sent in the end, as they no longer admitted requests.
 	rests, handedBack expvar.Int
@@ -47,6 +51,8 @@
 	expvar.Publish("Turned", &m.dispatchRefusals)
 	expvar.Publish("Cuts", &m.cuts)
 	expvar.Publish("Granted", &m.granted)
+	expvar.Publish("PlainGranted", &m.plainGranted)
+	expvar.Publish("PlainWaited", expvar.Func(func() any { return m.plainWaits.Summaries() }))
 	expvar.Publish("Missing", &m.missingTokens)
 	expvar.Publish("Rests", &m.rests)
 	expvar.Publish("HandedBack", &m.handedBack)
@@ -79,6 +85,12 @@
 	m.missingTokens.Add(int64(v.missingTokens))
 }
 
+// PlainGranted records a grant of a slot and how long the request waited for it.
+func (m *Metrics) PlainGranted(customer, route string, waited time.Duration) {
+	m.plainGranted.Add(1)
+	m.plainWaits.Add(record.Key{Customer: customer, Class: route}, waited)
+}
+
 // RestRequested counts a response in which an endpoint asks for rest.
 func (m *Metrics) RestRequested() { m.rests.Add(1) }
 
@@ -125,6 +137,7 @@
 			zap.Int64("InFlight", g.inFlight.Load()),
 			zap.Duration("ProcessorWait", g.load.meanDelay()),
 			zap.Int64("Granted", g.Metrics.granted.Value()),
+			zap.Int64("PlainGranted", g.Metrics.plainGranted.Value()),
 			zap.Int64("MissingTokens", g.Metrics.missingTokens.Value()),
 			zap.Int64("Rests", g.Metrics.rests.Value()),
 			zap.Int64("HandedBack", g.Metrics.handedBack.Value()),
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -50,12 +50,13 @@
 	}()
 	p := c.gateway.pool(c.service.Name)
 	if p == nil {
-		return to, notRun(request.NoEndpoint, "the service has no engine now", failureRetryDelay())
+		return to, notRun(request.NoEndpoint, "the service has no endpoint now", failureRetryDelay())
 	}
 	for unusable := 0; ; unusable++ {
 		suspended := c.gateway.suspensions.Detected()
 		req := c.dispatchRequest()
 		s := p.groupFor(req)
+		s.estimateSlotTime(req)
 		v, err := s.acquire(c.ctx, req, unusable >= maxUnusableGrants)
 		if err != nil {
 			return to, c.endedRefusal()
@@ -92,7 +93,9 @@
 		s.end(c.ID, dispatch.Unused{})
 	default:
 		c.log().Debug("engine granted", zap.String("Request", c.ID), zap.String("Endpoint", found.ID), zap.String("By", v.decidedBy), zap.Duration("Wait", v.wait))
-		c.gateway.Metrics.Granted(v)
+		if !c.isQueuedPlain() {
+			c.gateway.Metrics.Granted(v)
+		}
 		return destination{
 			Endpoint:  found,
 			begin:     func() { s.begin(c.ID) },
@@ -109,11 +112,13 @@
 // requests of its customer already wait here.
 func (c *call) refuseEarly() *request.Refusal {
 	p := c.gateway.pool(c.service.Name)
-	if p == nil || c.Prompt == nil {
+	if p == nil || !c.isDispatched() {
 		return nil
 	}
 	req := c.dispatchRequest()
-	v, refused := p.groupFor(req).refuseEarly(req)
+	s := p.groupFor(req)
+	s.estimateSlotTime(req)
+	v, refused := s.refuseEarly(req)
 	if !refused {
 		return nil
 	}
@@ -127,11 +132,15 @@
 	if latencyTarget <= 0 {
 		latencyTarget = defaultLatencyTarget
 	}
+	prompt := dispatch.Prompt{}
+	if c.Prompt != nil && c.service.Engine != nil {
+		prompt = *c.Prompt
+	}
 	return &dispatch.Request{
 		ID:            c.ID,
 		Customer:      c.customer,
 		Route:         c.route.Name,
-		Prompt:        *c.Prompt,
+		Prompt:        prompt,
 		Arrived:       c.arrived,
 		LatencyTarget: latencyTarget,
 		GapTarget:     c.route.GapTarget,
@@ -151,6 +160,9 @@
 	if refusal := c.refuseQuarantined(); refusal != nil {
 		return refusal
 	}
+	if c.isQueuedPlain() {
+		return c.slotRefusal(v)
+	}
 	message := "the engines are busy, decided by " + v.decidedBy
 	if v.noEligibleEngine {
 		message = "all engines that may serve it asked for rest or leave, decided by " + v.decidedBy
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -1,24 +1,22 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/rollout"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
-// servePlain serves a request to a plain service. Such requests are not queued: this box selects
-// an endpoint by its own measurements.
+// servePlain serves a request to a plain service. If the service is queued, the request waits for
+// a grant; otherwise this box selects an endpoint by its own measurements.
 func (c *call) servePlain() *request.Refusal {
 	for {
-		to, refusal := c.choosePlain()
+		to, refusal := c.acquirePlain()
 		if refusal != nil {
 			return refusal
 		}
@@ -66,9 +64,16 @@
 	to.finishTimed(result, took)
 }
 
-// choosePlain selects an endpoint for a request to a plain service. The caller has to record the
-// outcome through the returned destination.
-func (c *call) choosePlain() (to destination, refusal *request.Refusal) {
+// acquirePlain returns the endpoint for the next attempt.
+func (c *call) acquirePlain() (to destination, refusal *request.Refusal) {
+	if c.isQueuedPlain() {
+		return c.acquireSlot()
+	}
+	return c.choosePlain()
+}
+
+// plainEndpoints returns the endpoints that may serve a request to a plain service.
+func (c *call) plainEndpoints() []route.Endpoint {
 	endpoints := c.gateway.registry.Directory().EndpointsOf(c.service.Name)
 	if len(c.zones) > 0 {
 		endpoints = slices.DeleteFunc(endpoints, func(e route.Endpoint) bool { return !slices.Contains(c.zones, e.Zone) })
@@ -76,7 +81,13 @@
 	if versions := c.gateway.rollouts.pickVersions(c.service.Name); versions != (rollout.VersionFilter{}) {
 		endpoints = slices.DeleteFunc(endpoints, func(e route.Endpoint) bool { return !versions.Admits(e.Release) })
 	}
-	endpoints = c.allowedEndpoints(endpoints)
+	return c.allowedEndpoints(endpoints)
+}
+
+// choosePlain selects an endpoint for a request to a plain service. The caller has to record the
+// outcome through the returned destination.
+func (c *call) choosePlain() (to destination, refusal *request.Refusal) {
+	endpoints := c.plainEndpoints()
 	chosen, state := c.gateway.health.choose(endpoints, c.excluded, c.gateway.Settings.Zone)
 	if state == nil && len(c.excluded) > 0 {
 		// Every endpoint has failed this request once; a second attempt at one of them is better
@@ -97,13 +108,3 @@
 		suspendedTotal: c.gateway.suspensions.Detected(),
 	}, nil
 }
-
-// refusePlain refuses a request that no endpoint takes. If endpoints rest, the caller is asked to
-// retry when the first rest ends.
-func (c *call) refusePlain(endpoints []route.Endpoint) *request.Refusal {
-	now := time.Now()
-	if until := c.gateway.rests.firstEnd(endpoints, now); !until.IsZero() {
-		return notRun(request.NoEndpoint, "all endpoints of the service asked for rest", dispatch.RetryAfterRest(until.Sub(now), rand.Float64()))
-	}
-	return notRun(request.NoEndpoint, "the service has no endpoint now", failureRetryDelay())
-}
--- a/pkg/gateway/pool.go
+++ b/pkg/gateway/pool.go
@@ -35,8 +35,13 @@
 
 	service         route.Service
 	tokensPerSecond float64
-	assignment      partition.Assignment
-	histories       *histories
+	// plain is set for a plain service, whose endpoints are in one group.
+	plain bool
+	// unused is set while a plain service is not queued. Requests that still wait or run here end
+	// as usual.
+	unused     bool
+	assignment partition.Assignment
+	histories  *histories
 	// directory is the version from which weights and groups were computed.
 	directory *route.Directory
 	// mismatchSince is when the number of engines began to require another number of groups;
@@ -64,6 +69,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.service, p.tokensPerSecond, p.directory = service, tokensPerSecond, directory
+	p.plain = service.Engine == nil
 	directory.Each(p.name, func(*route.Endpoint) bool {
 		p.engines++
 		return true
@@ -71,21 +77,22 @@
 	p.repartition(p.groupCount(time.Now()))
 }
 
-// configure applies a new catalog.
-func (p *pool) configure(service route.Service, tokensPerSecond float64) {
+// configure applies a new catalog. unused is set if it does not queue the service, a plain one.
+func (p *pool) configure(service route.Service, tokensPerSecond float64, unused bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.service, p.tokensPerSecond = service, tokensPerSecond
+	p.plain, p.unused = service.Engine == nil, unused
 	for i, group := range p.groups {
 		if group != nil {
-			group.configure(service, p.groupTokenRate(i), len(p.groups))
+			group.configure(service, p.groupTokenRate(i), len(p.groups), p.isPersistent())
 		}
 	}
 }
 
 // isPersistent reports whether the pool has few enough groups to keep sessions to all of their
-// dispatchers. The caller holds the lock.
-func (p *pool) isPersistent() bool { return len(p.groups) <= maxPersistentGroups }
+// dispatchers, and uses them. The caller holds the lock.
+func (p *pool) isPersistent() bool { return len(p.groups) <= maxPersistentGroups && !p.unused }
 
 // groupTokenRate returns a group's share of the token rate of the pool. The caller holds the
 // lock.
@@ -113,7 +120,7 @@
 	}
 	for i := range affected {
 		if group := p.groups[i]; group != nil {
-			group.configure(p.service, p.groupTokenRate(i), len(p.groups))
+			group.configure(p.service, p.groupTokenRate(i), len(p.groups), p.isPersistent())
 			group.setEndpoints(p.members(i))
 		}
 	}
@@ -140,10 +147,19 @@
 	return members
 }
 
+// wantedGroups returns the number of groups for the number of engines. A plain service has one: a
+// request must not wait in one group while an endpoint of another has a free slot.
+func (p *pool) wantedGroups() int {
+	if p.plain {
+		return 1
+	}
+	return partition.Count(p.engines)
+}
+
 // groupCount returns the number of groups that should be in use: another one than now only after
 // the number of engines has required it for repartitionDelay.
 func (p *pool) groupCount(now time.Time) int {
-	wanted, current := partition.Count(p.engines), len(p.groups)
+	wanted, current := p.wantedGroups(), len(p.groups)
 	if wanted == current || current == 0 {
 		p.mismatchSince = time.Time{}
 		return wanted
@@ -174,7 +190,7 @@
 	for i, group := range p.groups {
 		switch {
 		case group != nil:
-			group.configure(p.service, p.groupTokenRate(i), len(p.groups))
+			group.configure(p.service, p.groupTokenRate(i), len(p.groups), p.isPersistent())
 			group.setEndpoints(p.members(i))
 		case p.isPersistent():
 			p.ensureGroup(i)
@@ -187,7 +203,7 @@
 	group := p.groups[i]
 	if group == nil {
 		group = newScheduler(p.gateway, p, i)
-		group.configure(p.service, p.groupTokenRate(i), len(p.groups))
+		group.configure(p.service, p.groupTokenRate(i), len(p.groups), p.isPersistent())
 		group.setEndpoints(p.members(i))
 		p.groups[i] = group
 	}
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -45,6 +45,10 @@
 	mu sync.Mutex
 	// persistent groups always have sessions to the boxes that may dispatch for them.
 	persistent bool
+	// plain is set for the endpoints of a plain service, whose pool grants slots. confirmedAt is
+	// when the boxes that ask this one were last told what waits here.
+	plain       bool
+	confirmedAt time.Time
 	// endpoints are the engines of the group. They are set in the pool only when this box begins
 	// to decide, which poolReady records: most boxes of a large fleet never decide for most
 	// groups.
@@ -110,6 +114,9 @@
 	ended chan struct{}
 	// usedAt is when a request was last seen to use the stream.
 	usedAt time.Time
+	// silentSince is when the first request was asked that got no response in time, since the last
+	// verdict; zero if there is none. It is used for plain services only.
+	silentSince time.Time
 	// absentGrants counts consecutive grants of absent engines.
 	absentGrants absentGrants
 }
@@ -177,11 +184,21 @@
 	return s
 }
 
-// configure applies the settings of a new catalog and the number of groups of the pool.
-func (s *scheduler) configure(service route.Service, tokensPerSecond float64, groups int) {
+// configure applies the settings of a new catalog, the number of groups of the pool, and whether
+// sessions to the boxes that may dispatch are kept.
+func (s *scheduler) configure(service route.Service, tokensPerSecond float64, groups int, persistent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.groupCount, s.persistent = groups, groups <= maxPersistentGroups
+	if persistent != s.persistent {
+		// The order of the dispatchers depends on it.
+		s.ranking = nil
+	}
+	s.groupCount, s.persistent = groups, persistent
+	s.plain = service.Engine == nil
+	if s.plain {
+		// Plain endpoints have no prefix cache to list.
+		s.cachesKnown = true
+	}
 	compact := service.Engine.HasCompactCache()
 	s.pool.Rules.ZoneHomes, s.pool.Rules.ColdHomes = compact, compact
 	s.pool.Rules.Fetch = compact && service.Engine.CopiesCache
@@ -270,17 +287,20 @@
 func (s *scheduler) decideOnTick() (waiting bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.decideNow(time.Now())
+	now := time.Now()
+	s.decideNow(now)
+	s.confirmQueued(now)
 	return s.pool.Waiting() > 0
 }
 
 // decide decides after an event: at once or, if the last decision was made less than
-// decisionInterval ago, with the next tick. The caller holds the lock.
+// decisionInterval ago, with the next tick. A plain request does not wait while a slot is free.
+// The caller holds the lock.
 func (s *scheduler) decide() {
 	if s.pool.Waiting() == 0 {
 		return
 	}
-	if now := time.Now(); now.Sub(s.decidedAt) >= decisionInterval {
+	if now := time.Now(); now.Sub(s.decidedAt) >= decisionInterval || s.pool.HasFreeSlot(now) {
 		s.decideNow(now)
 	}
 	if s.pool.Waiting() > 0 {
@@ -366,7 +386,7 @@
 		if box == s.gateway.Settings.Name {
 			return s.askLocal(ctx, req, 1)
 		}
-		v, err := s.askRemote(ctx, req, box)
+		v, err := s.ask(ctx, req, box)
 		if err == nil || ctx.Err() != nil {
 			return v, err
 		}
