--- a/pkg/slot/endpoint.go
+++ b/pkg/slot/endpoint.go
@@ -21,8 +21,10 @@
 	failures
 	// refusedUntil is the end of a time without new requests after a refusal.
 	refusedUntil time.Time
-	// unqueuedUntil is until when the endpoint is assumed not to queue requests beyond its slots.
+	// unqueuedUntil is until when the endpoint is assumed not to queue requests beyond its slots, and
+	// unqueued the length of that time.
 	unqueuedUntil time.Time
+	unqueued      time.Duration
 }
 
 // grant is a request that was granted a slot.
@@ -47,10 +49,11 @@
 	extraMargin = 1.4
 	// refusalPause is the time without new requests after a refusal.
 	refusalPause = 50 * time.Millisecond
-	// unqueuedTime is how long an endpoint that refused a request beyond its slots gets no more
+	// minUnqueuedTime is how long an endpoint that refused a request beyond its slots gets no more
 	// than its slots. Most plain services queue some requests, and a refusal may also come from
-	// the load of another dispatcher.
-	unqueuedTime = 10 * time.Second
+	// the load of another dispatcher. The time doubles each time, up to maxUnqueuedTime, as a
+	// refusal costs the request an attempt.
+	minUnqueuedTime, maxUnqueuedTime = 10 * time.Second, 5 * time.Minute
 	// minSlowness and maxSlowness bound a sample of the slowness.
 	minSlowness, maxSlowness = 0.125, 8
 )
@@ -151,10 +154,7 @@
 		e.measure(g, now)
 	case Unused:
 	case Refused:
-		e.refusedUntil = now.Add(refusalPause)
-		if exceeded {
-			e.unqueuedUntil = now.Add(unqueuedTime)
-		}
+		e.recordRefusal(exceeded, now)
 	case Unreachable:
 		e.record(true, now)
 	case Broken:
@@ -162,6 +162,18 @@
 	}
 }
 
+// recordRefusal records that the endpoint refused a request; exceeded is set if it had more requests
+// than slots, which shows only that it does not queue any.
+func (e *Endpoint) recordRefusal(exceeded bool, now time.Time) {
+	switch {
+	case !exceeded:
+		e.refusedUntil = now.Add(refusalPause)
+	case !now.Before(e.unqueuedUntil):
+		e.unqueued = min(max(minUnqueuedTime, 2*e.unqueued), maxUnqueuedTime)
+		e.unqueuedUntil = now.Add(e.unqueued)
+	}
+}
+
 // remove removes a request, and starts the next one that waits at the endpoint if it held a slot.
 func (e *Endpoint) remove(id string, now time.Time) *grant {
 	at := slices.IndexFunc(e.grants, func(g *grant) bool { return g.id == id })
