--- a/pkg/dispatch/plain_wait.go
+++ b/pkg/dispatch/plain_wait.go
@@ -7,6 +7,10 @@
 	"github.com/quaylead/quaylead/pkg/slot"
 )
 
+// timeVariance is the factor by which a request may take longer than expected and still meet its
+// latency target.
+const timeVariance = 1.25
+
 // maxPlainWait returns how long after its arrival a plain request may start and still meet its
 // latency target.
 func (p *Pool) maxPlainWait(req *Request) time.Duration {
