--- a/pkg/dispatch/leaving.go
+++ b/pkg/dispatch/leaving.go
@@ -26,7 +26,7 @@
 		}
 		switch {
 		case e == nil || endpoint.IsNewerInstanceThan(&e.Endpoint):
-			e = newEngine(endpoint, p.service.Engine.CacheTokens)
+			e = p.newEngine(endpoint)
 		case endpoint.IsOutdatedBy(&e.Facts):
 			continue
 		}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -36,6 +36,10 @@
 	// a first event far later than predicted, and lostSources the requests of this box's callers
 	// that were sent without a source, as it was no longer listed.
 	fetched, fetchedTokens, lateFetches, lostSources expvar.Int
+	// plainWaits are the times that requests to plain services waited until they were granted a
+	// slot, and plainGranted counts these grants.
+	plainWaits   record.Latencies
+	plainGranted expvar.Int
 	// rests counts how often an endpoint asked this box for rest, and handedBack the chosen
 	// endpoints to which nothing was sent in the end, as they no longer admitted requests.
 	rests, handedBack expvar.Int
@@ -54,6 +58,8 @@
 	expvar.Publish("Turned", &m.dispatchRefusals)
 	expvar.Publish("Cuts", &m.cuts)
 	expvar.Publish("Granted", &m.granted)
+	expvar.Publish("PlainGranted", &m.plainGranted)
+	expvar.Publish("PlainWaited", expvar.Func(func() any { return m.plainWaits.Summaries() }))
 	expvar.Publish("Missing", &m.missingTokens)
 	expvar.Publish("Fetched", &m.fetched)
 	expvar.Publish("FetchedTokens", &m.fetchedTokens)
@@ -100,6 +106,12 @@
 	}
 }
 
+// PlainGranted records a grant of a slot and how long the request waited for it.
+func (m *Metrics) PlainGranted(customer, route string, waited time.Duration) {
+	m.plainGranted.Add(1)
+	m.plainWaits.Add(record.Key{Customer: customer, Class: route}, waited)
+}
+
 // RestRequested counts a response in which an endpoint asks for rest.
 func (m *Metrics) RestRequested() { m.rests.Add(1) }
 
@@ -149,6 +161,7 @@
 			zap.Int64("InFlight", g.inFlight.Load()),
 			zap.Duration("ProcessorWait", g.load.meanDelay()),
 			zap.Int64("Granted", g.Metrics.granted.Value()),
+			zap.Int64("PlainGranted", g.Metrics.plainGranted.Value()),
 			zap.Int64("MissingTokens", g.Metrics.missingTokens.Value()),
 			zap.Int64("Fetched", g.Metrics.fetched.Value()),
 			zap.Int64("FetchedTokens", g.Metrics.fetchedTokens.Value()),
