--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/quaylead/quaylead/pkg/route"
@@ -21,6 +22,8 @@
 	readRate        float64
 	firstTokenDelay time.Duration
 	tokenInterval   time.Duration
+	// noisy engines take 2.5 times as long in one seventh of the time, for 600 ms each.
+	noisy bool
 	// cached parts cost no reading time.
 	cached map[string]map[uint64]bool
 	// freeAt is when each engine has read all prompts that it got.
@@ -213,10 +216,20 @@
 			s.copies.countRead(g, part, s.now)
 		}
 	}
-	reading := time.Duration(float64(tokens) / s.readRate * float64(time.Second))
+	slowdown := s.slowdown(g.Endpoint, from)
+	reading := time.Duration(float64(tokens) / s.readRate * slowdown * float64(time.Second))
 	s.freeAt[g.Endpoint] = from.Add(reading)
 	s.copies.recordShared(g, from.Add(reading))
-	return from.Add(reading + s.firstTokenDelay)
+	return from.Add(reading + fraction(s.firstTokenDelay, slowdown))
+}
+
+// slowdown returns the factor on the time that an engine takes.
+func (s *simulation) slowdown(engine string, at time.Time) float64 {
+	period := at.Sub(start) / (600 * time.Millisecond)
+	if s.noisy && xxhash.Sum64String(fmt.Sprint(engine, int(period)))%7 == 0 {
+		return 2.5
+	}
+	return 1
 }
 
 func (s *simulation) begin(req *Request) {
--- a/pkg/dispatch/transfer_simulation_test.go
+++ b/pkg/dispatch/transfer_simulation_test.go
@@ -133,17 +133,18 @@
 	// readRate and tokensPerSecond are of one engine.
 	readRate, tokensPerSecond float64
 	cacheTokens               int
+	noisy                     bool
 	// sources are the requests of each engine's share.
 	sources []source
 }
 
 var deployments = []deployment{
-	{"A", 56600, 3.1e6 / 90, 536334, []source{
+	{"A", 56600, 3.1e6 / 90, 536334, false, []source{
 		{route: "draft", perSecond: 299. / 90, latencyTarget: 600 * time.Millisecond, shared: 13300, own: 3720, sharedParts: 543, output: 120},
 		{route: "summary", perSecond: 355. / 90, latencyTarget: 600 * time.Millisecond, shared: 6300, own: 2890, sharedParts: 840, output: 54},
 		{route: "caption", perSecond: 317. / 90, latencyTarget: 400 * time.Millisecond, shared: 350, own: 1110, sharedParts: 20, output: 174},
 	}},
-	{"B", 112000, 5.2e6 / 90, 885182, []source{
+	{"B", 112000, 5.2e6 / 90, 885182, true, []source{
 		{route: "address", perSecond: 561. / 90, latencyTarget: 600 * time.Millisecond, shared: 13300, own: 3720, sharedParts: 1961, output: 120},
 		{route: "carrier", perSecond: 440. / 90, latencyTarget: time.Second, shared: 6300, own: 2890, sharedParts: 682, output: 54},
 		{route: "tag", perSecond: 549. / 90, latencyTarget: 1200 * time.Millisecond, shared: 350, own: 1110, sharedParts: 20, output: 174},
@@ -172,7 +173,7 @@
 	f := newFleetSimulation(8, transferEngines, d.tokensPerSecond*transferEngines, d.readRate)
 	f.rand = rand.New(rand.NewPCG(seed, 4))
 	f.tokenInterval = 5 * time.Millisecond
-	f.copies = newCopySimulation()
+	f.copies, f.noisy = newCopySimulation(), d.noisy
 	s := &transferSimulation{fleetSimulation: f, deployment: d, endpoints: zonedEndpoints(transferEngines), scale: 1}
 	f.pool = s.newPool(fetch)
 	return s
--- a/pkg/gateway/transfers.go
+++ b/pkg/gateway/transfers.go
@@ -13,17 +13,25 @@
 }
 
 // fetchAddress returns the address of the engine from which a granted one is to copy cached parts
-// of the prompt; empty if there is none, or if it is no longer listed. An engine that is leaving
-// still serves what it has cached. If a later instance has taken its place, that has less cached,
-// and the granted engine reads the rest itself.
+// of the prompt; empty if there is none, or if it is no longer listed.
 func (c *call) fetchAddress(to destination) string {
-	id := to.granted.fetchFrom
-	if id == "" || id == to.ID {
+	if to.granted.fetchFrom == "" {
 		return ""
 	}
-	source, listed := c.gateway.registry.Directory().Find(id)
-	if !listed || source.Service != to.Service || source.Evacuated {
+	address := sourceAddress(c.gateway.registry.Directory(), to.granted.fetchFrom, &to.Endpoint)
+	if address == "" {
 		c.gateway.Metrics.lostSources.Add(1)
+	}
+	return address
+}
+
+// sourceAddress returns the address of the source of a transfer to an engine; empty if it must not
+// be used. An engine that is leaving still serves what it has cached. The dispatcher names no
+// instance: if a later one has taken the place of the source, it has less cached, and the engine
+// reads the rest itself.
+func sourceAddress(directory *route.Directory, id string, to *route.Endpoint) string {
+	source, listed := directory.Find(id)
+	if !listed || source.ID == to.ID || source.Service != to.Service || source.Evacuated {
 		return ""
 	}
 	return source.Address
