--- a/pkg/dispatch/transfer.go
+++ b/pkg/dispatch/transfer.go
@@ -31,7 +31,7 @@
 }
 
 const (
-	// copySetup is the time that engines need to set up a transfer.
+	// copySetup is the time that the engines of docs/design/hard-load.md need to set up a transfer.
 	copySetup = 8 * time.Millisecond
 	// maxCopyFraction is the longest duration of a transfer, as a fraction of the time for
 	// reading the same tokens. Transfers compete with others on the link, and one that fails is
@@ -41,8 +41,8 @@
 	// reading the same tokens: a transfer of 13,300 tokens costs between a quarter and a third of
 	// their reading.
 	copyCost = 0.3
-	// maxTransfers bounds the transfers in progress from one engine, and those to one engine. With
-	// 30 ms for 13,300 tokens, more of them would take longer than reading.
+	// maxTransfers bounds the transfers in progress from one engine, and those to one engine. A
+	// transfer of 13,300 tokens takes 30 ms, so that four in a row take as long as reading them.
 	maxTransfers = 3
 	// minLateness is how far the first event after a transfer may exceed its predicted time
 	// before the source is avoided; it is more than the usual variation of a first event.
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -47,8 +47,7 @@
 	persistent bool
 	// endpoints are the engines of the group. They are set in the pool only when this box begins
 	// to decide, which poolReady records: most boxes of a large fleet never decide for most
-	// groups.
-	// leaving are those that are leaving and still serve.
+	// groups. leaving are those that are leaving and still serve.
 	endpoints, leaving []route.Endpoint
 
 	poolReady bool
