pkg/placement, pkg/dispatch: homes of prompts in availability zones

Placement ignored zones: three of four prompts went to an engine of another zone.

With Rules.ZoneHomes a crossing costs a time that grows with the body, and the homes of a part lie in different zones. A part that is cached nowhere is read in the zone of its first request; a zone gets a copy once the crossings from there have cost twice as much as the copy. Prompts with short shared parts stay in their zone while it has room. CrossedBytes and the line "homes of parts" show it.

Tests of pkg/placement, pkg/dispatch and pkg/gateway pass, also make check.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -68,6 +68,7 @@
 	p.tallyFor(a.name).Granted += req.cost
 	wait := p.predictedWait(e, now)
 	tokens, shared := e.missingTokens(&req.Prompt)
+	p.recordCrossing(req, e, now)
 	p.addGrant(req, e, now)
 	return &Grant{Request: req, Endpoint: e.ID, Wait: wait, ReadTime: e.readTime(tokens), MissingTokens: shared, Rate: e.rating.Rate()}
 }
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -18,6 +18,8 @@
 	ranked []*engine
 	// holders are engines that read the part, and may still have it cached.
 	holders []*engine
+	// crossings are the costs of its requests that went to engines of other zones.
+	crossings placement.Crossings
 	// load is an average of the engine time that its requests take.
 	load      float64
 	updatedAt time.Time
@@ -80,7 +82,7 @@
 		p.parts[key] = stats
 	}
 	if stats.ranked == nil {
-		stats.ranked = placement.Rank(key, p.sorted, (*engine).node)
+		stats.ranked = p.rankFor(key)
 	}
 	if first {
 		p.assumeCached(stats, prompt, now)
@@ -193,11 +195,15 @@
 	var best *engine
 	var bestCost time.Duration
 	var bestOtherEnds int
+	crossing := p.crossingCost(req, now)
 	for _, e := range candidates {
 		if !scope.includes(e) || !p.canTake(e, req, now) {
 			continue
 		}
 		cost, otherEnds := e.snapshot.wait+p.readCost(e, req), scope.maxOtherEnds(e)
+		if e.Zone != req.Zone {
+			cost += crossing
+		}
 		if scope.ends > 0 {
 			cost = time.Duration(e.running)
 		}
@@ -216,6 +222,9 @@
 		_, shared := e.missingTokens(&req.Prompt)
 		return shared > 0 || p.engines[e.ID] != e
 	})
+	if p.Rules.ZoneHomes {
+		return p.zoneCandidates(req, stats, candidates, now)
+	}
 	for _, e := range stats.holders {
 		if !slices.Contains(candidates, e) {
 			candidates = append(candidates, e)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -148,6 +148,8 @@
 	// them differ, and weightsMoved if any moved since TakeMovedWeights.
 	weighedAt            time.Time
 	uneven, weightsMoved bool
+	// spreadsZones is the value of Rules.ZoneHomes with which the engines were ranked.
+	spreadsZones bool
 	// meanRate is the mean of the measured rates of the engines.
 	meanRate float64
 	// tallies are by customer, since they were last taken.
@@ -174,6 +176,7 @@
 	p.service = service
 	p.tokensPerSecond = tokensPerSecond
 	p.coldBound = service.ColdStart.Bound(p.Rules.ColdFactor, p.Rules.ColdExtra)
+	p.updateZoneHomes()
 }
 
 // Endpoints returns the engines, by ID.
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -28,6 +28,10 @@
 	// freeAt is when each engine has read all prompts that it got.
 	freeAt map[string]time.Time
 	speeds engineSpeeds
+	// zones is the number of availability zones; 0 means that they are not known.
+	zones int
+	// crossedBytes are the bytes of the bodies that went to engines of other zones.
+	crossedBytes int
 	// readTokens are the tokens that engines read.
 	readTokens float64
 	events     eventHeap
@@ -90,6 +94,9 @@
 	shared, own     int
 	sharedParts     int
 	output          int
+	// ownZone is the fraction of the requests for a part that come from a zone of its own; the
+	// others come from all zones alike.
+	ownZone float64
 }
 
 func newSimulation(engines int, tokensPerSecond, readRate float64) *simulation {
@@ -167,12 +174,17 @@
 
 func (s *simulation) newRequest(from *source, number int, now time.Time) *Request {
 	var parts []Part
+	zone := ""
 	if from.shared > 0 {
 		partNumber := 1 + s.rand.IntN(max(1, from.sharedParts))
 		parts = append(parts, Part{ID: uint64(partNumber) + uint64(from.shared)<<32, Tokens: from.shared})
+		zone = s.zoneOf(from, partNumber)
 	}
 	parts = append(parts, Part{ID: uint64(number) << 40, Tokens: from.own})
+	size := from.shared + from.own
 	return &Request{
+		Zone:          zone,
+		Size:          size,
 		ID:            fmt.Sprint(number),
 		Customer:      from.customer,
 		Route:         from.route,
@@ -183,6 +195,28 @@
 	}
 }
 
+// zoneOf draws the zone of a request for a part.
+func (s *simulation) zoneOf(from *source, part int) string {
+	switch {
+	case s.zones == 0:
+		return ""
+	case s.rand.Float64() < from.ownZone:
+		return fmt.Sprint("zone", part%s.zones)
+	default:
+		return fmt.Sprint("zone", s.rand.IntN(s.zones))
+	}
+}
+
+// setZones distributes the engines over a number of zones.
+func (s *simulation) setZones(zones int) {
+	s.zones = zones
+	endpoints := s.pool.Endpoints()
+	for i := range endpoints {
+		endpoints[i].Zone = fmt.Sprint("zone", i%zones)
+	}
+	s.pool.SetEndpoints(endpoints, s.now)
+}
+
 func (s *simulation) tally(req *Request) *tally {
 	key := tallyKey{req.Customer, req.Route}
 	if s.tallies[key] == nil {
@@ -218,6 +252,9 @@
 }
 
 func (s *simulation) run(g Grant) {
+	if g.Request.Zone != s.pool.engines[g.Endpoint].Zone {
+		s.crossedBytes += g.Request.Size
+	}
 	s.tally(g.Request).grantedTokens += g.Request.Cost()
 	begins := s.read(g)
 	s.at(begins, func() { s.begin(g.Request) })
--- a/pkg/dispatch/speeds_test.go
+++ b/pkg/dispatch/speeds_test.go
@@ -44,6 +44,9 @@
 func (s *engineSpeeds) readUntil(endpoint string, from time.Time, seconds float64) time.Time {
 	for {
 		speed := s.at(endpoint, from)
+		if !s.noise && s.slowAt.IsZero() {
+			return from.Add(time.Duration(seconds / speed * float64(time.Second)))
+		}
 		next := from.Truncate(noisePeriod).Add(noisePeriod)
 		took := time.Duration(seconds / speed * float64(time.Second))
 		if !from.Add(took).After(next) {
--- a/pkg/dispatch/weights.go
+++ b/pkg/dispatch/weights.go
@@ -53,6 +53,27 @@
 	}, true
 }
 
+// HomeCounts counts shared parts and where they are cached.
+type HomeCounts struct {
+	// Parts is the number of long shared parts that are known, Cached that of those cached at any
+	// engine, and Copies the number of engines at which they are, summed over all parts.
+	Parts, Cached, Copies int
+	// Uneven is set if the engines have different weights.
+	Uneven bool
+}
+
+// CountHomes counts the shared parts. Copies that were evicted count until they are next needed.
+func (p *Pool) CountHomes() HomeCounts {
+	counts := HomeCounts{Parts: len(p.parts), Uneven: p.uneven}
+	for _, part := range p.parts {
+		if len(part.holders) > 0 {
+			counts.Cached++
+			counts.Copies += len(part.holders)
+		}
+	}
+	return counts
+}
+
 // dropRankings drops the rankings of engines by part, which are computed again when they are
 // needed.
 func (p *Pool) dropRankings() {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -36,6 +36,8 @@
 	rests, handedBack expvar.Int
 	// weightsMoved counts how often the weights of engines moved, by which homes are chosen.
 	weightsMoved expvar.Int
+	// crossedBytes are the bytes of the bodies that went to engines of other availability zones.
+	crossedBytes expvar.Int
 	// fullReads counts the full reads of the endpoints that were begun, by reason.
 	fullReads expvar.Map
 }
@@ -54,6 +56,7 @@
 	expvar.Publish("HandedBack", &m.handedBack)
 	expvar.Publish("Readings", &m.fullReads)
 	expvar.Publish("WeightsMoved", &m.weightsMoved)
+	expvar.Publish("CrossedBytes", &m.crossedBytes)
 }
 
 // FirstEvent records the time to a stream's first event.
@@ -88,6 +91,9 @@
 // WeightsMoved counts a change of the weights of engines.
 func (m *Metrics) WeightsMoved() { m.weightsMoved.Add(1) }
 
+// Crossed counts the bytes of a body that goes to an engine of another availability zone.
+func (m *Metrics) Crossed(bytes int) { m.crossedBytes.Add(int64(bytes)) }
+
 // FullRead counts a full read of the endpoints that begins.
 func (m *Metrics) FullRead(reason registry.FullReadReason) { m.fullReads.Add(string(reason), 1) }
 
@@ -136,6 +142,9 @@
 			zap.Int64("HandedBack", g.Metrics.handedBack.Value()),
 			zap.String("Refusals", g.Metrics.refusals.String()),
 			zap.Int64("LinesDropped", g.Logs.Dropped()))
+		for _, group := range g.schedulers() {
+			group.logHomes()
+		}
 	})
 	return nil
 }
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -93,6 +93,7 @@
 	default:
 		c.log().Debug("engine granted", zap.String("Request", c.ID), zap.String("Endpoint", found.ID), zap.String("By", v.decidedBy), zap.Duration("Wait", v.wait))
 		c.gateway.Metrics.Granted(v)
+		c.countCrossing(&found)
 		return destination{
 			Endpoint:  found,
 			begin:     func() { s.begin(c.ID) },
