pkg/dispatch: parts that are cached nowhere are read at one home

With Rules.ColdHomes a box that decides beside others begins with the first home, and until a part was read it goes to no second engine. In a customer's queue, parts for which more requests wait are read first.

--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -57,6 +57,9 @@
 	usage
 	// queue is in order of arrival.
 	queue []*Request
+	// ordered is the result of Pool.inOrder in the round orderedRound.
+	ordered      []*Request
+	orderedRound uint64
 }
 
 // usage is what was requested and granted within the window, in tokens as counted by
--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -9,19 +9,26 @@
 )
 
 // BenchmarkDecide measures one decision with many requests waiting: without room at any engine,
-// with room at one of them, and with room while other boxes may dispatch too.
+// with room at one of them, with room while other boxes may dispatch too, and with room while the
+// rules for zones and empty caches are on.
 func BenchmarkDecide(b *testing.B) {
-	for name, set := range map[string]struct{ room, contested bool }{
+	for name, set := range map[string]struct{ room, contested, zones bool }{
 		"no room":         {},
 		"room":            {room: true},
 		"room, contested": {room: true, contested: true},
+		"room, zones":     {room: true, zones: true},
 	} {
-		b.Run(name, func(b *testing.B) { benchmarkDecide(b, set.room, set.contested) })
+		b.Run(name, func(b *testing.B) { benchmarkDecide(b, set.room, set.contested, set.zones) })
 	}
 }
 
-func benchmarkDecide(b *testing.B, room, contested bool) {
+func benchmarkDecide(b *testing.B, room, contested, zones bool) {
 	p := newTestPool(90, 4e6)
+	if zones {
+		p = newZonePool(90)
+		p.Rules.ColdHomes = true
+		p.Configure(p.service, 4e6)
+	}
 	p.Contested = contested
 	now := start
 	for i, e := range p.sorted {
@@ -37,6 +44,7 @@
 	for i := range 400 {
 		part := Part{ID: uint64(i % 100), Tokens: 13000 * (i % 2)}
 		req := newRequest(fmt.Sprint(i), fmt.Sprint("c", i%10), now, part, Part{ID: uint64(50000 + i), Tokens: 3000})
+		req.Zone, req.Size = "a", 17000
 		req.LatencyTarget = 600 * time.Millisecond
 		req.Deadline = now.Add(time.Hour)
 		req.Fingerprint = fingerprintOf(req.Customer, req.ID)
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -49,7 +49,7 @@
 // grantNext grants the first of a customer's requests for which there is room.
 func (p *Pool) grantNext(a *account, now time.Time) *Grant {
 	for _, q := range a.waitingQueues(now, p.Rules.Window) {
-		for _, req := range q.queue {
+		for _, req := range p.inOrder(q) {
 			if req.triedRound == p.round {
 				continue
 			}
--- a/pkg/dispatch/fairness_test.go
+++ b/pkg/dispatch/fairness_test.go
@@ -140,6 +140,9 @@
 	// takeOver is when another pool takes over; 0 means never.
 	takeOver time.Duration
 	speeds   engineSpeeds
+	// zones is the number of availability zones; 0 means that zones are not known and that their
+	// rules are off.
+	zones int
 	// surgeAt is when all customers begin to send 1.7 times as many of the longest prompts; 0
 	// means never.
 	surgeAt time.Duration
@@ -168,6 +171,11 @@
 	f := newFleetSimulation(fleetRouters, d.engines, stated, readRate)
 	f.tokenInterval = 12 * time.Millisecond
 	f.speeds = d.speeds
+	if d.zones > 0 {
+		f.setZones(d.zones)
+		f.pool.Rules.ZoneHomes, f.pool.Rules.ColdHomes = true, true
+		f.pool.Configure(f.pool.service, stated)
+	}
 	var groups []callerGroup
 	for i, demand := range d.demands {
 		sources := digestCustomer(fmt.Sprint("customer", i), demand*stated/float64(d.customers))
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -18,6 +18,8 @@
 	ranked []*engine
 	// holders are engines that read the part, and may still have it cached.
 	holders []*engine
+	// read is set once an engine has read the part, or reported that it has it cached.
+	read bool
 	// crossings are the costs of its requests that went to engines of other zones.
 	crossings placement.Crossings
 	// load is an average of the engine time that its requests take.
@@ -222,6 +224,11 @@
 		_, shared := e.missingTokens(&req.Prompt)
 		return shared > 0 || p.engines[e.ID] != e
 	})
+	if p.Rules.ColdHomes {
+		if cold := p.coldCandidates(req, stats, candidates, now); cold != nil {
+			return cold
+		}
+	}
 	if p.Rules.ZoneHomes {
 		return p.zoneCandidates(req, stats, candidates, now)
 	}
@@ -252,6 +259,7 @@
 		stats = &partStats{updatedAt: now}
 		p.parts[part.ID] = stats
 	}
+	stats.read = true
 	stats.addHolder(e)
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -124,6 +124,8 @@
 	// exposures are the engines at which requests run, by fingerprint.
 	exposures map[quarantine.Fingerprint]exposure
 	queued    int
+	// waitingParts counts the waiting requests by their long shared part.
+	waitingParts map[uint64]int
 	// round numbers the calls of Decide. A request that found no room in a round finds none
 	// later in it, as engines only fill up.
 	round uint64
@@ -166,6 +168,7 @@
 		p.grants = map[string]*grant{}
 		p.parts = map[uint64]*partStats{}
 		p.tallies = map[string]*Tally{}
+		p.waitingParts = map[uint64]int{}
 		p.exposures = map[quarantine.Fingerprint]exposure{}
 		p.rests = map[uint64]*lifecycle.Rests{}
 		p.round = 1
@@ -210,6 +213,7 @@
 	a.enqueue(req)
 	p.waiting[req.ID] = req
 	p.queued++
+	p.countWaiting(&req.Prompt, 1)
 	p.recordDemand(&req.Prompt, now)
 }
 
@@ -232,6 +236,7 @@
 	if begun {
 		g.begun = true
 		e.removePending(g)
+		p.markRead(&req.Prompt)
 	}
 }
 
@@ -251,6 +256,7 @@
 	a.dequeue(req)
 	delete(p.waiting, req.ID)
 	p.queued--
+	p.countWaiting(&req.Prompt, -1)
 }
 
 // Begin records the first event of a granted request.
@@ -263,6 +269,7 @@
 		p.tallyFor(g.req.Customer).Begun += g.req.cost
 	}
 	g.engine.begin(g, now)
+	p.markRead(&g.req.Prompt)
 }
 
 // End records the end of a granted request.
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -3,10 +3,12 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/quaylead/quaylead/pkg/route"
@@ -16,6 +18,9 @@
 // while they read. It uses none of the pool's estimates.
 type simulation struct {
 	pool *Pool
+	// alone are the pools of boxes that each decide alone for their own requests, instead of pool;
+	// empty means that pool decides for all.
+	alone []*Pool
 	// readRate is in tokens per second and engine; firstTokenDelay is the time from the end of
 	// reading to the first token; tokenInterval is that between two tokens of a response.
 	readRate        float64
@@ -94,6 +99,9 @@
 	shared, own     int
 	sharedParts     int
 	output          int
+	// skew is the power of an even number between 0 and 1 by which parts are drawn, so that some
+	// are requested more often; 0 means that all are alike.
+	skew float64
 	// ownZone is the fraction of the requests for a part that come from a zone of its own; the
 	// others come from all zones alike.
 	ownZone float64
@@ -177,6 +185,9 @@
 	zone := ""
 	if from.shared > 0 {
 		partNumber := 1 + s.rand.IntN(max(1, from.sharedParts))
+		if from.skew > 0 {
+			partNumber = 1 + int(float64(from.sharedParts)*math.Pow(s.rand.Float64(), from.skew))
+		}
 		parts = append(parts, Part{ID: uint64(partNumber) + uint64(from.shared)<<32, Tokens: from.shared})
 		zone = s.zoneOf(from, partNumber)
 	}
@@ -232,11 +243,33 @@
 	t := s.tally(req)
 	t.requested++
 	t.requestedTokens += req.Cost()
-	s.pool.Submit(req, s.now)
+	s.poolFor(req).Submit(req, s.now)
+}
+
+// decideAlone makes a number of boxes decide alone.
+func (s *simulation) decideAlone(boxes int) {
+	for i := range boxes {
+		alone := &Pool{Rules: s.pool.Rules, Rand: rand.New(rand.NewPCG(uint64(i), 2)), Routers: boxes}
+		alone.Configure(s.pool.service, s.pool.tokensPerSecond)
+		alone.SetEndpoints(s.pool.Endpoints(), s.now)
+		s.alone = append(s.alone, alone)
+	}
+}
+
+// poolFor returns the pool that decides on a request.
+func (s *simulation) poolFor(req *Request) *Pool {
+	if len(s.alone) == 0 {
+		return s.pool
+	}
+	return s.alone[xxhash.Sum64String(req.ID)%uint64(len(s.alone))]
 }
 
 func (s *simulation) decide() {
-	for _, d := range s.pool.Decide(s.now) {
+	decisions := s.pool.Decide(s.now)
+	for _, alone := range s.alone {
+		decisions = append(decisions, alone.Decide(s.now)...)
+	}
+	for _, d := range decisions {
 		if s.observe != nil {
 			s.observe(d)
 		}
@@ -258,7 +291,7 @@
 	s.tally(g.Request).grantedTokens += g.Request.Cost()
 	begins := s.read(g)
 	s.at(begins, func() { s.begin(g.Request) })
-	s.at(begins.Add(time.Duration(g.Request.ExpectedOutput())*s.tokenInterval), func() { s.pool.End(g.Request.ID, Done{}, s.now) })
+	s.at(begins.Add(time.Duration(g.Request.ExpectedOutput())*s.tokenInterval), func() { s.poolFor(g.Request).End(g.Request.ID, Done{}, s.now) })
 }
 
 // missing returns how many tokens of a prompt an engine does not have cached.
@@ -308,7 +341,7 @@
 }
 
 func (s *simulation) begin(req *Request) {
-	s.pool.Begin(req.ID, s.now)
+	s.poolFor(req).Begin(req.ID, s.now)
 	t := s.tally(req)
 	if s.now.Sub(req.Arrived) <= req.LatencyTarget {
 		t.inTime++
--- a/pkg/dispatch/uneven_test.go
+++ b/pkg/dispatch/uneven_test.go
@@ -208,16 +208,19 @@
 
 // TestSharesOnSlowerEngines plays what once broke the shares of customers: with empty caches at
 // the start, a third of uneven engines becomes 2.5 times slower, and then there are more long
-// prompts.
+// prompts. With zones, the rules for zones and empty caches are on.
 func TestSharesOnSlowerEngines(t *testing.T) {
 	const length = 12 * time.Second
-	for seed := range uint64(4) {
+	for seed := range uint64(8) {
 		d := drawFleet(rand.New(rand.NewPCG(seed, 21)))
 		d.takeOver = 0
 		d.speeds = engineSpeeds{rotation: unevenSpeeds, noise: true, slowAt: start.Add(3 * time.Second)}
 		d.surgeAt = 5 * time.Second
-		Convey(fmt.Sprintf("No customer that is refused gets less than half of another: seed %d", seed), t, func() {
-			So(d.play(length).findUnfair(0.5), ShouldBeEmpty)
-		})
+		for _, zones := range []int{0, 4} {
+			d.zones = zones
+			Convey(fmt.Sprintf("No customer that is refused gets less than half of another: seed %d, zones %d", seed, zones), t, func() {
+				So(d.play(length).findUnfair(0.5), ShouldBeEmpty)
+			})
+		}
 	}
 }
--- a/pkg/dispatch/zones_test.go
+++ b/pkg/dispatch/zones_test.go
@@ -21,6 +21,7 @@
 	s := newAddressSimulation(seed, engineSpeeds{rotation: unevenSpeeds, noise: seed%2 == 0})
 	s.setZones(4)
 	s.pool.Rules.ZoneHomes = zoneHomes
+	s.pool.Configure(s.pool.service, 0)
 	load := addressCustomer("a", factor)
 	for i := range load {
 		load[i].ownZone = ownZone
