Merge zones and cold caches of placement

The cost of a copy that justifies a home in a further zone is that of a transfer where engines copy cached parts.

--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -9,16 +9,17 @@
 )
 
 // benchmarkCase is a state of the pool in BenchmarkDecide.
-type benchmarkCase struct{ room, contested, fetch bool }
+type benchmarkCase struct{ room, contested, zones, fetch bool }
 
 // BenchmarkDecide measures one decision with many requests waiting: without room at any engine,
 // with room at one of them, and with room while other boxes may dispatch too; and these with
-// engines that can copy the parts of all requests.
+// engines that can copy the parts of all requests, and with the rules for zones and empty caches.
 func BenchmarkDecide(b *testing.B) {
 	for name, set := range map[string]benchmarkCase{
 		"no room":                   {},
 		"room":                      {room: true},
 		"room, contested":           {room: true, contested: true},
+		"room, zones":               {room: true, zones: true},
 		"room, fetching":            {room: true, fetch: true},
 		"room, contested, fetching": {room: true, contested: true, fetch: true},
 	} {
@@ -41,6 +42,11 @@
 
 func benchmarkDecide(b *testing.B, set benchmarkCase) {
 	p := newTestPool(90, 4e6)
+	if set.zones {
+		p = newZonePool(90)
+		p.Rules.ColdHomes = true
+		p.Configure(p.service, 4e6)
+	}
 	p.Contested = set.contested
 	if set.fetch {
 		letFetch(p, 100)
@@ -59,6 +65,7 @@
 	for i := range 400 {
 		part := Part{ID: uint64(i % 100), Tokens: 13000 * (i % 2)}
 		req := newRequest(fmt.Sprint(i), fmt.Sprint("c", i%10), now, part, Part{ID: uint64(50000 + i), Tokens: 3000})
+		req.Zone, req.Size = "a", 17000
 		req.LatencyTarget = 600 * time.Millisecond
 		req.Deadline = now.Add(time.Hour)
 		req.Fingerprint = fingerprintOf(req.Customer, req.ID)
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -50,7 +50,7 @@
 // grantNext grants the first of a customer's requests for which there is room.
 func (p *Pool) grantNext(a *account, now time.Time) *Grant {
 	for _, q := range a.waitingQueues(now, p.Rules.Window) {
-		for _, req := range q.queue {
+		for _, req := range p.inOrder(q) {
 			if req.triedRound == p.round {
 				continue
 			}
@@ -70,6 +70,7 @@
 	wait := p.predictedWait(e, now)
 	_, shared := e.missingTokens(&req.Prompt)
 	t := p.planTransfer(e, req, shared, now)
+	p.recordCrossing(req, e, now)
 	g := p.addGrant(req, e, now)
 	p.startTransfer(g, t, now)
 	e.takeSlot(g, now)
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -18,6 +18,10 @@
 	ranked []*engine
 	// holders are engines that read the part, and may still have it cached.
 	holders []*engine
+	// read is set once an engine has read the part, or reported that it has it cached.
+	read bool
+	// crossings are the costs of its requests that went to engines of other zones.
+	crossings placement.Crossings
 	// load is an average of the engine time that its requests take.
 	load      float64
 	updatedAt time.Time
@@ -80,7 +84,7 @@
 		p.parts[key] = stats
 	}
 	if stats.ranked == nil {
-		stats.ranked = placement.Rank(key, p.sorted, (*engine).node)
+		stats.ranked = p.rankFor(key)
 	}
 	if first {
 		p.assumeCached(stats, prompt, now)
@@ -193,11 +197,15 @@
 	var best *engine
 	var bestCost time.Duration
 	var bestOtherEnds int
+	crossing := p.crossingCost(req, now)
 	for _, e := range candidates {
 		if !scope.includes(e) || !p.canTake(e, req, now) {
 			continue
 		}
 		cost, otherEnds := e.snapshot.wait+p.readCost(e, req, now), scope.maxOtherEnds(e)
+		if e.Zone != req.Zone {
+			cost += crossing
+		}
 		if scope.ends > 0 {
 			cost = time.Duration(e.running)
 		}
@@ -216,6 +224,14 @@
 		_, shared := e.missingTokens(&req.Prompt)
 		return shared > 0 || p.engines[e.ID] != e
 	})
+	if p.Rules.ColdHomes {
+		if cold := p.coldCandidates(req, stats, candidates, now); cold != nil {
+			return cold
+		}
+	}
+	if p.Rules.ZoneHomes {
+		return p.zoneCandidates(req, stats, candidates, now)
+	}
 	for _, e := range stats.holders {
 		if !slices.Contains(candidates, e) {
 			candidates = append(candidates, e)
@@ -243,6 +259,7 @@
 		stats = &partStats{updatedAt: now}
 		p.parts[part.ID] = stats
 	}
+	stats.read = true
 	stats.addHolder(e)
 }
 
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -134,6 +134,8 @@
 	// exposures are the engines at which requests run, by fingerprint.
 	exposures map[quarantine.Fingerprint]exposure
 	queued    int
+	// waitingParts counts the waiting requests by their long shared part.
+	waitingParts map[uint64]int
 	// round numbers the calls of Decide. A request that found no room in a round finds none
 	// later in it, as engines only fill up.
 	round uint64
@@ -160,6 +162,8 @@
 	// them differ, and weightsMoved if any moved since TakeMovedWeights.
 	weighedAt            time.Time
 	uneven, weightsMoved bool
+	// spreadsZones is the value of Rules.ZoneHomes with which the engines were ranked.
+	spreadsZones bool
 	// meanRate is the mean of the measured rates of the engines.
 	meanRate float64
 	// tallies are by customer, since they were last taken.
@@ -176,6 +180,7 @@
 		p.grants = map[string]*grant{}
 		p.parts = map[uint64]*partStats{}
 		p.tallies = map[string]*Tally{}
+		p.waitingParts = map[uint64]int{}
 		p.exposures = map[quarantine.Fingerprint]exposure{}
 		p.rests = map[uint64]*lifecycle.Rests{}
 		p.round = 1
@@ -187,6 +192,7 @@
 	p.tokensPerSecond = tokensPerSecond
 	p.configureSlots()
 	p.coldBound = service.ColdStart.Bound(p.Rules.ColdFactor, p.Rules.ColdExtra)
+	p.updateZoneHomes()
 }
 
 // Endpoints returns the engines, by ID.
@@ -221,6 +227,7 @@
 	a.enqueue(req)
 	p.waiting[req.ID] = req
 	p.queued++
+	p.countWaiting(&req.Prompt, 1)
 	p.recordDemand(&req.Prompt, now)
 }
 
@@ -246,6 +253,7 @@
 		g.begun = true
 		e.removePending(g)
 		p.recordRead(g)
+		p.markRead(&req.Prompt)
 	}
 }
 
@@ -265,6 +273,7 @@
 	a.dequeue(req)
 	delete(p.waiting, req.ID)
 	p.queued--
+	p.countWaiting(&req.Prompt, -1)
 }
 
 // Begin records the first event of a granted request.
@@ -280,6 +289,7 @@
 	p.endTransfer(g)
 	g.engine.begin(g, now)
 	p.recordRead(g)
+	p.markRead(&g.req.Prompt)
 }
 
 // End records the end of a granted request.
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -3,10 +3,12 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/quaylead/quaylead/pkg/route"
@@ -16,6 +18,9 @@
 // while they read. It uses none of the pool's estimates.
 type simulation struct {
 	pool *Pool
+	// alone are the pools of boxes that each decide alone for their own requests, instead of pool;
+	// empty means that pool decides for all.
+	alone []*Pool
 	// readRate is in tokens per second and engine; firstTokenDelay is the time from the end of
 	// reading to the first token; tokenInterval is that between two tokens of a response.
 	readRate        float64
@@ -30,6 +35,10 @@
 	// copies is nil if engines copy nothing from each other.
 	copies *copySimulation
 	speeds engineSpeeds
+	// zones is the number of availability zones; 0 means that they are not known.
+	zones int
+	// crossedBytes are the bytes of the bodies that went to engines of other zones.
+	crossedBytes int
 	// readTokens are the tokens that engines read.
 	readTokens float64
 	events     eventHeap
@@ -92,6 +101,12 @@
 	shared, own     int
 	sharedParts     int
 	output          int
+	// skew is the power of an even number between 0 and 1 by which parts are drawn, so that some
+	// are requested more often; 0 means that all are alike.
+	skew float64
+	// ownZone is the fraction of the requests for a part that come from a zone of its own; the
+	// others come from all zones alike.
+	ownZone float64
 }
 
 func newSimulation(engines int, tokensPerSecond, readRate float64) *simulation {
@@ -169,12 +184,20 @@
 
 func (s *simulation) newRequest(from *source, number int, now time.Time) *Request {
 	var parts []Part
+	zone := ""
 	if from.shared > 0 {
 		partNumber := 1 + s.rand.IntN(max(1, from.sharedParts))
+		if from.skew > 0 {
+			partNumber = 1 + int(float64(from.sharedParts)*math.Pow(s.rand.Float64(), from.skew))
+		}
 		parts = append(parts, Part{ID: uint64(partNumber) + uint64(from.shared)<<32, Tokens: from.shared})
+		zone = s.zoneOf(from, partNumber)
 	}
 	parts = append(parts, Part{ID: uint64(number) << 40, Tokens: from.own})
+	size := from.shared + from.own
 	return &Request{
+		Zone:          zone,
+		Size:          size,
 		ID:            fmt.Sprint(number),
 		Customer:      from.customer,
 		Route:         from.route,
@@ -185,6 +208,28 @@
 	}
 }
 
+// zoneOf draws the zone of a request for a part.
+func (s *simulation) zoneOf(from *source, part int) string {
+	switch {
+	case s.zones == 0:
+		return ""
+	case s.rand.Float64() < from.ownZone:
+		return fmt.Sprint("zone", part%s.zones)
+	default:
+		return fmt.Sprint("zone", s.rand.IntN(s.zones))
+	}
+}
+
+// setZones distributes the engines over a number of zones.
+func (s *simulation) setZones(zones int) {
+	s.zones = zones
+	endpoints := s.pool.Endpoints()
+	for i := range endpoints {
+		endpoints[i].Zone = fmt.Sprint("zone", i%zones)
+	}
+	s.pool.SetEndpoints(endpoints, s.now)
+}
+
 func (s *simulation) tally(req *Request) *tally {
 	key := tallyKey{req.Customer, req.Route}
 	if s.tallies[key] == nil {
@@ -200,11 +245,33 @@
 	t := s.tally(req)
 	t.requested++
 	t.requestedTokens += req.Cost()
-	s.pool.Submit(req, s.now)
+	s.poolFor(req).Submit(req, s.now)
+}
+
+// decideAlone makes a number of boxes decide alone.
+func (s *simulation) decideAlone(boxes int) {
+	for i := range boxes {
+		alone := &Pool{Rules: s.pool.Rules, Rand: rand.New(rand.NewPCG(uint64(i), 2)), Routers: boxes}
+		alone.Configure(s.pool.service, s.pool.tokensPerSecond)
+		alone.SetEndpoints(s.pool.Endpoints(), s.now)
+		s.alone = append(s.alone, alone)
+	}
+}
+
+// poolFor returns the pool that decides on a request.
+func (s *simulation) poolFor(req *Request) *Pool {
+	if len(s.alone) == 0 {
+		return s.pool
+	}
+	return s.alone[xxhash.Sum64String(req.ID)%uint64(len(s.alone))]
 }
 
 func (s *simulation) decide() {
-	for _, d := range s.pool.Decide(s.now) {
+	decisions := s.pool.Decide(s.now)
+	for _, alone := range s.alone {
+		decisions = append(decisions, alone.Decide(s.now)...)
+	}
+	for _, d := range decisions {
 		if s.observe != nil {
 			s.observe(d)
 		}
@@ -220,10 +287,13 @@
 }
 
 func (s *simulation) run(g Grant) {
+	if g.Request.Zone != s.pool.engines[g.Endpoint].Zone {
+		s.crossedBytes += g.Request.Size
+	}
 	s.tally(g.Request).grantedTokens += g.Request.Cost()
 	begins := s.read(g)
 	s.at(begins, func() { s.begin(g.Request) })
-	s.at(begins.Add(time.Duration(g.Request.ExpectedOutput())*s.tokenInterval), func() { s.pool.End(g.Request.ID, Done{}, s.now) })
+	s.at(begins.Add(time.Duration(g.Request.ExpectedOutput())*s.tokenInterval), func() { s.poolFor(g.Request).End(g.Request.ID, Done{}, s.now) })
 }
 
 // missing returns how many tokens of a prompt an engine does not have cached.
@@ -276,7 +346,7 @@
 }
 
 func (s *simulation) begin(req *Request) {
-	s.pool.Begin(req.ID, s.now)
+	s.poolFor(req).Begin(req.ID, s.now)
 	t := s.tally(req)
 	if s.now.Sub(req.Arrived) <= req.LatencyTarget {
 		t.inTime++
--- a/pkg/dispatch/transfer.go
+++ b/pkg/dispatch/transfer.go
@@ -198,3 +198,12 @@
 	p.transfers = TransferCounts{}
 	return counts
 }
+
+// relativeCopyCost returns the cost of a copy of a shared part at one more engine, relative to
+// reading it there.
+func (p *Pool) relativeCopyCost() float64 {
+	if p.Rules.Fetch {
+		return min(copyCost, p.Rules.CopyCost)
+	}
+	return p.Rules.CopyCost
+}
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -96,6 +96,7 @@
 		if !c.isQueuedPlain() {
 			c.gateway.Metrics.Granted(v)
 		}
+		c.countCrossing(&found)
 		return destination{
 			Endpoint:  found,
 			begin:     func() { s.begin(c.ID) },
