--- a/pkg/placement/rate.go
+++ b/pkg/placement/rate.go
@@ -10,7 +10,7 @@
 	// engines that read at 0.4 of their rate for one in seven periods of 600 ms, the average then
 	// has a standard deviation of 4%, a sixth of the dead band. An engine that becomes 2.5 times
 	// slower leaves the band after 5 s of reading. With 8 s, and 3 s as priorTime, noise moved
-	// weights in most simulated pools of 90 even engines, with these values in one of 60.
+	// weights in 53 of 60 simulated pools of 90 even engines, with these values in two.
 	rateWindow = 12 * time.Second
 	// priorTime is the reading time that the mean of all engines counts for until an engine has
 	// measurements of its own. Two seconds of noise after a start are then not taken for a slow
