--- a/pkg/dispatch/pause.go
+++ b/pkg/dispatch/pause.go
@@ -17,14 +17,13 @@
 // all of the reading. It is predicted for the slow times of the engine, which come without notice;
 // in them nothing more is to be read.
 func (p *Pool) readBound(e *engine, now time.Time) time.Duration {
-	if !p.uneven.active {
+	gap := e.shortestGap()
+	if !p.uneven.active || gap == 0 || e.step == 0 || e.meanRate == 0 {
 		return noReadBound
 	}
-	gap, steps := e.shortestGap(), time.Duration(p.service.Engine.EventTokens)*e.step
-	if gap == 0 || steps == 0 || e.mean == 0 {
-		return noReadBound
-	}
-	chunks := time.Duration(float64(p.service.Engine.EventTokens) * p.chunkTokens / e.mean * float64(time.Second))
+	tokens := p.service.Engine.EventTokens
+	steps := time.Duration(tokens) * e.step
+	chunks := time.Duration(float64(tokens) * p.chunkTokens / e.meanRate * float64(time.Second))
 	if fraction(steps+chunks, p.uneven.slowdown) <= fraction(gap, nearFraction) {
 		return noReadBound
 	}
@@ -36,8 +35,9 @@
 
 const (
 	// overdueFactor is the factor of its predicted reading time after which a prompt that has not
-	// begun, or that began so late, shows a slow time of its engine. overdueMargin is added for
-	// the few milliseconds by which the time of a message varies.
+	// begun, or that began so late, shows a slow time of its engine: between the usual variation and
+	// the factor 2.5 of deployment B. overdueMargin is added for the few milliseconds by which the
+	// time of a message varies.
 	overdueFactor = 1.6
 	overdueMargin = 15 * time.Millisecond
 	// slowMemory is how long an engine is assumed to stay slow after such a prompt: it reads the
--- a/pkg/dispatch/pause_test.go
+++ b/pkg/dispatch/pause_test.go
@@ -91,7 +91,7 @@
 		for range 3 {
 			s.recordSample(40000)
 		}
-		So(s.mean, ShouldBeGreaterThan, 90000)
+		So(s.meanRate, ShouldBeGreaterThan, 90000)
 		So(s.slowdown(), ShouldBeGreaterThan, 2)
 	})
 }
@@ -105,7 +105,7 @@
 	for i, rate := range []float64{70000, 70000, 170000} {
 		e := p.sorted[i]
 		e.rate, e.rateSamples = rate, earlySamples
-		e.steadyRate = steadyRate{mean: rate, slowest: rate / slowFactor, samples: minSteadySamples}
+		e.steadyRate = steadyRate{meanRate: rate, slowestRate: rate / slowFactor, samples: minSteadySamples}
 		e.step = 4 * time.Millisecond
 	}
 	p.updateUnevenness(start)
--- a/pkg/dispatch/stream_pace.go
+++ b/pkg/dispatch/stream_pace.go
@@ -52,7 +52,8 @@
 }
 
 // recordStream evaluates a complete stream. The number of its tokens is not observed and assumed
-// to be the expected one. The time beyond that of the steps alone was spent on reading; if the
+// to be the expected one; a stream whose caller went away is a sample that is too short, which the
+// next ones correct. The time beyond that of the steps alone was spent on reading; if the
 // engine read all along, one chunk was read with each step. The size of a chunk is the same for
 // all engines of a pool, and its estimate a decaying maximum over their streams.
 func (p *Pool) recordStream(g *grant, now time.Time) {
@@ -65,6 +66,6 @@
 		e.step = pace
 	}
 	e.step = min(pace, e.step+fraction(pace-e.step, paceDecay))
-	chunk := (pace - e.step).Seconds() * e.mean
+	chunk := (pace - e.step).Seconds() * e.meanRate
 	p.chunkTokens = max(chunk, p.chunkTokens+paceDecay/float64(len(p.sorted))*(chunk-p.chunkTokens))
 }
--- a/pkg/dispatch/uneven.go
+++ b/pkg/dispatch/uneven.go
@@ -6,10 +6,11 @@
 )
 
 // steadyRate is a slow average of the samples of an engine's rate, in tokens per second, and the
-// rate of the engine in its slow times.
+// rate in its slow times. A new dispatcher starts without them, and takes the engines for even until
+// it has measured them.
 type steadyRate struct {
-	mean, slowest float64
-	samples       int
+	meanRate, slowestRate float64
+	samples               int
 }
 
 const (
@@ -19,7 +20,7 @@
 	// slowestGain is the weight with which a slow time is forgotten at each sample.
 	slowestGain = 0.05
 	// minSteadySamples is the number of samples from which on an engine's mean is used. With 6, equal
-	// engines counted as uneven in 3 of 48 drawn loads with noise; with 8 in none.
+	// engines counted as uneven in some of 48 drawn loads with noise; with 8 in none.
 	minSteadySamples = 10
 	// unevenRatio is the ratio of rates above which the engines of a pool count as uneven.
 	unevenRatio = 1.25
@@ -30,11 +31,11 @@
 func (s *steadyRate) recordSample(rate float64) {
 	s.samples++
 	if s.samples == 1 {
-		s.mean, s.slowest = rate, rate
+		s.meanRate, s.slowestRate = rate, rate
 		return
 	}
-	s.mean += max(steadyGain, 1/float64(s.samples)) * (rate - s.mean)
-	s.slowest = min(rate, s.slowest+slowestGain*(s.mean-s.slowest))
+	s.meanRate += max(steadyGain, 1/float64(s.samples)) * (rate - s.meanRate)
+	s.slowestRate = min(rate, s.slowestRate+slowestGain*(s.meanRate-s.slowestRate))
 }
 
 // slowdown returns how much longer the engine takes in its slow times than on average.
@@ -42,7 +43,7 @@
 	if s.samples < minSteadySamples {
 		return 1
 	}
-	return max(1, s.mean/s.slowest)
+	return max(1, s.meanRate/s.slowestRate)
 }
 
 // unevenness is whether the engines of a pool read at clearly different rates.
@@ -56,7 +57,8 @@
 
 // updateUnevenness compares the quartiles of the engines' rates. With the noise of deployment B, the
 // rates of the slowest and the fastest of 18 equal engines were measured as 62,000 and 106,000
-// tokens a second, the quartiles never more than a fifth apart.
+// tokens a second, while the quartiles differed by less than a fifth. Too few measured engines do not
+// count: until more than half of them have a mean, the engines are taken for even.
 func (p *Pool) updateUnevenness(now time.Time) {
 	if now.Sub(p.uneven.updatedAt) < unevenInterval {
 		return
@@ -66,7 +68,7 @@
 	p.uneven.slowdown = 0
 	for _, e := range p.sorted {
 		if e.steadyRate.samples >= minSteadySamples {
-			rates = append(rates, e.mean)
+			rates = append(rates, e.meanRate)
 			p.uneven.slowdown += e.slowdown()
 		}
 	}
