Merge pauses of streams

Whether rates differ is rateSpread, as placement has its own, slower test of uneven weights. go test ./dispatch passes.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -16,6 +16,7 @@
 	p.updateShare(now)
 	p.updateWeights(now)
 	p.updateEstimates()
+	p.updateRateSpread(now)
 	p.round++
 	p.best = p.bestSnapshot(now)
 	for granted := true; granted; {
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -166,6 +166,10 @@
 	spreadsZones bool
 	// meanRate is the mean of the measured rates of the engines.
 	meanRate float64
+	spread   rateSpread
+	// chunkTokens is the estimated number of prompt tokens that an engine reads between two steps
+	// of its running streams.
+	chunkTokens float64
 	// tallies are by customer, since they were last taken.
 	tallies map[string]*Tally
 }
@@ -319,6 +323,7 @@
 		p.completePlain(g)
 		if g.begun && !g.adopted {
 			p.tallyFor(g.req.Customer).Completed += g.req.cost
+			p.recordStream(g, now)
 		}
 	}
 }
--- a/pkg/dispatch/prefill.go
+++ b/pkg/dispatch/prefill.go
@@ -24,6 +24,7 @@
 	// rating averages the rate over a longer time than rate, so that noise does not move the
 	// homes of prompts.
 	rating placement.Rating
+	steadyRate
 }
 
 const (
@@ -90,6 +91,7 @@
 	gain := max(minRateGain, 1/float64(p.rateSamples+1))
 	sample := min(max(p.sampleTokens/p.sampleTime.Seconds(), minRate), maxRate)
 	p.rate += gain * (sample - p.rate)
+	p.steadyRate.recordSample(sample)
 	p.sampleTokens, p.sampleTime = 0, 0
 }
 
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -45,6 +45,9 @@
 	rand       *rand.Rand
 	now        time.Time
 
+	// chunkEngines, if not nil, take the place of the engines described by the fields above.
+	chunkEngines map[string]*chunkEngine
+
 	tallies map[tallyKey]*tally
 	// observe is called with each decision; nil means that nobody observes.
 	observe func(Decision)
@@ -72,8 +75,11 @@
 // tally counts the outcomes of requests.
 type tally struct {
 	requested, inTime, late, refused int
-	requestedTokens, grantedTokens   float64
-	refusedWait                      time.Duration
+	// latePause and lateBoth are streams with a pause longer than wanted, without and with a late
+	// first event; expired ended after their deadline. Only chunk engines count them.
+	latePause, lateBoth, expired   int
+	requestedTokens, grantedTokens float64
+	refusedWait                    time.Duration
 }
 
 type simEvent struct {
@@ -98,9 +104,11 @@
 	customer, route string
 	perSecond       float64
 	latencyTarget   time.Duration
-	shared, own     int
-	sharedParts     int
-	output          int
+	// gapTarget and deadline are 0 for none and for 15 s.
+	gapTarget, deadline time.Duration
+	shared, own         int
+	sharedParts         int
+	output              int
 	// skew is the power of an even number between 0 and 1 by which parts are drawn, so that some
 	// are requested more often; 0 means that all are alike.
 	skew float64
@@ -195,6 +203,10 @@
 	}
 	parts = append(parts, Part{ID: uint64(number) << 40, Tokens: from.own})
 	size := from.shared + from.own
+	deadline := 15 * time.Second
+	if from.deadline > 0 {
+		deadline = from.deadline
+	}
 	return &Request{
 		Zone:          zone,
 		Size:          size,
@@ -204,7 +216,8 @@
 		Prompt:        Prompt{Parts: parts, MaxOutput: 2 * from.output, HintOutput: from.output},
 		Arrived:       now,
 		LatencyTarget: from.latencyTarget,
-		Deadline:      now.Add(15 * time.Second),
+		GapTarget:     from.gapTarget,
+		Deadline:      now.Add(deadline),
 	}
 }
 
@@ -299,6 +312,10 @@
 		s.crossedBytes += g.Request.Size
 	}
 	s.tally(g.Request).grantedTokens += g.Request.Cost()
+	if s.chunkEngines != nil {
+		s.runChunked(g)
+		return
+	}
 	begins := s.read(g)
 	s.at(begins, func() { s.begin(g.Request) })
 	s.at(begins.Add(time.Duration(g.Request.ExpectedOutput())*s.tokenInterval), func() { s.poolFor(g.Request).End(g.Request.ID, Done{}, s.now) })
