pkg/memory, pkg/gateway: customers share the memory kept for callers

Cause: Settings.maxCallers bounds the number of callers' connections, and nothing bounds the bytes kept for them. One customer's large bodies, or callers that read nothing, can take a box's memory.

Change: a budget (a fifth of MaxMemory) with a dynamic threshold by customer. A request's body is reserved when its header has arrived, before the HTTP server reads it; an answer before it is read from the endpoint. What the kernel keeps is measured four times a second and counts too, and its buffers are bounded. Without room a request is refused (503, not run, Retry-After) and an answer waits at its endpoint. While three quarters of the budget are used, answers unread for longest of the customer furthest over its share are cut by a reset. What an endpoint was sent and has not answered is bounded by its slots times the catalog's bound of a body. Off without MaxMemory.

--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -82,6 +82,9 @@
 	StallTimeout time.Duration
 	// HeaderBytes bounds the header of a response.
 	HeaderBytes int
+	// KernelBuffer bounds what the kernel keeps of each connection, in bytes for each direction; 0
+	// leaves it to the system.
+	KernelBuffer int
 
 	mu   sync.Mutex
 	idle []*conn
@@ -102,6 +105,10 @@
 	if err != nil {
 		return nil, &DialError{Address: c.Address, Err: err}
 	}
+	if err := c.boundKernelBuffers(raw); err != nil {
+		raw.Close()
+		return nil, &DialError{Address: c.Address, Err: err}
+	}
 	return &conn{
 		Conn:   raw,
 		reader: bufio.NewReaderSize(raw, max(4096, c.HeaderBytes)),
@@ -109,6 +116,14 @@
 	}, nil
 }
 
+func (c *Client) boundKernelBuffers(raw net.Conn) error {
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok || c.KernelBuffer == 0 {
+		return nil
+	}
+	return trace.NewAggregate(tcp.SetReadBuffer(c.KernelBuffer), tcp.SetWriteBuffer(c.KernelBuffer))
+}
+
 // acquire returns an idle connection that is still open, or a new one. ForceNew skips the idle
 // ones.
 func (c *Client) acquire(forceNew bool) (*conn, error) {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -42,6 +42,8 @@
 	}
 	out := c.buildRequest(to.Endpoint, lastEvent)
 	ctx := c.startGuard(to)
+	body := c.bodyTo(to)
+	defer body.answered()
 	response, err := c.gateway.client(to.Address).Do(ctx, &endpoint.Call{
 		Request:       out,
 		NonRepeatable: !c.route.Repeatable,
@@ -53,6 +55,9 @@
 			if c.gateway.ledger.Check(c.fingerprint, time.Now()).IsQuarantined() {
 				return errQuarantined
 			}
+			if !body.send() {
+				return errNotAdmitted
+			}
 			c.reserved = reservation{}
 			return c.lifecycle.Advance(request.Sending)
 		},
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -22,6 +22,7 @@
 var (
 	errCallerGone   = errors.New("the caller went away")
 	errDeadline     = errors.New("the caller's deadline passed")
+	errNotRead      = errors.New("the caller did not read its answer")
 	errRouteTimeout = errors.New("the route's time limit passed")
 )
 
@@ -71,7 +72,11 @@
 	g.inFlight.Add(1)
 	c := &call{gateway: g, http: http, arrived: time.Now()}
 	g.lastArrival.Store(int64(c.arrived.Sub(g.startedAt)))
-	if refusal := c.run(); refusal != nil {
+	refusal := c.claimMemory()
+	if refusal == nil {
+		refusal = c.run()
+	}
+	if refusal != nil {
 		c.refuse(c.withEarlierAttempts(refusal))
 	}
 	if g.stopping.Load() || g.load.isShedding(time.Now()) {
@@ -119,6 +124,7 @@
 	}
 	info, err := c.gateway.Translator.ParseRequest(&c.http.Request.Header)
 	c.RequestInfo = info
+	connOf(c.http).name(c.ID)
 	if err != nil {
 		return notRun(request.InvalidRequest, err.Error(), 0)
 	}
@@ -214,8 +220,11 @@
 	c.gateway.suspensions.add(c)
 	conn := c.http.Conn()
 	c.watcher.Go(func() error {
-		if endpoint.AwaitClose(conn) {
+		switch {
+		case endpoint.AwaitClose(conn):
 			cancel(errCallerGone)
+		case connOf(c.http).isCut():
+			cancel(errNotRead)
 		}
 		return nil
 	})
@@ -265,6 +274,9 @@
 
 // refuseMalformed responds to input that is not an HTTP request within the limits.
 func (g *Gateway) refuseMalformed(http *fasthttp.RequestCtx, err error) {
+	if g.refuseUnread(http) {
+		return
+	}
 	g.Logs.For(logflags.Caller).Info("malformed request", zap.Error(err))
 	refusal := notRun(request.InvalidRequest, "the request is malformed, too large or too slow", 0)
 	refusal.Write(&http.Response, "")
@@ -298,7 +310,7 @@
 // forwardBuffered forwards a response that is read completely before any of it is sent, so that
 // a truncated one can still be reported as failed.
 func (c *call) forwardBuffered(response *endpoint.Response) error {
-	body, err := response.ReadAll(maxResponseBytes)
+	body, err := c.readAnswer(response)
 	if err != nil {
 		response.Close()
 		return &endpoint.NoResponseError{Address: c.route.Name, Err: err}
--- /dev/null
+++ b/pkg/gateway/caller_conn.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/logflags"
+	"github.com/quaylead/quaylead/pkg/memory"
+)
+
+// callerConn is a caller's connection whose memory is accounted for.
+type callerConn struct {
+	*net.TCPConn
+	memory *callerMemory
+	// draining is set if a refusal was written before the request's body was read.
+	draining atomic.Bool
+	// cut is set once the connection was reset because its caller did not read.
+	cut atomic.Bool
+
+	mu sync.Mutex
+	// customer and request are the customer and the ID of the last request.
+	customer, request string
+	// kept is what is reserved for the request and its answer, until the next one.
+	kept int64
+	// queued is what the kernel keeps of answers and of further requests, as last measured.
+	queued int64
+	// answered is set if an answer was written since the last measurement.
+	answered bool
+	// acknowledged counts the bytes that the caller's machine had acknowledged, and progressAt is
+	// when it was last seen to acknowledge any, or had nothing to acknowledge.
+	acknowledged uint64
+	progressAt   time.Time
+	closed       bool
+}
+
+const (
+	// kernelBuffer bounds what the kernel keeps of a connection in each direction; it doubles the
+	// number for its own overhead. Without a bound it keeps up to 4 MB for a caller that reads
+	// nothing. It passes 10 MB a second at round trips of 6 ms.
+	kernelBuffer = 64 << 10
+	// drainTimeout bounds reading and dropping the body of a refused request. A connection that
+	// is closed with unread data is reset, and its caller may lose the refusal.
+	drainTimeout = time.Second
+)
+
+// callerListener accepts connections whose memory is accounted for.
+type callerListener struct {
+	net.Listener
+	memory *callerMemory
+}
+
+// listener returns a listener whose connections are accounted for.
+func (m *callerMemory) listener(plain net.Listener) net.Listener {
+	if m == nil {
+		return plain
+	}
+	return callerListener{Listener: plain, memory: m}
+}
+
+// Accept returns the next connection.
+func (l callerListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := accepted.(*net.TCPConn)
+	if !ok {
+		return accepted, nil
+	}
+	if err := trace.NewAggregate(tcp.SetReadBuffer(kernelBuffer), tcp.SetWriteBuffer(kernelBuffer)); err != nil {
+		// The caller has disconnected already.
+		l.memory.gateway.Logs.For(logflags.Caller).Debug("buffers of a connection not bounded", zap.Error(err))
+	}
+	conn := &callerConn{TCPConn: tcp, memory: l.memory, progressAt: time.Now()}
+	l.memory.mu.Lock()
+	defer l.memory.mu.Unlock()
+	l.memory.conns[conn] = struct{}{}
+	return conn, nil
+}
+
+// connOf returns the accounted connection of a request; nil if there is none.
+func connOf(http *fasthttp.RequestCtx) *callerConn {
+	conn, _ := http.Conn().(*callerConn)
+	return conn
+}
+
+// trackConnection releases what is reserved for a connection once its answer was written, or it was
+// closed.
+func (m *callerMemory) trackConnection(accepted net.Conn, state fasthttp.ConnState) {
+	conn, ok := accepted.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateIdle:
+		conn.releaseAnswer()
+	case fasthttp.StateClosed:
+		m.mu.Lock()
+		delete(m.conns, conn)
+		m.mu.Unlock()
+		conn.releaseAll()
+	}
+}
+
+// Close closes the connection. What its caller has not read is delivered for a bounded time.
+func (c *callerConn) Close() error {
+	if c.draining.Load() {
+		c.drain()
+	}
+	endpoint.BoundDelivery(c.TCPConn, writeTimeout)
+	return c.TCPConn.Close()
+}
+
+// drain reads and drops what the caller still sends.
+func (c *callerConn) drain() {
+	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.TCPConn, maxBodyBytes)
+}
+
+// reset closes the connection and drops what its caller has not read. The caller sees that its
+// answer was cut.
+func (c *callerConn) reset() {
+	c.cut.Store(true)
+	_ = c.SetLinger(0)
+	_ = c.TCPConn.Close()
+}
+
+// begin starts a request of a customer, for which bytes are reserved already.
+func (c *callerConn) begin(customer string, reserved int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if customer != c.customer {
+		c.memory.budget.Release(c.customer, c.kept+c.queued)
+		c.memory.budget.Add(customer, c.kept+c.queued)
+	}
+	c.customer, c.request = customer, ""
+	c.kept += reserved
+}
+
+// keep reserves bytes for the current request and reports whether its customer had room.
+func (c *callerConn) keep(bytes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.memory.budget.Reserve(c.customer, bytes) {
+		return false
+	}
+	c.kept += bytes
+	return true
+}
+
+// add reserves bytes for the current request whether its customer has room or not; a negative
+// number releases bytes.
+func (c *callerConn) add(bytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.memory.budget.Add(c.customer, bytes)
+	c.kept += bytes
+}
+
+func (c *callerConn) releaseAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.budget.Release(c.customer, c.kept)
+	c.kept, c.answered = 0, true
+}
+
+func (c *callerConn) releaseAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.budget.Release(c.customer, c.kept+c.queued)
+	c.kept, c.queued, c.closed = 0, 0, true
+}
+
+// measure updates what the kernel keeps for the connection, and returns the answer that the caller
+// has not read to its end; if there is none, it has no bytes.
+func (c *callerConn) measure(now time.Time) (answer memory.Unread) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || (c.kept == 0 && c.queued == 0 && !c.answered) {
+		return answer
+	}
+	c.answered = false
+	queues := endpoint.QueuesOf(c.TCPConn)
+	queued := queues.Unacknowledged + queues.Unread
+	c.memory.budget.Add(c.customer, queued-c.queued)
+	c.queued = queued
+	if queues.Unacknowledged == 0 {
+		c.progressAt = now
+		return answer
+	}
+	if queues.Acknowledged > c.acknowledged {
+		c.acknowledged, c.progressAt = queues.Acknowledged, now
+	}
+	return memory.Unread{Customer: c.customer, Bytes: c.kept + queued, Since: c.progressAt}
+}
+
+// isCut reports whether the connection was reset because its caller did not read.
+func (c *callerConn) isCut() bool { return c != nil && c.cut.Load() }
+
+// name sets the ID of the current request, for the log.
+func (c *callerConn) name(request string) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request = request
+}
+
+func (c *callerConn) currentRequest() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.request
+}
--- a/pkg/gateway/endpoints.go
+++ b/pkg/gateway/endpoints.go
@@ -97,6 +97,7 @@
 			Address:        address,
 			ConnectTimeout: connectTimeout,
 			HeaderBytes:    4 << 10,
+			KernelBuffer:   g.memory.endpointBuffer(),
 		}
 		g.clients[address] = client
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -66,6 +66,8 @@
 	// catalog is the last one applied to the pools.
 	catalog *route.Catalog
 	load    load
+	// memory accounts for what is kept for callers; nil if the memory is not bounded.
+	memory *callerMemory
 	// work runs the goroutines that serve callers; they continue after the context of Run has
 	// ended.
 	work *errgroup.Group
@@ -114,6 +116,7 @@
 	group.Go(func() error { return g.reportCounts(background) })
 	group.Go(func() error { return g.reportCustomers(background) })
 	group.Go(func() error { return g.sweepIdle(background) })
+	group.Go(func() error { return g.memory.run(background) })
 	group.Go(func() error { return g.dropIdle(background) })
 	group.Go(func() error {
 		interval.Every(background, coldSenderInterval, g.updateColdSenders)
@@ -217,6 +220,7 @@
 		Departures: g.registry,
 	}
 	g.fleet.Self = g.exchange.Self()
+	g.memory = newCallerMemory(g)
 	g.catalogFetcher = fetcher{localVersion: g.catalogVersion, fetch: g.fetchCatalog}
 	g.directoryFetcher = fetcher{localVersion: g.knownVersion, fetch: g.fetchDirectory}
 	g.ordersFetcher = fetcher{localVersion: g.ordersVersion, fetch: g.fetchOrders}
@@ -247,7 +251,7 @@
 		return nil, nil, nil, err
 	}
 	peers, err = g.listenAt(g.Settings.PeerAddress)
-	return callers, ready, peers, err
+	return g.memory.listener(callers), ready, peers, err
 }
 
 func (g *Gateway) listenAt(address string) (net.Listener, error) {
@@ -261,7 +265,7 @@
 // callerServer returns the server for callers. It leaves paths and header names as they were
 // sent.
 func (g *Gateway) callerServer() *fasthttp.Server {
-	return &fasthttp.Server{
+	server := &fasthttp.Server{
 		Handler:                       g.serve,
 		ErrorHandler:                  g.refuseMalformed,
 		NoDefaultServerHeader:         true,
@@ -279,6 +283,8 @@
 		CloseOnShutdown:               true,
 		Logger:                        debugLogger{g.Logs.For(logflags.Caller)},
 	}
+	g.memory.attach(server)
+	return server
 }
 
 // debugLogger logs the messages of the HTTP library at the debug level.
--- /dev/null
+++ b/pkg/gateway/kept_answer.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/interval"
+)
+
+const (
+	// smallAnswerBytes is the size of a buffer that is used without waiting for room: refusing a
+	// request reserves less than its answer would take, and most answers fit.
+	smallAnswerBytes = 16 << 10
+	// firstAnswerBytes is the first buffer for an answer of unknown size.
+	firstAnswerBytes = 4 << 10
+	// roomCheckInterval is the time between two attempts to reserve memory for an answer.
+	roomCheckInterval = 20 * time.Millisecond
+)
+
+// readAnswer reads a response completely into memory that is reserved for the customer. Without
+// room it stops reading, so that the endpoint waits, until the request ends.
+func (c *call) readAnswer(response *endpoint.Response) ([]byte, error) {
+	if connOf(c.http) == nil {
+		return response.ReadAll(maxResponseBytes)
+	}
+	body, err := c.grow(nil, c.firstCapacity(response))
+	for err == nil {
+		if len(body) == cap(body) {
+			if body, err = c.grow(body, 2*cap(body)); err != nil {
+				return nil, err
+			}
+		}
+		var n int
+		n, err = response.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if len(body) > maxResponseBytes {
+			return nil, &endpoint.TooLargeError{Limit: maxResponseBytes}
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return body, nil
+	}
+	return nil, err
+}
+
+// firstCapacity returns the size of the buffer for a response: one byte more than its length if that
+// is known, so that its end is found without a larger buffer.
+func (c *call) firstCapacity(response *endpoint.Response) int {
+	length := response.Head.ContentLength()
+	if length < 0 || c.http.IsHead() {
+		return firstAnswerBytes
+	}
+	return min(length, maxResponseBytes) + 1
+}
+
+// grow returns a larger copy of a buffer, with memory reserved for the customer; the old one is
+// released. It waits until there is room or the request ends.
+func (c *call) grow(buffer []byte, capacity int) ([]byte, error) {
+	if conn := connOf(c.http); conn != nil {
+		if err := c.awaitRoom(conn, capacity); err != nil {
+			return buffer, err
+		}
+		conn.add(-int64(cap(buffer)))
+	}
+	grown := make([]byte, len(buffer), capacity)
+	copy(grown, buffer)
+	return grown, nil
+}
+
+// awaitRoom reserves memory for a buffer.
+func (c *call) awaitRoom(conn *callerConn, bytes int) error {
+	if bytes <= smallAnswerBytes {
+		conn.add(int64(bytes))
+		return nil
+	}
+	if conn.keep(int64(bytes)) {
+		return nil
+	}
+	if !conn.memory.budget.CanFit(int64(bytes)) {
+		return &endpoint.TooLargeError{Limit: int(conn.memory.budget.Size / 2)}
+	}
+	// The endpoint is not at fault for the wait.
+	c.guard.reset(c.remaining())
+	for !conn.keep(int64(bytes)) {
+		if interval.Wait(c.ctx, roomCheckInterval) != nil {
+			return context.Cause(c.ctx)
+		}
+	}
+	return nil
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -36,6 +36,10 @@
 	rests, handedBack expvar.Int
 	// fullReads counts the full reads of the endpoints that were begun, by reason.
 	fullReads expvar.Map
+	// kept is the memory kept for callers, in bytes. memoryRefusals and unreadCuts count, by
+	// customer, the requests refused for it and the answers cut because they were not read.
+	kept                       expvar.Int
+	memoryRefusals, unreadCuts expvar.Map
 }
 
 // Publish registers the metrics under their expvar names. It may be called only once in a
@@ -51,6 +55,9 @@
 	expvar.Publish("Rests", &m.rests)
 	expvar.Publish("HandedBack", &m.handedBack)
 	expvar.Publish("Readings", &m.fullReads)
+	expvar.Publish("Kept", &m.kept)
+	expvar.Publish("TurnedMemory", &m.memoryRefusals)
+	expvar.Publish("CutUnread", &m.unreadCuts)
 }
 
 // FirstEvent records the time to a stream's first event.
@@ -85,6 +92,12 @@
 // FullRead counts a full read of the endpoints that begins.
 func (m *Metrics) FullRead(reason registry.FullReadReason) { m.fullReads.Add(string(reason), 1) }
 
+// RefusedForMemory counts, by customer, a request refused because of the memory kept for it.
+func (m *Metrics) RefusedForMemory(customer string) { m.memoryRefusals.Add(customer, 1) }
+
+// CutUnread counts, by customer, an answer cut because it was not read.
+func (m *Metrics) CutUnread(customer string) { m.unreadCuts.Add(customer, 1) }
+
 // HandedBack counts a chosen endpoint to which nothing was sent.
 func (m *Metrics) HandedBack() { m.handedBack.Add(1) }
 
@@ -124,6 +137,7 @@
 			zap.Int64("Handovers", traffic.Handovers.Load()),
 			zap.Int64("InFlight", g.inFlight.Load()),
 			zap.Duration("ProcessorWait", g.load.meanDelay()),
+			zap.Int64("Kept", g.Metrics.kept.Value()),
 			zap.Int64("Granted", g.Metrics.granted.Value()),
 			zap.Int64("MissingTokens", g.Metrics.missingTokens.Value()),
 			zap.Int64("Rests", g.Metrics.rests.Value()),
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -97,9 +97,9 @@
 		return
 	}
 	if cap(s.buffer)-len(s.buffer) < minFree {
-		grown := make([]byte, len(s.buffer), 2*cap(s.buffer)+minFree)
-		copy(grown, s.buffer)
-		s.buffer = grown
+		if s.buffer, s.err = s.call.grow(s.buffer, 2*cap(s.buffer)+minFree); s.err != nil {
+			return
+		}
 	}
 	n, err := s.response.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
--- a/pkg/gateway/translator.go
+++ b/pkg/gateway/translator.go
@@ -64,6 +64,8 @@
 	ReadyPath() string
 	// ParseRequest reads the headers of a caller's request.
 	ParseRequest(header *fasthttp.RequestHeader) (RequestInfo, error)
+	// ParseKey reads only the API key of a caller's request; empty if there is none.
+	ParseKey(header *fasthttp.RequestHeader) string
 	// PrepareRequest turns a copy of a caller's headers into the headers of a request to an
 	// endpoint.
 	PrepareRequest(header *fasthttp.RequestHeader, to Delivery)
