--- a/cmd/quaybench/soak/caller.go
+++ b/cmd/quaybench/soak/caller.go
@@ -58,6 +58,10 @@
 	// minConnectionRequests is the minimum number of requests that a caller sends on a
 	// connection, unless the box closes it earlier.
 	minConnectionRequests = 10
+	// notReadingFraction is the fraction of requests whose caller reads nothing for a while, and
+	// maxNotReading bounds that time.
+	notReadingFraction = 0.05
+	maxNotReading      = 3 * time.Second
 )
 
 // caller sends one request after another. It does not give up its connection when the box
@@ -160,6 +164,7 @@
 	if _, err := request.WriteTo(c.conn); err != nil {
 		return err
 	}
+	time.Sleep(c.drawNotReading())
 	response := &fasthttp.Response{}
 	err := response.Read(c.reader)
 	got.status = response.StatusCode()
@@ -171,6 +176,15 @@
 	return err
 }
 
+// drawNotReading draws for how long the caller does not read its answer; mostly 0.
+func (c *caller) drawNotReading() time.Duration {
+	draw, length := c.rng.Float64(), c.rng.Float64()
+	if draw >= notReadingFraction {
+		return 0
+	}
+	return time.Duration(length * float64(maxNotReading))
+}
+
 // newestVersion returns the version of the newest configuration.
 func (w *world) newestVersion() int {
 	w.mu.Lock()
--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/interval"
 	"github.com/quaylead/quaylead/pkg/logflags"
 	"github.com/quaylead/quaylead/pkg/memory"
 )
@@ -32,8 +33,6 @@
 	kept int64
 	// queued is what the kernel keeps of answers and of further requests, as last measured.
 	queued int64
-	// answered is set if an answer was written since the last measurement.
-	answered bool
 	// acknowledged counts the bytes that the caller's machine had acknowledged, and progressAt is
 	// when it was last seen to acknowledge any, or had nothing to acknowledge.
 	acknowledged uint64
@@ -49,6 +48,10 @@
 	// drainTimeout bounds reading and dropping the body of a refused request. A connection that
 	// is closed with unread data is reset, and its caller may lose the refusal.
 	drainTimeout = time.Second
+	// maxUncountedBytes is what the kernel may keep of a closed connection, and
+	// deliveryCheckInterval the time between two looks at what it keeps of one to be closed.
+	maxUncountedBytes     = 4 << 10
+	deliveryCheckInterval = 20 * time.Millisecond
 )
 
 // callerListener accepts connections whose memory is accounted for.
@@ -110,15 +113,39 @@
 	}
 }
 
+// Write writes to the connection. If its caller does not read, a later Close drops what the kernel
+// keeps.
+func (c *callerConn) Write(p []byte) (n int, err error) {
+	n, err = c.TCPConn.Write(p)
+	if err != nil {
+		_ = c.SetLinger(0)
+	}
+	return n, err
+}
+
 // Close closes the connection. What its caller has not read is delivered for a bounded time.
 func (c *callerConn) Close() error {
 	if c.draining.Load() {
 		c.drain()
 	}
+	c.deliver()
 	endpoint.BoundDelivery(c.TCPConn, writeTimeout)
 	return c.TCPConn.Close()
 }
 
+// deliver waits until the caller has read most of its answer. The kernel keeps the rest after the
+// connection is closed, where it is no longer counted.
+func (c *callerConn) deliver() {
+	c.releaseAnswer()
+	g := c.memory.gateway
+	for end := time.Now().Add(writeTimeout); c.queuedBytes() > maxUncountedBytes && time.Now().Before(end); {
+		if g.stopping.Load() || interval.Wait(g.workContext, deliveryCheckInterval) != nil {
+			return
+		}
+		c.recount()
+	}
+}
+
 // drain reads and drops what the caller still sends.
 func (c *callerConn) drain() {
 	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
@@ -170,11 +197,37 @@
 	c.kept += bytes
 }
 
+// releaseAnswer releases what is kept of an answer that was written; the kernel may still keep it.
 func (c *callerConn) releaseAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
 	c.memory.budget.Release(c.customer, c.kept)
-	c.kept, c.answered = 0, true
+	c.kept = 0
+	c.countQueues()
+}
+
+// countQueues updates what the kernel keeps for the connection. The lock is held.
+func (c *callerConn) countQueues() endpoint.Queues {
+	queues := endpoint.QueuesOf(c.TCPConn)
+	queued := queues.Unacknowledged + queues.Unread
+	c.memory.budget.Add(c.customer, queued-c.queued)
+	c.queued = queued
+	return queues
+}
+
+func (c *callerConn) recount() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.countQueues()
+}
+
+func (c *callerConn) queuedBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queued
 }
 
 func (c *callerConn) releaseAll() {
@@ -189,14 +242,11 @@
 func (c *callerConn) measure(now time.Time) (answer memory.Unread) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || (c.kept == 0 && c.queued == 0 && !c.answered) {
+	if c.closed || (c.kept == 0 && c.queued == 0) {
+		c.progressAt = now
 		return answer
 	}
-	c.answered = false
-	queues := endpoint.QueuesOf(c.TCPConn)
-	queued := queues.Unacknowledged + queues.Unread
-	c.memory.budget.Add(c.customer, queued-c.queued)
-	c.queued = queued
+	queues := c.countQueues()
 	if queues.Unacknowledged == 0 {
 		c.progressAt = now
 		return answer
@@ -204,7 +254,7 @@
 	if queues.Acknowledged > c.acknowledged {
 		c.acknowledged, c.progressAt = queues.Acknowledged, now
 	}
-	return memory.Unread{Customer: c.customer, Bytes: c.kept + queued, Since: c.progressAt}
+	return memory.Unread{Customer: c.customer, Bytes: c.kept + c.queued, Since: c.progressAt}
 }
 
 // isCut reports whether the connection was reset because its caller did not read.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -92,6 +92,9 @@
 // FullRead counts a full read of the endpoints that begins.
 func (m *Metrics) FullRead(reason registry.FullReadReason) { m.fullReads.Add(string(reason), 1) }
 
+// Kept returns the memory kept for callers, in bytes.
+func (m *Metrics) Kept() int64 { return m.kept.Value() }
+
 // RefusedForMemory counts, by customer, a request refused because of the memory kept for it.
 func (m *Metrics) RefusedForMemory(customer string) { m.memoryRefusals.Add(customer, 1) }
 
