--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -129,7 +129,9 @@
 		c.drain()
 	}
 	c.deliver()
-	endpoint.BoundDelivery(c.TCPConn, writeTimeout)
+	if c.queuedBytes() > 0 {
+		endpoint.BoundDelivery(c.TCPConn, writeTimeout)
+	}
 	return c.TCPConn.Close()
 }
 
