--- a/pkg/gateway/kept_answer.go
+++ b/pkg/gateway/kept_answer.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// smallAnswerBytes is the size of a buffer that is used without waiting for room: refusing a
-	// request reserves less than its answer would take, and most answers fit.
+	// smallAnswerBytes is the size of a buffer that is used without waiting for room. Most answers
+	// fit, and the customer had room when the request came.
 	smallAnswerBytes = 16 << 10
 	// firstAnswerBytes is the first buffer for an answer of unknown size.
 	firstAnswerBytes = 4 << 10
