--- a/pkg/gateway/endpoints.go
+++ b/pkg/gateway/endpoints.go
@@ -99,6 +99,7 @@
 			Address:        address,
 			ConnectTimeout: connectTimeout,
 			HeaderBytes:    4 << 10,
+			KernelBuffer:   g.memory.kernelBuffer(),
 		}
 		g.clients[address] = client
 	}
--- a/pkg/keepalive/keepalive.go
+++ b/pkg/keepalive/keepalive.go
@@ -30,8 +30,9 @@
 }
 
 // Listen listens on a TCP address. Accepted connections fail after silenceTimeout while idle;
-// unacknowledged data is left to the write deadlines of their users.
-func Listen(address string, silenceTimeout time.Duration) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig(silenceTimeout)}
+// unacknowledged data is left to the write deadlines of their users. kernelBuffer bounds what the
+// kernel keeps of each of them, in bytes for each direction; 0 leaves it to the system.
+func Listen(address string, silenceTimeout time.Duration, kernelBuffer int) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig(silenceTimeout), Control: kernelBuffers(kernelBuffer)}
 	return config.Listen(context.Background(), "tcp", address)
 }
--- a/pkg/keepalive/keepalive_test.go
+++ b/pkg/keepalive/keepalive_test.go
@@ -23,7 +23,7 @@
 
 func TestConnections(t *testing.T) {
 	Convey("Both ends probe the connection within the timeout", t, func() {
-		listener, err := Listen("127.0.0.1:0", 9*time.Second)
+		listener, err := Listen("127.0.0.1:0", 9*time.Second, 0)
 		So(err, ShouldBeNil)
 		defer listener.Close()
 		accepted := make(chan net.Conn, 1)
@@ -47,3 +47,28 @@
 		So(option(other, unix.TCP_KEEPINTVL), ShouldEqual, 3)
 	})
 }
+
+func TestKernelBuffers(t *testing.T) {
+	Convey("Accepted connections inherit the bound of what the kernel keeps for them", t, func() {
+		const bytes = 64 << 10
+		listener, err := Listen("127.0.0.1:0", 9*time.Second, bytes)
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		dialed, err := net.Dial("tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer dialed.Close()
+		accepted, err := listener.Accept()
+		So(err, ShouldBeNil)
+		defer accepted.Close()
+		raw, err := accepted.(*net.TCPConn).SyscallConn()
+		So(err, ShouldBeNil)
+		var received, sent int
+		So(raw.Control(func(fd uintptr) {
+			received, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+			sent, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF)
+		}), ShouldBeNil)
+		// The kernel doubles the number for its own overhead.
+		So(received, ShouldEqual, 2*bytes)
+		So(sent, ShouldEqual, 2*bytes)
+	})
+}
