pkg/gateway, docs: usual names, fewer confirmations of queued plain requests

Cause: under a flood a hundred requests may wait at a dispatcher, each confirmed every 10 ms; and the shortest timeout of a router was no longer than the time between two confirmations can be.

Change: confirmations every 15 ms, half of the timeout for a target of 150 ms; no timeout below 25 ms. Usual names for timeouts; the refusal of a pool without engines reads as before.

--- a/pkg/dispatch/plain_place.go
+++ b/pkg/dispatch/plain_place.go
@@ -40,7 +40,7 @@
 		}
 	}
 	if best == nil && ejected {
-		return p.firstBack(req, now)
+		return p.firstReadmitted(req, now)
 	}
 	return best
 }
@@ -60,9 +60,9 @@
 	return !hasRoom
 }
 
-// firstBack returns the endpoint whose ejection ends first: if all are ejected, trying one is
+// firstReadmitted returns the endpoint whose ejection ends first: if all are ejected, trying one is
 // better than refusing.
-func (p *Pool) firstBack(req *Request, now time.Time) (first *engine) {
+func (p *Pool) firstReadmitted(req *Request, now time.Time) (first *engine) {
 	for _, e := range p.sorted {
 		if !p.snapshot(e, now).usable || !p.allows(e, req, now) || !p.mayExpose(e, req, now) || !e.slots.HasRoomDespiteFailures(now) {
 			continue
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -50,7 +50,7 @@
 	}()
 	p := c.gateway.pool(c.service.Name)
 	if p == nil {
-		return to, notRun(request.NoEndpoint, "the service has no endpoint now", failureRetryDelay())
+		return to, notRun(request.NoEndpoint, "the service has no engine now", failureRetryDelay())
 	}
 	for unusable := 0; ; unusable++ {
 		suspended := c.gateway.suspensions.Detected()
--- a/pkg/gateway/plain_queue_test.go
+++ b/pkg/gateway/plain_queue_test.go
@@ -75,11 +75,11 @@
 	})
 }
 
-func TestPatience(t *testing.T) {
-	Convey("Two dispatchers without a word leave more than half of a latency target of 150 ms", t, func() {
+func TestSlotTimeout(t *testing.T) {
+	Convey("Two dispatchers that do not respond leave more than half of a latency target of 150 ms", t, func() {
 		target := 150 * time.Millisecond
-		So(maxDispatchersAsked*patience(target), ShouldBeLessThan, target/2)
-		So(patience(time.Second), ShouldEqual, maxPatience)
-		So(patience(10*time.Millisecond), ShouldEqual, minPatience)
+		So(maxDispatchersAsked*slotTimeout(target), ShouldBeLessThan, target/2)
+		So(slotTimeout(time.Second), ShouldEqual, maxSlotTimeout)
+		So(slotTimeout(10*time.Millisecond), ShouldEqual, minSlotTimeout)
 	})
 }
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -290,7 +290,7 @@
 	}
 	r.verdictAt = r.respondedAt
 	v := decodeVerdict(message)
-	r.silentSince = time.Time{}
+	r.unansweredSince = time.Time{}
 	v.decidedBy = r.box
 	if !s.resolvePending(message.ID, r, v) && v.endpoint != "" {
 		r.stream.Send(encodeOutcome(message.ID, dispatch.Unused{}))
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -114,9 +114,9 @@
 	ended chan struct{}
 	// usedAt is when a request was last seen to use the stream.
 	usedAt time.Time
-	// silentSince is when the first request was asked that got no response in time, since the last
+	// unansweredSince is when the first request was asked that got no response in time, since the last
 	// verdict; zero if there is none. It is used for plain services only.
-	silentSince time.Time
+	unansweredSince time.Time
 	// absentGrants counts consecutive grants of absent engines.
 	absentGrants absentGrants
 }
--- a/pkg/gateway/slot_request.go
+++ b/pkg/gateway/slot_request.go
@@ -9,29 +9,31 @@
 )
 
 const (
-	// maxPatience and minPatience bound how long a request for a slot waits for any response of a
-	// dispatcher, and patienceDivisor divides its latency target for it. With two dispatchers asked
+	// maxSlotTimeout and minSlotTimeout bound how long a request for a slot waits for any response of a
+	// dispatcher, and slotTimeoutDivisor divides its latency target for it. With two dispatchers asked
 	// one after the other, a target of 150 ms leaves 90 ms for the request itself. The wait for
 	// engines is longer, as another dispatcher has to be told all running requests and cached
-	// parts; here the box decides alone for one request, which needs neither.
-	maxPatience     = 40 * time.Millisecond
-	minPatience     = 15 * time.Millisecond
-	patienceDivisor = 5
-	// confirmInterval is the time between two messages that a request still waits. It is a third of
-	// the patience for a target of 150 ms, so that one may be late.
-	confirmInterval = 10 * time.Millisecond
+	// parts; here the box decides alone for one request, which needs neither. The minimum exceeds
+	// confirmInterval and the time between two decisions.
+	maxSlotTimeout     = 40 * time.Millisecond
+	minSlotTimeout     = 25 * time.Millisecond
+	slotTimeoutDivisor = 5
+	// confirmInterval is the time between two messages that a request still waits: half of the
+	// timeout for a target of 150 ms. Under a flood a hundred requests may wait, and each costs the
+	// dispatcher a message.
+	confirmInterval = 15 * time.Millisecond
 )
 
-// patience returns how long a request for a slot waits for a response.
-func patience(latencyTarget time.Duration) time.Duration {
-	return min(max(latencyTarget/patienceDivisor, minPatience), maxPatience)
+// slotTimeout returns how long a request for a slot waits for a response.
+func slotTimeout(latencyTarget time.Duration) time.Duration {
+	return min(max(latencyTarget/slotTimeoutDivisor, minSlotTimeout), maxSlotTimeout)
 }
 
 // askForSlot asks another box for a slot of a plain service. While the request is queued there, the
 // dispatcher confirms it periodically. errLateResponse means that this box is to decide, and any
 // other error that the dispatcher is of no use now, unless the context has ended.
 func (s *scheduler) askForSlot(ctx context.Context, req *dispatch.Request, box string) (verdict, error) {
-	wait := patience(req.LatencyTarget)
+	wait := slotTimeout(req.LatencyTarget)
 	connectContext, cancel := context.WithTimeoutCause(ctx, wait, errLateResponse)
 	defer cancel()
 	r, err := s.connect(connectContext, box)
@@ -64,10 +66,10 @@
 			// If this box itself is late, it may not have read the response yet.
 			if isLate := time.Since(due) > wait/2; isLate && !extended {
 				extended = true
-				timer.Reset(minPatience)
+				timer.Reset(wait / 2)
 				continue
 			}
-			err = s.recordSilence(r, p)
+			err = s.recordSlotTimeout(r, p)
 		case <-ctx.Done():
 			err = context.Cause(ctx)
 		}
@@ -76,16 +78,16 @@
 	}
 }
 
-// recordSilence records that a dispatcher gave no word on a request in time. It returns
+// recordSlotTimeout records that a dispatcher did not respond to a request in time. It returns
 // errNoResponse once the dispatcher has decided nothing for minResponseTimeout: boxes with a
 // processor quota are often stopped for a shorter time.
-func (s *scheduler) recordSilence(r *remote, p *pending) error {
+func (s *scheduler) recordSlotTimeout(r *remote, p *pending) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.silentSince.IsZero() {
-		r.silentSince = p.askedAt
+	if r.unansweredSince.IsZero() {
+		r.unansweredSince = p.askedAt
 	}
-	if time.Since(r.silentSince) >= minResponseTimeout {
+	if time.Since(r.unansweredSince) >= minResponseTimeout {
 		return errNoResponse
 	}
 	return errLateResponse
