pkg/slot: a failure rate that all endpoints share ejects none of them

Each box had rated endpoints by its own few requests before, which ejects them for itself only.

An endpoint is ejected after a run of failures that is improbable at the failure rate of the service: two at 1 in 100, five at 1 in 7. TestFailuresOfTheService failed before (see its first case: more than 1 in 100 of the time ejected). go test ./slot, and the plain tests of ./dispatch and ./platform pass.

--- a/pkg/slot/endpoint.go
+++ b/pkg/slot/endpoint.go
@@ -150,15 +150,18 @@
 	}
 	switch outcome.(type) {
 	case Completed:
+		e.Times.recordOutcome(false)
 		e.recordSuccess()
 		e.measure(g, now)
 	case Unused:
 	case Refused:
 		e.recordRefusal(exceeded, now)
 	case Unreachable:
-		e.record(true, now)
+		e.record(true, e.Times.failureRate, now)
 	case Broken:
-		e.record(false, now)
+		// The rate before this failure: a crash must not raise its own threshold.
+		e.record(false, e.Times.failureRate, now)
+		e.Times.recordOutcome(true)
 	}
 }
 
--- a/pkg/slot/endpoint_test.go
+++ b/pkg/slot/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -151,3 +152,43 @@
 		So(e.HasFreeSlot(start), ShouldBeTrue)
 	})
 }
+
+func TestFailuresOfTheService(t *testing.T) {
+	Convey("Requests of which one in seven fails at any endpoint eject no endpoint for long", t, func() {
+		draw := rand.New(rand.NewPCG(1, 2))
+		times := &Times{}
+		endpoints := make([]*Endpoint, 4)
+		for i := range endpoints {
+			endpoints[i] = &Endpoint{Slots: 6, Times: times}
+		}
+		now, ejected := start, 0
+		const requests = 20000
+		for i := range requests {
+			now = now.Add(5 * time.Millisecond)
+			e := endpoints[i%len(endpoints)]
+			if e.IsEjected(now) {
+				ejected++
+				continue
+			}
+			id := fmt.Sprint(i)
+			e.Grant(id, "lookup", true, now)
+			if draw.IntN(7) == 0 {
+				e.End(id, Broken{}, now.Add(time.Millisecond))
+			} else {
+				e.End(id, Completed{}, now.Add(time.Millisecond))
+			}
+		}
+		So(ejected, ShouldBeLessThan, requests/100)
+	})
+	Convey("An endpoint that fails all while the others fail few is ejected within ten requests", t, func() {
+		times := &Times{failureRate: 0.15}
+		e := &Endpoint{Slots: 6, Times: times}
+		requests := 0
+		for ; !e.IsEjected(start); requests++ {
+			id := fmt.Sprint(requests)
+			e.Grant(id, "lookup", true, start)
+			e.End(id, Broken{}, start)
+		}
+		So(requests, ShouldBeLessThanOrEqualTo, 10)
+	})
+}
--- a/pkg/slot/times.go
+++ b/pkg/slot/times.go
@@ -11,6 +11,9 @@
 	byRoute map[string]time.Duration
 	// overall is the mean over all routes, which is assumed for routes without a sample.
 	overall time.Duration
+	// failureRate is a moving average of the outcomes at all endpoints: 0 if all succeeded, 1 if
+	// all failed.
+	failureRate float64
 }
 
 const (
