pkg/slot: a slow endpoint is measured again

Cause: TestLeavingInAnswers of the platform tests failed in one of two runs: after one slow answer an endpoint got nothing while the other one had a free slot, and so was never measured again.

Change: how slow an endpoint is is forgotten within some 3 s without a new sample.

--- a/pkg/dispatch/plain_place.go
+++ b/pkg/dispatch/plain_place.go
@@ -93,8 +93,8 @@
 // plainCost returns the time after which a request is expected to end at an endpoint, in seconds.
 // An endpoint with a free slot costs less than any that would have to queue the request.
 func (p *Pool) plainCost(e *engine, req *Request, now time.Time) float64 {
-	held := e.slots.Expected(req.Route)
-	cost := held + e.slots.Wait() + time.Duration(busyWeight*float64(held)*float64(e.slots.Busy())/float64(max(1, e.Slots)))
+	held := e.slots.Expected(req.Route, now)
+	cost := held + e.slots.Wait(now) + time.Duration(busyWeight*float64(held)*float64(e.slots.Busy())/float64(max(1, e.Slots)))
 	if req.Zone != "" && e.Zone != req.Zone {
 		cost += crossZoneTime
 	}
--- a/pkg/dispatch/plain_wait.go
+++ b/pkg/dispatch/plain_wait.go
@@ -60,7 +60,7 @@
 	shortest := time.Duration(math.MaxInt64)
 	for _, e := range p.sorted {
 		if p.allows(e, req, now) && e.isUsable(now) && !e.slots.IsEjected(now) {
-			shortest = min(shortest, e.slots.Wait())
+			shortest = min(shortest, e.slots.Wait(now))
 		}
 	}
 	if shortest == math.MaxInt64 {
--- a/pkg/slot/endpoint.go
+++ b/pkg/slot/endpoint.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -16,8 +17,9 @@
 	// endpoint starts them.
 	grants []*grant
 	// slowness is the mean of the time that requests hold a slot here, relative to the expected
-	// time of their routes; 0 before the first sample.
-	slowness float64
+	// time of their routes, as of measuredAt; 0 before the first sample.
+	slowness   float64
+	measuredAt time.Time
 	failures
 	// refusedUntil is the end of a time without new requests after a refusal.
 	refusedUntil time.Time
@@ -56,6 +58,9 @@
 	minUnqueuedTime, maxUnqueuedTime = 10 * time.Second, 5 * time.Minute
 	// minSlowness and maxSlowness bound a sample of the slowness.
 	minSlowness, maxSlowness = 0.125, 8
+	// slownessTTL is the time in which an endpoint without new samples is forgotten to be slow, for
+	// the most part.
+	slownessTTL = 3 * time.Second
 )
 
 // Busy returns the number of requests that were granted and have not ended.
@@ -98,7 +103,7 @@
 	if now.Before(e.unqueuedUntil) || e.isOnProbation() {
 		return 0
 	}
-	held := e.meanTime()
+	held := e.meanTime(now)
 	if Turnaround < time.Duration(maxIdleFraction*float64(held)) {
 		return 0
 	}
@@ -107,25 +112,35 @@
 }
 
 // Wait returns how long one more request is expected to wait at the endpoint for a slot.
-func (e *Endpoint) Wait() time.Duration {
+func (e *Endpoint) Wait(now time.Time) time.Duration {
 	ahead := len(e.grants) - e.Slots + 1
 	if ahead <= 0 || e.Slots <= 0 {
 		return 0
 	}
-	return time.Duration(ahead) * e.meanTime() / time.Duration(e.Slots)
+	return time.Duration(ahead) * e.meanTime(now) / time.Duration(e.Slots)
 }
 
 // Expected returns how long a request of a route is expected to hold a slot here.
-func (e *Endpoint) Expected(route string) time.Duration { return e.scale(e.Times.Expected(route)) }
+func (e *Endpoint) Expected(route string, now time.Time) time.Duration {
+	return e.scale(e.Times.Expected(route), now)
+}
 
 // meanTime returns how long any request is expected to hold a slot here.
-func (e *Endpoint) meanTime() time.Duration { return e.scale(e.Times.Overall()) }
+func (e *Endpoint) meanTime(now time.Time) time.Duration { return e.scale(e.Times.Overall(), now) }
+
+func (e *Endpoint) scale(held time.Duration, now time.Time) time.Duration {
+	return max(minTime, time.Duration(e.currentSlowness(now)*float64(held)))
+}
 
-func (e *Endpoint) scale(held time.Duration) time.Duration {
+// currentSlowness returns the slowness, which is forgotten while there is no new sample. Otherwise
+// an endpoint that was slow once would get nothing, and not be measured again, as long as another
+// one has a free slot.
+func (e *Endpoint) currentSlowness(now time.Time) float64 {
 	if e.slowness == 0 {
-		return held
+		return 1
 	}
-	return max(minTime, time.Duration(e.slowness*float64(held)))
+	age := max(0, now.Sub(e.measuredAt))
+	return 1 + (e.slowness-1)*math.Exp(-age.Seconds()/slownessTTL.Seconds())
 }
 
 // Grant records that a request was granted. measured is set if the endpoint gets it now; a request
@@ -201,9 +216,7 @@
 	}
 	took := now.Sub(g.startedAt)
 	sample := min(max(took.Seconds()/e.Times.Expected(g.route).Seconds(), minSlowness), maxSlowness)
-	if e.slowness == 0 {
-		e.slowness = 1
-	}
-	e.slowness += sampleWeight * (sample - e.slowness)
+	slowness := e.currentSlowness(now)
+	e.slowness, e.measuredAt = slowness+sampleWeight*(sample-slowness), now
 	e.Times.record(g.route, took)
 }
--- a/pkg/slot/endpoint_test.go
+++ b/pkg/slot/endpoint_test.go
@@ -82,7 +82,7 @@
 			now = now.Add(40 * time.Millisecond)
 			e.End(fmt.Sprint(i), Completed{}, now)
 		}
-		So(e.Expected("r"), ShouldBeBetween, 38*time.Millisecond, 42*time.Millisecond)
+		So(e.Expected("r", now), ShouldBeBetween, 38*time.Millisecond, 42*time.Millisecond)
 	})
 	Convey("Routes are estimated apart, and an unknown one by the mean", t, func() {
 		e := &Endpoint{Slots: 6, Times: &Times{}}
@@ -95,19 +95,23 @@
 	Convey("A slow endpoint is known as such, and does not make the others seem slow", t, func() {
 		times := &Times{}
 		slow, usual := &Endpoint{Slots: 6, Times: times}, &Endpoint{Slots: 6, Times: times}
+		end := start.Add(60 * time.Millisecond)
 		for range 5 {
 			learn(usual, "r", 20*time.Millisecond)
 			slow.Grant("x", "r", true, start)
 			slow.End("x", Completed{}, start.Add(60*time.Millisecond))
 		}
-		So(slow.Expected("r"), ShouldBeGreaterThan, 5*usual.Expected("r")/4)
-		So(usual.Expected("r"), ShouldBeBetween, 18*time.Millisecond, 24*time.Millisecond)
+		So(slow.Expected("r", end), ShouldBeGreaterThan, 5*usual.Expected("r", end)/4)
+		So(usual.Expected("r", end), ShouldBeBetween, 18*time.Millisecond, 24*time.Millisecond)
+		// It would never be chosen, and measured, again while another endpoint has free slots.
+		later := end.Add(5 * slownessTTL)
+		So(slow.Expected("r", later), ShouldAlmostEqual, usual.Expected("r", later), time.Millisecond)
 	})
 	Convey("Requests that another box granted are no samples", t, func() {
 		e := &Endpoint{Slots: 6, Times: &Times{}}
 		e.Grant("a", "r", false, start)
 		e.End("a", Completed{}, start.Add(time.Second))
-		So(e.Expected("r"), ShouldEqual, initialTime)
+		So(e.Expected("r", start), ShouldEqual, initialTime)
 	})
 }
 
