pkg/gateway: callers that keep idle connections leave room for others

From three quarters of the connections in use on, each response asks its caller to close; from 95 in 100 on the box is not ready. TestIdleConnections failed before: the nineteenth of 40 callers got no answer.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -81,7 +81,7 @@
 	if refusal != nil {
 		c.refuse(c.withEarlierAttempts(refusal))
 	}
-	if g.stopping.Load() || g.load.isShedding(time.Now()) {
+	if g.stopping.Load() || g.load.isShedding(time.Now()) || g.usedConnections() >= scarceConnections {
 		http.SetConnectionClose()
 	}
 	if !c.streaming {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -68,6 +68,8 @@
 	load    load
 	// memory accounts for what is kept for callers; nil if the memory is not bounded.
 	memory *callerMemory
+	// callers serves the connections of callers.
+	callers *fasthttp.Server
 	// work runs the goroutines that serve callers; they continue after the context of Run has
 	// ended.
 	work *errgroup.Group
@@ -106,13 +108,13 @@
 	group, background := errgroup.WithContext(background)
 	g.work = &errgroup.Group{}
 	g.workContext, g.cancelWork = context.WithCancelCause(background)
-	callerServer := g.callerServer()
+	g.callers = g.callerServer()
 	readyServer := g.readyServer()
 	group.Go(func() error { return g.exchange.Run(background, peers) })
 	group.Go(func() error { return g.registry.Run(background) })
 	group.Go(func() error { return g.maintainContacts(background) })
 	group.Go(func() error { return readyServer.Serve(ready) })
-	group.Go(func() error { return callerServer.Serve(callers) })
+	group.Go(func() error { return g.callers.Serve(callers) })
 	group.Go(func() error { return g.reportCounts(background) })
 	group.Go(func() error { return g.reportCustomers(background) })
 	group.Go(func() error { return g.sweepIdle(background) })
@@ -146,7 +148,7 @@
 		case <-ctx.Done():
 		case <-background.Done():
 		}
-		stopErr := g.stop(callerServer)
+		stopErr := g.stop(g.callers)
 		stopBackground()
 		return trace.NewAggregate(stopErr, readyServer.Shutdown())
 	})
@@ -317,7 +319,7 @@
 
 // isReady reports whether this box accepts new connections of callers.
 func (g *Gateway) isReady() bool {
-	return !g.stopping.Load() && !g.suspensions.refreshing.Load() && !g.load.isBusy(time.Now()) && g.registry.Catalog() != nil && g.registry.Directory() != nil
+	return !g.stopping.Load() && !g.suspensions.refreshing.Load() && !g.load.isBusy(time.Now()) && g.usedConnections() < fullConnections && g.registry.Catalog() != nil && g.registry.Directory() != nil
 }
 
 // reportOverload logs that a time begins in which this box is not ready for new callers.
