dispatch: Don't predict pauses at plain endpoints

When an accepted catalog turns a service with uneven engines into a queued plain one while streams run, Decide panics with a nil pointer. The running streams and the measured rates stay, so readBound gets past its checks and reads EventTokens of the service's engine, which is nil. Plain endpoints read no prompts and have no bound, so readBound now returns noReadBound for them first.

--- a/pkg/dispatch/pause.go
+++ b/pkg/dispatch/pause.go
@@ -18,7 +18,7 @@
 // in them nothing more is to be read.
 func (p *Pool) readBound(e *engine, now time.Time) time.Duration {
 	gap := e.shortestGap()
-	if !p.spread.isWide || gap == 0 || e.step == 0 || e.meanRate == 0 {
+	if p.isPlain() || !p.spread.isWide || gap == 0 || e.step == 0 || e.meanRate == 0 {
 		return noReadBound
 	}
 	tokens := p.service.Engine.EventTokens
