dispatch: End earlier grants at plain endpoints completely

A request that was granted before its service became a plain one, and ends before its first event, stays in the engine's list of pending requests. The endpoint then counts as stalled and gets nothing until it is replaced. Its gap target stays counted, too. The cause is that finish leaves early for endpoints with slots. What addGrant counts is now undone in one place for both kinds of endpoint; freeSlot only updates the slot account.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -311,16 +311,16 @@
 
 // finish removes a request that ended.
 func (e *engine) finish(g *grant, outcome Outcome, now time.Time) {
-	if e.slots != nil {
-		e.freeSlot(g, outcome, now)
-		return
-	}
 	if !g.begun {
 		e.removePending(g)
 	}
 	e.running--
 	e.removeStream(g.req)
 	e.privateTokens -= g.req.Last().Tokens + g.req.ExpectedOutput()
+	if e.slots != nil {
+		e.freeSlot(g, outcome, now)
+		return
+	}
 	switch outcome.(type) {
 	case Done, Unused:
 	case NotRun:
--- a/pkg/dispatch/plain_slots.go
+++ b/pkg/dispatch/plain_slots.go
@@ -51,8 +51,6 @@
 
 // freeSlot records in the account of the endpoint how a grant ended.
 func (e *engine) freeSlot(g *grant, outcome Outcome, now time.Time) {
-	e.running--
-	e.privateTokens -= g.req.Last().Tokens + g.req.ExpectedOutput()
 	ejectedUntil := e.slots.EjectedUntil()
 	e.slots.End(g.req.ID, slotOutcome(outcome), now)
 	if until := e.slots.EjectedUntil(); until.After(ejectedUntil) {
--- a/pkg/dispatch/reconfigure_test.go
+++ b/pkg/dispatch/reconfigure_test.go
@@ -25,3 +25,20 @@
 		So(func() { p.Decide(start.Add(60 * time.Millisecond)) }, ShouldNotPanic)
 	})
 }
+
+func TestStreamsEndAtPlainEndpoints(t *testing.T) {
+	Convey("A request that was granted before its engine became a plain endpoint leaves nothing behind", t, func() {
+		p := newTestPool(1, 0)
+		req := newRequest("1", "a", start, Part{ID: 1, Tokens: 100})
+		req.GapTarget = 300 * time.Millisecond
+		p.Submit(req, start)
+		So(p.Decide(start), ShouldHaveLength, 1)
+		p.Configure(route.Service{Name: "llm"}, 0)
+		p.End("1", Done{}, start.Add(100*time.Millisecond))
+		e := p.engines["e0"]
+		So(e.pending, ShouldBeEmpty)
+		So(e.shortestGap(), ShouldEqual, 0)
+		So(e.running, ShouldEqual, 0)
+		So(p.isUsable(e, start.Add(time.Minute)), ShouldBeTrue)
+	})
+}
