dispatch: Set the cache capacity of plain endpoints that become engines

When a plain service becomes one with engines, its endpoints run one request at a time and hold one cached part each. Their cache capacity is set only when they are first listed, and is 0 for plain endpoints. configureSlots, which is called for each change of the kind, now sets it.

--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -27,6 +27,9 @@
 		}
 		for _, e := range p.engines {
 			e.slots = p.newSlots(e.Slots)
+			if !plain {
+				e.cacheCapacity = p.service.Engine.CacheTokens
+			}
 		}
 	}
 }
--- a/pkg/dispatch/reconfigure_test.go
+++ b/pkg/dispatch/reconfigure_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -42,3 +43,24 @@
 		So(p.isUsable(e, start.Add(time.Minute)), ShouldBeTrue)
 	})
 }
+
+// TestPlainEndpointsBecomeEngines guards against engines whose cache is taken for empty and without
+// capacity, which run one request at a time.
+func TestPlainEndpointsBecomeEngines(t *testing.T) {
+	Convey("Plain endpoints that become engines have the cache capacity of the new configuration", t, func() {
+		p := &Pool{Rules: DefaultRules(), Rand: rand.New(rand.NewPCG(1, 2))}
+		p.Configure(route.Service{Name: "llm"}, 0)
+		endpoints := []route.Endpoint{{ID: "e0", Service: "llm", Slots: 64}}
+		p.SetEndpoints(endpoints, start)
+		p.Configure(route.Service{Name: "llm", Engine: &route.Engine{Slots: 64, CacheTokens: 500000}}, 0)
+		p.SetEndpoints(endpoints, start)
+		for _, id := range []string{"1", "2"} {
+			p.Submit(newRequest(id, "a", start, Part{ID: 1, Tokens: 100}), start)
+		}
+		decisions := p.Decide(start)
+		So(decisions, ShouldHaveLength, 2)
+		for _, d := range decisions {
+			So(d, ShouldHaveSameTypeAs, Grant{})
+		}
+	})
+}
