dispatch: Don't avoid sources because a router is gone

When a router is lost, each of its requests with a transfer that has not begun counts as late, as nobody reports its first event. Its source is then avoided for 1 s, and for up to 8 s after several, although nothing is known about it; parts are read again instead of copied. The cause is that DropStream ends grants with Done, by which End evaluates the source. DropStream now ends the transfer first, so that it is not evaluated; the counts of transfers are decremented as before.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -347,6 +347,8 @@
 	for id, g := range p.grants {
 		if g.req.Stream == stream {
 			g.engine.dropSlot(g, now)
+			// A late first event is no sign of a failed transfer if nobody reports it.
+			p.endTransfer(g)
 			p.End(id, Done{}, now)
 		}
 	}
