dispatch: Withdraw a waiting request that was granted elsewhere

If a router reports a running request on a new stream while the dispatcher still has it in its queue from the old one, the dispatcher grants it again. The second grant replaces the first in the list of grants, so the first is never ended: the endpoint has one slot less until it is replaced, of six at a plain endpoint. The router discards the second grant, but its slot and its place in the customer's share are used until then. Adopt now removes the request from the queue: its router no longer waits.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -242,6 +242,8 @@
 		known.req.Stream = req.Stream
 		return
 	}
+	// Its router no longer waits for a decision.
+	p.Withdraw(req.ID)
 	e := p.engines[endpoint]
 	if e == nil {
 		return
