dispatch: Keep the chunk size finite when no engine is listed

If a stream ends while no engine is listed, the estimated size of a chunk becomes infinite, and not a number after the next stream. readBound then predicts no pauses for the rest of the process. The cause is a division by the number of listed engines. It is now at least 1.

--- a/pkg/dispatch/stream_pace.go
+++ b/pkg/dispatch/stream_pace.go
@@ -67,5 +67,7 @@
 	}
 	e.step = min(pace, e.step+fraction(pace-e.step, paceDecay))
 	chunk := (pace - e.step).Seconds() * e.meanRate
-	p.chunkTokens = max(chunk, p.chunkTokens+paceDecay/float64(len(p.sorted))*(chunk-p.chunkTokens))
+	// Streams may also end while no engine is listed.
+	decay := paceDecay / float64(max(1, len(p.sorted)))
+	p.chunkTokens = max(chunk, p.chunkTokens+decay*(chunk-p.chunkTokens))
 }
