dispatch: Drop engines that are gone from the parts they held

Parts keep pointers to engines that were replaced or removed, with the estimated contents of their caches. They are removed only when a prompt with the part is placed, so a part that is no longer requested keeps them: parts are evicted only from 20,000 on. With many replaced engines this grows without a bound that fits a box of 144 MB, and the logged number of copies is too high. The engines are now removed when the list of engines changes, where the rankings of all parts are dropped anyway. Decisions stay the same, as candidates ignores such engines, except that Rules.ColdHomes sorts a part whose holders are all gone as cold at once.

--- a/pkg/dispatch/endpoints.go
+++ b/pkg/dispatch/endpoints.go
@@ -53,7 +53,8 @@
 }
 
 // updateEngineOrder updates sorted, and drops the rankings of engines by part and the weights,
-// which are computed again when they are needed.
+// which are computed again when they are needed. Engines that are no longer listed are removed from
+// what is known of parts.
 func (p *Pool) updateEngineOrder() {
 	p.sorted = p.sorted[:0]
 	for _, e := range p.engines {
@@ -62,6 +63,7 @@
 	slices.SortFunc(p.sorted, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 	p.weighedAt = time.Time{}
 	p.dropRankings()
+	p.dropLostHolders()
 	p.dropLostSources()
 }
 
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -270,6 +270,14 @@
 	}
 }
 
+// dropLostHolders removes the engines that are no longer listed. Otherwise a part that is no longer
+// requested would keep them, with the contents of their caches, in memory.
+func (p *Pool) dropLostHolders() {
+	for _, stats := range p.parts {
+		stats.holders = slices.DeleteFunc(stats.holders, func(e *engine) bool { return p.engines[e.ID] != e })
+	}
+}
+
 // canTake reports whether an engine can take a request now, regardless of how long the request
 // would wait there.
 func (p *Pool) canTake(e *engine, req *Request, now time.Time) bool {
