--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -1,6 +1,6 @@
-// Package dispatch decides, for one pool of model engines, which waiting request goes to which
-// engine and when, and which is refused with a time to retry. It does no I/O: events are its
-// input and decisions its output, and the time is an argument.
+// Package dispatch decides, for one pool of model engines or of the endpoints of a plain service,
+// which waiting request goes to which engine and when, and which is refused with a time to retry.
+// It does no I/O: events are its input and decisions its output, and the time is an argument.
 package dispatch
 
 import (
