--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -242,6 +242,8 @@
 		known.req.Stream = req.Stream
 		return
 	}
+	// Its router no longer waits for a decision.
+	p.Withdraw(req.ID)
 	e := p.engines[endpoint]
 	if e == nil {
 		return
@@ -347,6 +349,8 @@
 	for id, g := range p.grants {
 		if g.req.Stream == stream {
 			g.engine.dropSlot(g, now)
+			// A late first event is no sign of a failed transfer if nobody reports it.
+			p.endTransfer(g)
 			p.End(id, Done{}, now)
 		}
 	}
