pkg/gateway, pkg/endpoint: closing a caller's connection waits only for what it can read

With Settings.MaxMemory, callerConn.Close waited up to writeTimeout (20 s) in three cases in which nothing would ever be delivered: over 4 KiB of a request that was not read, an answer whose caller had reset the connection, and an answer whose write had failed already. The server closes connections over its concurrency limit in its accept loop, so one caller with an 17 kB request beyond the limit stopped all accepts for 20 s. In the other cases a goroutine and a place among the callers were held for 20 s more.

Cause: the wait looked at the sum of both kernel queues; SIOCOUTQ still reports a length after a reset; and a failed write, after which the kernel's data is dropped on close, was not looked at.

The wait now looks only at unacknowledged bytes. A closing connection never reads the rest, and the kernel drops it. QueuesOf reports nothing unacknowledged in the state CLOSE. After a failed write there is no wait. What counts towards the customer's memory is unchanged.

--- a/pkg/endpoint/queues_linux.go
+++ b/pkg/endpoint/queues_linux.go
@@ -20,9 +20,16 @@
 		if queues.Unacknowledged == 0 {
 			return
 		}
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			queues.Acknowledged = info.Bytes_acked
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		if info.State == unix.BPF_TCP_CLOSE {
+			// The kernel has dropped what it kept, but still reports its length.
+			queues.Unacknowledged = 0
+			return
 		}
+		queues.Acknowledged = info.Bytes_acked
 	})
 	return queues
 }
--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -22,14 +22,17 @@
 	draining atomic.Bool
 	// cut is set once the connection was reset because its caller did not read.
 	cut atomic.Bool
+	// writeFailed is set once a write has failed: what the kernel keeps is then dropped.
+	writeFailed atomic.Bool
 
 	mu sync.Mutex
 	// customer and request are the customer and the ID of the last request.
 	customer, request string
 	// kept is what is reserved for the request and its answer, until the next one.
 	kept int64
-	// queued is what the kernel keeps of answers and of further requests, as last measured.
-	queued int64
+	// queued is what the kernel keeps of answers and of further requests, as last measured, and
+	// unacknowledged is the part of it that belongs to answers.
+	queued, unacknowledged int64
 	// acknowledged counts the bytes that the caller's machine had acknowledged, and progressAt is
 	// when it was last seen to acknowledge any, or had nothing to acknowledge.
 	acknowledged uint64
@@ -111,6 +114,7 @@
 func (c *callerConn) Write(p []byte) (n int, err error) {
 	n, err = c.TCPConn.Write(p)
 	if err != nil {
+		c.writeFailed.Store(true)
 		_ = c.SetLinger(0)
 	}
 	return n, err
@@ -121,19 +125,23 @@
 	if c.draining.Load() {
 		c.drain()
 	}
-	c.deliver()
-	if c.queuedBytes() > 0 {
+	if !c.writeFailed.Load() {
+		c.deliver()
+	}
+	if c.unacknowledgedBytes() > 0 {
 		endpoint.BoundDelivery(c.TCPConn, writeTimeout)
 	}
 	return c.TCPConn.Close()
 }
 
 // deliver waits until the caller has read most of its answer. The kernel keeps the rest after the
-// connection is closed, where it is no longer counted.
+// connection is closed, where it is no longer counted. What the caller sent and nobody read does not
+// count: nothing reads it any more, and the kernel drops it. The server closes connections over its
+// limit in its accept loop, which must not wait.
 func (c *callerConn) deliver() {
 	c.releaseAnswer()
 	g := c.memory.gateway
-	for end := time.Now().Add(writeTimeout); c.queuedBytes() > maxUncountedBytes && time.Now().Before(end); {
+	for end := time.Now().Add(writeTimeout); c.unacknowledgedBytes() > maxUncountedBytes && time.Now().Before(end); {
 		if g.stopping.Load() || interval.Wait(g.workContext, deliveryCheckInterval) != nil {
 			return
 		}
@@ -209,7 +217,7 @@
 	queues := endpoint.QueuesOf(c.TCPConn)
 	queued := queues.Unacknowledged + queues.Unread
 	c.memory.budget.Add(c.customer, queued-c.queued)
-	c.queued = queued
+	c.queued, c.unacknowledged = queued, queues.Unacknowledged
 	return queues
 }
 
@@ -219,17 +227,17 @@
 	c.countQueues()
 }
 
-func (c *callerConn) queuedBytes() int64 {
+func (c *callerConn) unacknowledgedBytes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.queued
+	return c.unacknowledged
 }
 
 func (c *callerConn) releaseAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.memory.budget.Release(c.customer, c.kept+c.queued)
-	c.kept, c.queued, c.closed = 0, 0, true
+	c.kept, c.queued, c.unacknowledged, c.closed = 0, 0, 0, true
 }
 
 // measure updates what the kernel keeps for the connection, and returns the answer that the caller
