pkg/gateway: a late grant does not end the request that runs

When the dispatcher's verdict was late, the router withdrew the request, decided alone and reported the request as running. A grant that then arrived was returned as unused, by the ID of its request. The dispatcher knows one grant for each ID, so it ended the slot in which the request ran and granted that slot again. A busy dispatcher, the one whose verdicts are late, thus gave its endpoints more requests than slots. A verdict sent twice did the same.

The router now returns such a grant only if the request does not run. Nothing is lost: the withdrawal, which is sent before, returns a grant that was already made.

--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -267,7 +267,10 @@
 	}
 }
 
-// handleVerdict handles one response. A grant for which no request waits any more is returned.
+// handleVerdict handles one response. A grant for which no request waits any more is returned,
+// unless the request runs meanwhile, by another decision: the dispatcher knows grants only by the
+// ID of their request, and would end the one in use. The late one was returned when the request was
+// withdrawn.
 func (s *scheduler) handleVerdict(r *remote, message *peerpb.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -292,7 +295,7 @@
 	v := decodeVerdict(message)
 	r.unansweredSince = time.Time{}
 	v.decidedBy = r.box
-	if !s.resolvePending(message.ID, r, v) && v.endpoint != "" {
+	if !s.resolvePending(message.ID, r, v) && v.endpoint != "" && s.running[message.ID] == nil {
 		r.stream.Send(encodeOutcome(message.ID, dispatch.Unused{}))
 	}
 }
