pkg/gateway: release the memory of an answer that failed before the next attempt

readAnswer and a stream before its first event kept the memory of a failed attempt reserved until the request ended. The next attempt reserved it again. A large answer that its endpoint cut thus took two and three times its size of its customer's share, so that the repeat waited for room that its own request held, until its time limit.

Cause: the reservation was released only with the answer that was written in the end. Both paths now release the buffer when they fail; it is not used any more.

--- a/pkg/gateway/kept_answer.go
+++ b/pkg/gateway/kept_answer.go
@@ -21,29 +21,36 @@
 )
 
 // readAnswer reads a response completely into memory that is reserved for the customer. Without
-// room it stops reading, so that the endpoint waits, until the request ends.
-func (c *call) readAnswer(response *endpoint.Response) ([]byte, error) {
+// room it stops reading, so that the endpoint waits, until the request ends. Nothing stays reserved
+// for an answer that failed.
+func (c *call) readAnswer(response *endpoint.Response) (body []byte, err error) {
 	if connOf(c.http) == nil {
 		return response.ReadAll(maxResponseBytes)
 	}
-	body, err := c.grow(nil, c.firstCapacity(response))
+	defer func() {
+		if err != nil {
+			c.release(body)
+			body = nil
+		}
+	}()
+	body, err = c.grow(nil, c.firstCapacity(response))
 	for err == nil {
 		if len(body) == cap(body) {
 			if body, err = c.grow(body, 2*cap(body)); err != nil {
-				return nil, err
+				return body, err
 			}
 		}
 		var n int
 		n, err = response.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if len(body) > maxResponseBytes {
-			return nil, &endpoint.TooLargeError{Limit: maxResponseBytes}
+			return body, &endpoint.TooLargeError{Limit: maxResponseBytes}
 		}
 	}
 	if errors.Is(err, io.EOF) {
 		return body, nil
 	}
-	return nil, err
+	return body, err
 }
 
 // firstCapacity returns the size of the buffer for a response: one byte more than its length if that
@@ -63,13 +70,20 @@
 		if err := c.awaitRoom(conn, capacity); err != nil {
 			return buffer, err
 		}
-		conn.add(-int64(cap(buffer)))
+		c.release(buffer)
 	}
 	grown := make([]byte, len(buffer), capacity)
 	copy(grown, buffer)
 	return grown, nil
 }
 
+// release returns the memory reserved for a buffer that is not sent to the caller.
+func (c *call) release(buffer []byte) {
+	if conn := connOf(c.http); conn != nil {
+		conn.add(-int64(cap(buffer)))
+	}
+}
+
 // awaitRoom reserves memory for a buffer.
 func (c *call) awaitRoom(conn *callerConn, bytes int) error {
 	if bytes <= smallAnswerBytes {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -227,6 +227,7 @@
 		grant:     to.granted,
 	}
 	if err := s.awaitEvent(); err != nil {
+		c.release(s.buffer)
 		response.Close()
 		return err
 	}
