pkg/gateway: no system calls after small answers to measure what the kernel keeps

With Settings.MaxMemory, each answer was followed by two or three system calls that measure what the kernel keeps of the connection, and by as many at the next check, up to 250 ms later. Nearly all answers are small, and refusals under a flood are the least worth it.

An open connection is now measured only after more than 4 KiB were written since it was last measured, the bound that already holds for closed connections. Small answers that add up unread are measured when they pass it.

TestSmallAnswers and go test ./gateway pass; go test -run 'TestSlowReaders|TestMemoryBound|TestEndpointThatReads|TestBodiesOf' in platform passes (45 s).

--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -22,6 +22,8 @@
 	draining atomic.Bool
 	// cut is set once the connection was reset because its caller did not read.
 	cut atomic.Bool
+	// uncounted is the number of bytes written since what the kernel keeps was last measured.
+	uncounted atomic.Int64
 	// writeFailed is set once a write has failed: what the kernel keeps is then dropped.
 	writeFailed atomic.Bool
 
@@ -48,8 +50,9 @@
 	// drainTimeout bounds reading and dropping the body of a refused request. A connection that
 	// is closed with unread data is reset, and its caller may lose the refusal.
 	drainTimeout = time.Second
-	// maxUncountedBytes is what the kernel may keep of a closed connection, and
-	// deliveryCheckInterval the time between two looks at what it keeps of one to be closed.
+	// maxUncountedBytes is what the kernel may keep of a closed connection, or of answers on an
+	// open one, without being measured, and deliveryCheckInterval the time between two looks at
+	// what it keeps of one to be closed.
 	maxUncountedBytes     = 4 << 10
 	deliveryCheckInterval = 20 * time.Millisecond
 )
@@ -101,6 +104,7 @@
 	switch state {
 	case fasthttp.StateIdle:
 		conn.releaseAnswer()
+		conn.countWritten()
 	case fasthttp.StateClosed:
 		m.mu.Lock()
 		delete(m.conns, conn)
@@ -113,6 +117,7 @@
 // keeps.
 func (c *callerConn) Write(p []byte) (n int, err error) {
 	n, err = c.TCPConn.Write(p)
+	c.uncounted.Add(int64(n))
 	if err != nil {
 		c.writeFailed.Store(true)
 		_ = c.SetLinger(0)
@@ -140,6 +145,7 @@
 // limit in its accept loop, which must not wait.
 func (c *callerConn) deliver() {
 	c.releaseAnswer()
+	c.recount()
 	g := c.memory.gateway
 	for end := time.Now().Add(writeTimeout); c.unacknowledgedBytes() > maxUncountedBytes && time.Now().Before(end); {
 		if g.stopping.Load() || interval.Wait(g.workContext, deliveryCheckInterval) != nil {
@@ -209,11 +215,19 @@
 	}
 	c.memory.budget.Release(c.customer, c.kept)
 	c.kept = 0
-	c.countQueues()
+}
+
+// countWritten measures what the kernel keeps of answers once they are large enough. Measuring takes
+// up to three system calls, which small answers, refusals above all, are not worth.
+func (c *callerConn) countWritten() {
+	if c.uncounted.Load() > maxUncountedBytes {
+		c.recount()
+	}
 }
 
 // countQueues updates what the kernel keeps for the connection. The lock is held.
 func (c *callerConn) countQueues() endpoint.Queues {
+	c.uncounted.Store(0)
 	queues := endpoint.QueuesOf(c.TCPConn)
 	queued := queues.Unacknowledged + queues.Unread
 	c.memory.budget.Add(c.customer, queued-c.queued)
@@ -224,7 +238,9 @@
 func (c *callerConn) recount() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.countQueues()
+	if !c.closed {
+		c.countQueues()
+	}
 }
 
 func (c *callerConn) unacknowledgedBytes() int64 {
--- a/pkg/gateway/caller_conn_test.go
+++ b/pkg/gateway/caller_conn_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
 )
 
 // TestCloseDoesNotWait guards against closing connections that wait for an answer which nobody will
@@ -59,3 +60,38 @@
 		})
 	}
 }
+
+// TestSmallAnswers guards against system calls after each refusal, and against small answers that
+// add up unread and are never counted.
+func TestSmallAnswers(t *testing.T) {
+	Convey("Small answers are not measured one by one, but count once enough were written", t, func() {
+		m := newTestMemory(100 << 20)
+		m.gateway.workContext = t.Context()
+		plain, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		listener := m.listener(plain)
+		defer listener.Close()
+		caller, err := net.Dial("tcp", plain.Addr().String())
+		So(err, ShouldBeNil)
+		So(caller.(*net.TCPConn).SetReadBuffer(4<<10), ShouldBeNil)
+		accepted, err := listener.Accept()
+		So(err, ShouldBeNil)
+		conn := accepted.(*callerConn)
+		_, err = caller.Write(make([]byte, 10))
+		So(err, ShouldBeNil)
+		const answer = 300
+		counted := false
+		for written := answer; !counted && written < 64<<10; written += answer {
+			_, err = conn.Write(make([]byte, answer))
+			So(err, ShouldBeNil)
+			m.trackConnection(conn, fasthttp.StateIdle)
+			counted = conn.queued > 0
+			So(counted, ShouldEqual, written > maxUncountedBytes)
+		}
+		So(counted, ShouldBeTrue)
+		So(caller.Close(), ShouldBeNil)
+		_ = conn.Close()
+		m.trackConnection(conn, fasthttp.StateClosed)
+		So(m.budget.Used(), ShouldEqual, 0)
+	})
+}
