pkg/gateway: requests for slots stop waiting for a dispatcher that can not be reached

A request for a slot waits 25 to 40 ms for the stream to the dispatcher; opening a session to a box that is cut off fails after 80 ms. Every request therefore saw only a late response, which does not make a box suspect. Until the box left the membership (2.5 s) each request lost that time and then was decided alone, and the next box in the ranking was never asked.

The opening itself now suspects the box when it fails, for plain services. Engines are unchanged: their requests wait for the error.

TestUnreachableDispatcher fails before and passes 2 of 2 runs after; go test ./gateway, and go test -run TestPlainQueue in platform (54 s) pass. Not tried on a real fleet with a cut-off box.

--- a/pkg/gateway/late_verdict_test.go
+++ b/pkg/gateway/late_verdict_test.go
@@ -57,3 +57,16 @@
 		So(kinds, ShouldResemble, []string{"withdraw", "runs at api-1", "done"})
 	})
 }
+
+// TestUnreachableDispatcher guards against requests for slots that each wait for a connection to a
+// dispatcher that can not be reached: opening one takes longer than any of them waits, so none of
+// them sees it fail.
+func TestUnreachableDispatcher(t *testing.T) {
+	Convey("A box to which no stream can be opened is not asked for a while", t, func() {
+		s := newQueueingBox(t, "3").pool("api").groups[0]
+		o := &opening{box: "box-9", done: make(chan struct{})}
+		s.open(o)
+		So(o.err, ShouldNotBeNil)
+		So(s.suspects["box-9"].until, ShouldHappenAfter, time.Now())
+	})
+}
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -174,6 +174,10 @@
 func (s *scheduler) open(o *opening) {
 	defer close(o.done)
 	stream, err := s.openStream(o.box)
+	if err != nil && s.isPlain() && s.gateway.workContext.Err() == nil {
+		// Requests for slots do not wait long enough to see the error.
+		s.suspect(o.box, err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	superseded := s.opening != o
