--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -22,14 +22,19 @@
 	draining atomic.Bool
 	// cut is set once the connection was reset because its caller did not read.
 	cut atomic.Bool
+	// uncounted is the number of bytes written since what the kernel keeps was last measured.
+	uncounted atomic.Int64
+	// writeFailed is set once a write has failed: what the kernel keeps is then dropped.
+	writeFailed atomic.Bool
 
 	mu sync.Mutex
 	// customer and request are the customer and the ID of the last request.
 	customer, request string
 	// kept is what is reserved for the request and its answer, until the next one.
 	kept int64
-	// queued is what the kernel keeps of answers and of further requests, as last measured.
-	queued int64
+	// queued is what the kernel keeps of answers and of further requests, as last measured, and
+	// unacknowledged is the part of it that belongs to answers.
+	queued, unacknowledged int64
 	// acknowledged counts the bytes that the caller's machine had acknowledged, and progressAt is
 	// when it was last seen to acknowledge any, or had nothing to acknowledge.
 	acknowledged uint64
@@ -45,8 +50,9 @@
 	// drainTimeout bounds reading and dropping the body of a refused request. A connection that
 	// is closed with unread data is reset, and its caller may lose the refusal.
 	drainTimeout = time.Second
-	// maxUncountedBytes is what the kernel may keep of a closed connection, and
-	// deliveryCheckInterval the time between two looks at what it keeps of one to be closed.
+	// maxUncountedBytes is what the kernel may keep of a closed connection, or of answers on an
+	// open one, without being measured, and deliveryCheckInterval the time between two looks at
+	// what it keeps of one to be closed.
 	maxUncountedBytes     = 4 << 10
 	deliveryCheckInterval = 20 * time.Millisecond
 )
@@ -98,6 +104,7 @@
 	switch state {
 	case fasthttp.StateIdle:
 		conn.releaseAnswer()
+		conn.countWritten()
 	case fasthttp.StateClosed:
 		m.mu.Lock()
 		delete(m.conns, conn)
@@ -110,7 +117,9 @@
 // keeps.
 func (c *callerConn) Write(p []byte) (n int, err error) {
 	n, err = c.TCPConn.Write(p)
+	c.uncounted.Add(int64(n))
 	if err != nil {
+		c.writeFailed.Store(true)
 		_ = c.SetLinger(0)
 	}
 	return n, err
@@ -121,19 +130,24 @@
 	if c.draining.Load() {
 		c.drain()
 	}
-	c.deliver()
-	if c.queuedBytes() > 0 {
+	if !c.writeFailed.Load() {
+		c.deliver()
+	}
+	if c.unacknowledgedBytes() > 0 {
 		endpoint.BoundDelivery(c.TCPConn, writeTimeout)
 	}
 	return c.TCPConn.Close()
 }
 
 // deliver waits until the caller has read most of its answer. The kernel keeps the rest after the
-// connection is closed, where it is no longer counted.
+// connection is closed, where it is no longer counted. What the caller sent and nobody read does not
+// count: nothing reads it any more, and the kernel drops it. The server closes connections over its
+// limit in its accept loop, which must not wait.
 func (c *callerConn) deliver() {
 	c.releaseAnswer()
+	c.recount()
 	g := c.memory.gateway
-	for end := time.Now().Add(writeTimeout); c.queuedBytes() > maxUncountedBytes && time.Now().Before(end); {
+	for end := time.Now().Add(writeTimeout); c.unacknowledgedBytes() > maxUncountedBytes && time.Now().Before(end); {
 		if g.stopping.Load() || interval.Wait(g.workContext, deliveryCheckInterval) != nil {
 			return
 		}
@@ -201,35 +215,45 @@
 	}
 	c.memory.budget.Release(c.customer, c.kept)
 	c.kept = 0
-	c.countQueues()
+}
+
+// countWritten measures what the kernel keeps of answers once they are large enough. Measuring takes
+// up to three system calls, which small answers, refusals above all, are not worth.
+func (c *callerConn) countWritten() {
+	if c.uncounted.Load() > maxUncountedBytes {
+		c.recount()
+	}
 }
 
 // countQueues updates what the kernel keeps for the connection. The lock is held.
 func (c *callerConn) countQueues() endpoint.Queues {
+	c.uncounted.Store(0)
 	queues := endpoint.QueuesOf(c.TCPConn)
 	queued := queues.Unacknowledged + queues.Unread
 	c.memory.budget.Add(c.customer, queued-c.queued)
-	c.queued = queued
+	c.queued, c.unacknowledged = queued, queues.Unacknowledged
 	return queues
 }
 
 func (c *callerConn) recount() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.countQueues()
+	if !c.closed {
+		c.countQueues()
+	}
 }
 
-func (c *callerConn) queuedBytes() int64 {
+func (c *callerConn) unacknowledgedBytes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.queued
+	return c.unacknowledged
 }
 
 func (c *callerConn) releaseAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.memory.budget.Release(c.customer, c.kept+c.queued)
-	c.kept, c.queued, c.closed = 0, 0, true
+	c.kept, c.queued, c.unacknowledged, c.closed = 0, 0, 0, true
 }
 
 // measure updates what the kernel keeps for the connection, and returns the answer that the caller
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -174,6 +174,10 @@
 func (s *scheduler) open(o *opening) {
 	defer close(o.done)
 	stream, err := s.openStream(o.box)
+	if err != nil && s.isPlain() && s.gateway.workContext.Err() == nil {
+		// Requests for slots do not wait long enough to see the error.
+		s.suspect(o.box, err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	superseded := s.opening != o
@@ -267,7 +271,10 @@
 	}
 }
 
-// handleVerdict handles one response. A grant for which no request waits any more is returned.
+// handleVerdict handles one response. A grant for which no request waits any more is returned,
+// unless the request runs meanwhile, by another decision: the dispatcher knows grants only by the
+// ID of their request, and would end the one in use. The late one was returned when the request was
+// withdrawn.
 func (s *scheduler) handleVerdict(r *remote, message *peerpb.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -292,7 +299,7 @@
 	v := decodeVerdict(message)
 	r.unansweredSince = time.Time{}
 	v.decidedBy = r.box
-	if !s.resolvePending(message.ID, r, v) && v.endpoint != "" {
+	if !s.resolvePending(message.ID, r, v) && v.endpoint != "" && s.running[message.ID] == nil {
 		r.stream.Send(encodeOutcome(message.ID, dispatch.Unused{}))
 	}
 }
