--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -95,8 +95,8 @@
 		c.log().Debug("engine granted", zap.String("Request", c.ID), zap.String("Endpoint", found.ID), zap.String("By", v.decidedBy), zap.Duration("Wait", v.wait), zap.String("FetchFrom", v.fetchFrom))
 		if !c.isQueuedPlain() {
 			c.gateway.Metrics.Granted(v)
+			c.countCrossing(&found)
 		}
-		c.countCrossing(&found)
 		return destination{
 			Endpoint:  found,
 			begin:     func() { s.begin(c.ID) },
