pkg/dispatch: the order for empty caches holds only beside other dispatchers

Two cases of TestColdHomes asserted it for a lone dispatcher; they now have a contested one, and a new case holds what a lone one does.

--- a/pkg/dispatch/cold_homes.go
+++ b/pkg/dispatch/cold_homes.go
@@ -25,9 +25,12 @@
 // it. A box that alone dispatches reads them at 1.03 anyway, and had up to 0.10 fewer requests in
 // time if it could not choose the home that is free first.
 func (p *Pool) coldCandidates(req *Request, stats *partStats, homes []*engine, now time.Time) []*engine {
+	if !p.sharesEngines() {
+		return nil
+	}
 	if len(stats.holders) == 0 {
 		stats.read = false
-		if (p.Routers > 1 || p.Contested) && len(homes) > 1 {
+		if len(homes) > 1 {
 			return homes[:1]
 		}
 		return nil
@@ -39,6 +42,9 @@
 	return stats.holders
 }
 
+// sharesEngines reports whether other boxes may dispatch for the same engines.
+func (p *Pool) sharesEngines() bool { return p.Routers > 1 || p.Contested }
+
 // markRead records that an engine has read the shared part of a prompt.
 func (p *Pool) markRead(prompt *Prompt) {
 	if stats := p.parts[homeKey(prompt)]; stats != nil && hasLongShared(prompt) {
@@ -60,7 +66,7 @@
 // change places with each other, so that parts for which more requests wait are read first. The
 // order is determined once in a round.
 func (p *Pool) inOrder(q *routeQueue) []*Request {
-	if !p.Rules.ColdHomes {
+	if !p.Rules.ColdHomes || !p.sharesEngines() {
 		return q.queue
 	}
 	if q.orderedRound != p.round {
--- a/pkg/dispatch/cold_homes_test.go
+++ b/pkg/dispatch/cold_homes_test.go
@@ -71,8 +71,18 @@
 	newColdPool := func(engines int) *Pool {
 		p := newTestPool(engines, 0)
 		p.Rules.ColdHomes = true
+		p.Contested = true
 		return p
 	}
+	Convey("A box that dispatches alone chooses among all homes", t, func() {
+		p := newColdPool(9)
+		p.Contested = false
+		first := submit(p, newRequest("1", "a", start, shared(7), own(1)), start)[0].(Grant)
+		p.addGrant(newRequest("fill", "b", start, Part{ID: 200, Tokens: 60000}), p.engines[first.Endpoint], start)
+		second := submit(p, newRequest("2", "a", start, shared(7), own(2)), start)
+		So(second, ShouldHaveLength, 1)
+		So(second[0].(Grant).Endpoint, ShouldNotEqual, first.Endpoint)
+	})
 	Convey("A part is read at one home only, and at the second one with demand after that", t, func() {
 		p := newColdPool(9)
 		homes := p.homes(newRequest("1", "a", start, shared(7), own(1)), start)
