pkg/gateway, platform: memory is shared where the contracts name slow readers

The account of callers' memory took effect wherever a memory limit is set, so on every deployment. It is on for deployments whose contracts do.

The time between two decisions is at most 20 ms: how long one took is wall time, and a box without processor time would have paused for four times as long.

--- a/pkg/gateway/decisions_test.go
+++ b/pkg/gateway/decisions_test.go
@@ -17,4 +17,7 @@
 	Convey("Long ones take a quarter of the time", t, func() {
 		So(decisionDelayAfter(3*time.Millisecond), ShouldEqual, 12*time.Millisecond)
 	})
+	Convey("A decision during which the box had no processor time delays the next one only a little", t, func() {
+		So(decisionDelayAfter(time.Second), ShouldEqual, maxDecisionDelay)
+	})
 }
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -296,9 +296,13 @@
 // that routers took it for lost.
 const maxDecisionShare = 0.25
 
+// maxDecisionDelay bounds the time between two decisions: a box that had no processor time for a
+// while seems to have decided all along.
+const maxDecisionDelay = 5 * decisionInterval
+
 // decisionDelayAfter returns the time from one decision to the next, given how long it took.
 func decisionDelayAfter(took time.Duration) time.Duration {
-	return max(decisionInterval, time.Duration(float64(took)/maxDecisionShare))
+	return min(max(decisionInterval, time.Duration(float64(took)/maxDecisionShare)), maxDecisionDelay)
 }
 
 func (s *scheduler) nextDecisionDelay() time.Duration {
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -37,6 +37,9 @@
 	Cores float64
 	// MaxMemory is the maximum memory of the process in bytes; 0 means no bound.
 	MaxMemory int64
+	// SharesMemory is set if customers share the memory that the box keeps for their callers, so
+	// that callers that do not read cannot take it all. It takes effect only with MaxMemory.
+	SharesMemory bool
 	// MaxConnections bounds the connections of the process.
 	MaxConnections int
 }
