pkg/dispatch: rates decide homes and pauses only where copies of prompts are cheap

Homes that move are read again there, as engines cannot copy cheaply. Both rules now need Rules.UnevenEngines, which the gateway sets from the catalog.

--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -50,6 +50,10 @@
 	MissFactor, ShortMissFactor float64
 	// Window is the time over which customers' shares are counted.
 	Window time.Duration
+	// UnevenEngines lets the measured rates of engines decide how many homes each is, and bounds
+	// the pauses of streams. Homes that move are read or copied again, so it pays where copies of
+	// a prompt are cheap.
+	UnevenEngines bool
 	// ZoneHomes distributes the homes of a shared part over availability zones and prefers the
 	// zone of the request, ColdHomes reads a part that is cached nowhere at one home first, and
 	// Fetch lets engines copy cached parts from each other. They require engines for which copies
@@ -74,6 +78,7 @@
 		CopyCost:                 1,
 		MissFactor:               2,
 		Window:                   4 * time.Second,
+		UnevenEngines:            true,
 
 		ShortMissFactor: 10,
 	}
--- a/pkg/dispatch/rate_spread.go
+++ b/pkg/dispatch/rate_spread.go
@@ -73,7 +73,7 @@
 			p.spread.slowdown += e.slowdown()
 		}
 	}
-	if len(rates) <= len(p.sorted)/2 {
+	if !p.Rules.UnevenEngines || len(rates) <= len(p.sorted)/2 {
 		p.spread.isWide = false
 		return
 	}
--- a/pkg/dispatch/weights.go
+++ b/pkg/dispatch/weights.go
@@ -22,7 +22,7 @@
 	for i, e := range p.sorted {
 		ratings[i] = &e.rating
 	}
-	if placement.UpdateWeights(ratings) {
+	if p.Rules.UnevenEngines && placement.UpdateWeights(ratings) {
 		p.dropRankings()
 		p.weightsMoved = true
 	}
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -202,7 +202,7 @@
 		s.cachesKnown = true
 	}
 	compact := service.Engine.HasCompactCache()
-	s.pool.Rules.ZoneHomes, s.pool.Rules.ColdHomes = compact, compact
+	s.pool.Rules.UnevenEngines, s.pool.Rules.ZoneHomes, s.pool.Rules.ColdHomes = compact, compact, compact
 	s.pool.Rules.Fetch = copiesCache(&service)
 	s.pool.Groups = groups
 	s.pool.Configure(service, tokensPerSecond)
