pkg/gateway, platform: the log names the releases at which a stream goes on

"stream continued" named no release, and a request that takes up a stream which an earlier request of the caller began was not told from a new one. Neither says which of the two lets streams hold events of two releases.

"stream continued" names both endpoints and their releases. "stream taken up" names the request that the caller resumes, from the header Resumes, which reaches endpoints as before.

No decision changes.

--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -232,6 +232,7 @@
 		return err
 	}
 	to.begin()
+	c.logTakenUp(to)
 	c.gateway.Metrics.FirstEvent(c.customer, c.route.Name, time.Since(c.arrived))
 	c.forwardHead(response)
 	c.streaming = true
@@ -240,6 +241,19 @@
 	return nil
 }
 
+// logTakenUp logs that a stream that an earlier request of the caller began goes on.
+func (c *call) logTakenUp(to destination) {
+	if c.LastEvent == "" {
+		return
+	}
+	c.log().Info("stream taken up",
+		zap.String("Request", c.ID),
+		zap.String("Resumes", c.Resumes),
+		zap.String("Endpoint", to.ID),
+		zap.String("Release", to.Release),
+		zap.String("After", c.LastEvent))
+}
+
 // resume continues a broken stream at another engine, after the last event that was forwarded.
 // The caller has already received the head of the first engine's response.
 func (s *stream) resume(broken error) error {
@@ -258,6 +272,7 @@
 			return broken
 		}
 		s.settled = false
+		brokenAt := s.to
 		s.to = to
 		response, err := c.attempt(to, s.lastEvent)
 		if err == nil && response.Head.StatusCode() != fasthttp.StatusOK {
@@ -268,6 +283,9 @@
 			c.log().Info("stream continued",
 				zap.String("Request", c.ID),
 				zap.String("Endpoint", to.ID),
+				zap.String("Release", to.Release),
+				zap.String("From", brokenAt.ID),
+				zap.String("FromRelease", brokenAt.Release),
 				zap.String("After", s.lastEvent))
 			s.response = response
 			return nil
--- a/pkg/gateway/translator.go
+++ b/pkg/gateway/translator.go
@@ -23,6 +23,9 @@
 	// LastEvent is the ID of the last event of a stream that the caller has received; empty
 	// means none.
 	LastEvent string
+	// Resumes is the ID of the request that brought the first event of a stream that the caller
+	// takes up; empty if it is not specified.
+	Resumes string
 }
 
 // Delivery is the information for the headers of a request to an endpoint.
