pkg/continuation, pkg/gateway, pkg/peer: callers take streams up at the release that began them

Callers that took up a stream at another box got events of another release: of 40 streams in a fleet with three, 31 went on at another one.

Cause: which release began a stream was known only to the box that served it, and only while it did. A request with Last-Event-Id was granted an engine as a new one is. The class: a decision that belongs to a stream was made for each attempt, and state that has to outlive a connection lived in one box.

Boxes tell the release with the first event to two others, which are ranked like the dispatchers of the engines' group; the box that takes a stream up asks them. They are told again when the ranking changes. A box that does not learn it refuses at once, as not run. Nothing is sent while a service has one release; a box that starts learns from the first update of its peers that there was no other.

Requests to routes that may be resumed name the stream in the header Resumes. A new refusal code, not_continued (503), has no time to retry.

Measured: TestStreamsTakenUpContinueAtTheirRelease failed before and passes, as do tests of a box that stopped, of unknown streams, of a second release that appears during a stream, and of fleets with one release, whose boxes tell and ask nothing.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -28,6 +28,8 @@
 	// made; both are set only for engines.
 	granted   verdict
 	grantedAt time.Time
+	// group is the group that granted it; nil for plain endpoints that are not queued.
+	group *scheduler
 	// suspendedTotal is the total suspension time of the machine noticed before the endpoint
 	// was chosen.
 	suspendedTotal time.Duration
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -61,6 +61,8 @@
 	// begunAt selects the release that sent the first event which the caller received; the zero
 	// value while it received none. Events of different releases do not fit together.
 	begunAt rollout.VersionFilter
+	// originKnownBy is the box that knew which release began a stream that the request takes up.
+	originKnownBy string
 	// excluded are the IDs of the endpoints that failed this request.
 	excluded []string
 	// unreachable counts the endpoints that accepted no connection.
@@ -113,6 +115,7 @@
 		return
 	}
 	c.guard.stop()
+	c.gateway.continuations.end(c)
 	c.gateway.suspensions.remove(c)
 	c.cancel(nil)
 	conn := c.http.Conn()
@@ -157,6 +160,9 @@
 		return notRun(request.NotReady, "the machine of this box was suspended, and it looks again", otherBoxRetryDelay)
 	}
 	c.watch()
+	if refusal := c.takeUp(); refusal != nil {
+		return refusal
+	}
 	if c.service.Engine != nil && c.Prompt != nil {
 		return c.serveModel()
 	}
--- /dev/null
+++ b/pkg/gateway/continuations.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/continuation"
+	"github.com/quaylead/quaylead/pkg/membership"
+	"github.com/quaylead/quaylead/pkg/partition"
+	"github.com/quaylead/quaylead/pkg/peer"
+	"github.com/quaylead/quaylead/pkg/route"
+)
+
+// continuations remembers at which release each stream began, so that its caller can take it up at
+// any box after its connection or this box broke. While a service has only one release, nothing is
+// sent for that.
+type continuations struct {
+	gateway  *Gateway
+	log      *zap.Logger
+	releases continuation.Releases
+	// origins are those of this box's streams, and those that other boxes told.
+	origins continuation.Origins
+	// maxAge is the longest time in nanoseconds that a stream can be in progress or taken up after
+	// it began.
+	maxAge atomic.Int64
+
+	mu sync.Mutex
+	// live are the streams in progress at this box.
+	live map[*call]*liveStream
+	// links are the streams to boxes that this one tells origins, by box.
+	links map[string]*originLink
+	// avoided are the boxes to which links failed, with the time until which none is opened.
+	avoided map[string]time.Time
+	// summary is the last one computed, at summaryAt.
+	summary   continuation.Summary
+	summaryAt time.Time
+}
+
+// liveStream is a stream in progress, of which callers may have received events.
+type liveStream struct {
+	origin  continuation.Origin
+	service string
+	// group is the group of engines that runs it; nil for plain services that are not queued.
+	group *scheduler
+	// told are the incarnations of the boxes that were told its origin.
+	told map[uint64]bool
+}
+
+const (
+	// keeperCount is the number of boxes that are told the origin of each stream, besides the one
+	// that serves it. Kills in a row leave a copy, as the others are told when the keepers change.
+	keeperCount = 2
+	// takeUpSlack is how much longer than its deadline a stream may be taken up.
+	takeUpSlack = 2 * time.Second
+	// minStreamAge is the lower bound of continuations.maxAge.
+	minStreamAge = time.Minute
+	// originInterval is the time between two checks of whether the keepers changed.
+	originInterval = 250 * time.Millisecond
+	// maxSummaryAge bounds the age of the cached summary of releases.
+	maxSummaryAge = 10 * time.Second
+)
+
+// configure applies a new catalog: a stream may have begun as long ago as any route allows.
+func (k *continuations) configure(catalog *route.Catalog) {
+	longest := minStreamAge
+	for i := range catalog.Routes {
+		if r := &catalog.Routes[i]; r.Resumable {
+			timeout := r.Timeout
+			if timeout <= 0 {
+				timeout = maxRequestTimeout
+			}
+			longest = max(longest, timeout+takeUpSlack)
+		}
+	}
+	k.maxAge.Store(int64(longest))
+}
+
+// soleRelease returns the release of a service if every stream in progress must have begun at it.
+func (k *continuations) soleRelease(service string, now time.Time) (release string, isSole bool) {
+	release, isOnly, isComplete := k.releases.Only(service, time.Duration(k.maxAge.Load()), now)
+	return release, isOnly && isComplete
+}
+
+// begin records the release that sent the first event of a stream.
+func (k *continuations) begin(c *call, to *destination) {
+	now := time.Now()
+	left := min(max(c.remaining(), 0), continuation.MaxLifetime)
+	stream := &liveStream{
+		origin:  continuation.Origin{Key: c.streamKey(), Release: to.Release, Expires: now.Add(left + takeUpSlack)},
+		service: c.service.Name,
+		group:   to.group,
+	}
+	k.origins.Add(stream.origin)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.live == nil {
+		k.live = map[*call]*liveStream{}
+	}
+	k.live[c] = stream
+	k.tell(stream, now, map[*scheduler][]continuation.Box{})
+}
+
+// end records that a stream is no longer in progress here. Its origin is kept, as it may be taken
+// up.
+func (k *continuations) end(c *call) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.live, c)
+}
+
+// tell tells the origin of a stream to its keepers, unless they know it or the service has only
+// one release. keepers caches those of each group. The lock is held.
+func (k *continuations) tell(stream *liveStream, now time.Time, keepers map[*scheduler][]continuation.Box) {
+	if _, isSole := k.soleRelease(stream.service, now); isSole {
+		return
+	}
+	boxes, found := keepers[stream.group]
+	if !found {
+		boxes = continuation.Keepers(k.gateway.rankedBoxes(stream.group, stream.service), keeperCount)
+		if stream.group != nil {
+			keepers[stream.group] = boxes
+		}
+	}
+	if stream.told == nil {
+		stream.told = map[uint64]bool{}
+	}
+	for _, box := range boxes {
+		incarnation := k.gateway.fleet.IncarnationOf(box.Name)
+		if !stream.told[incarnation] && k.send(box.Name, incarnation, stream.origin, now) {
+			stream.told[incarnation] = true
+			k.gateway.Metrics.OriginTold()
+		}
+	}
+}
+
+// refresh tells the origins of the streams in progress to boxes that have become their keepers, and
+// drops expired origins.
+func (k *continuations) refresh() {
+	now := time.Now()
+	k.origins.Expire(now)
+	k.gateway.Metrics.OriginsHeld(k.origins.Len())
+	keepers := map[*scheduler][]continuation.Box{}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, stream := range k.live {
+		k.tell(stream, now, keepers)
+	}
+}
+
+// currentSummary returns what other boxes have to know of the releases. Its times may be up to
+// maxSummaryAge old, by which a release seems to have been seen later than it was.
+func (k *continuations) currentSummary() continuation.Summary {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if k.summary.Version != k.releases.Version() || now.Sub(k.summaryAt) > maxSummaryAge {
+		k.summary, k.summaryAt = k.releases.Summary(now), now
+	}
+	return k.summary
+}
+
+// rankedBoxes returns the other boxes that are alive, in the order in which they may dispatch for a
+// group or, for a plain service without one, for the service.
+func (g *Gateway) rankedBoxes(group *scheduler, service string) (boxes []continuation.Box) {
+	var ranking []partition.Ranked
+	if group != nil {
+		group.mu.Lock()
+		ranking = group.rank()
+		group.mu.Unlock()
+	} else {
+		own := membership.Candidate{Name: g.Settings.Name}
+		ranking = partition.Rank(partition.GroupName(service, 0), own, g.fleet.Candidates(time.Now()))
+	}
+	for _, ranked := range ranking {
+		if ranked.Alive && ranked.Name != g.Settings.Name {
+			boxes = append(boxes, continuation.Box{Name: ranked.Name, Zone: ranked.Zone})
+		}
+	}
+	return boxes
+}
+
+// AddOrigins records what another box tells of its streams.
+func (g *Gateway) AddOrigins(origins []continuation.Origin) {
+	for _, origin := range origins {
+		g.continuations.origins.Add(origin)
+	}
+}
+
+// FindOrigin answers another box that asks which release began a stream.
+func (g *Gateway) FindOrigin(key continuation.Key, service string) (answer peer.OriginAnswer) {
+	now := time.Now()
+	if answer.Release, answer.Known = g.continuations.origins.Find(key, now); answer.Known {
+		return answer
+	}
+	if release, isSole := g.continuations.soleRelease(service, now); isSole && g.fleet.IsInTouch() {
+		return peer.OriginAnswer{Only: true, Release: release}
+	}
+	return answer
+}
--- a/pkg/gateway/endpoints.go
+++ b/pkg/gateway/endpoints.go
@@ -20,7 +20,12 @@
 		return
 	}
 	changes, directory := g.registry.TakeChanges()
+	g.continuations.releases.Apply(changes, time.Now())
+	g.continuations.releases.Start(g.Settings.FirstStart, time.Now())
 	configChanged := catalog != g.catalog
+	if configChanged {
+		g.continuations.configure(catalog)
+	}
 	g.catalog = catalog
 	for name, service := range catalog.Services {
 		if service.Engine == nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -61,6 +61,8 @@
 	coldSenders coldSenders
 	// rests holds until when endpoints asked this box to send them nothing.
 	rests rests
+	// continuations remembers at which release streams began.
+	continuations continuations
 	// rollouts moves services to other versions of their endpoints.
 	rollouts rollouts
 	// catalog is the last one applied to the pools.
@@ -136,6 +138,10 @@
 		interval.Every(background, suspensionCheckInterval, g.checkSuspension)
 		return nil
 	})
+	group.Go(func() error {
+		interval.Every(background, originInterval, g.continuations.refresh)
+		return nil
+	})
 	group.Go(func() error { return g.rollouts.run(background) })
 	group.Go(func() error { return g.load.measure(background, g.reportOverload) })
 	g.log.Info("box started",
@@ -173,6 +179,8 @@
 	if g.Metrics == nil {
 		g.Metrics = &Metrics{}
 	}
+	g.continuations.gateway, g.continuations.log = g, g.Logs.For(logflags.Peer)
+	g.continuations.maxAge.Store(int64(maxRequestTimeout))
 	g.rollouts.gateway, g.rollouts.log = g, g.Logs.For(logflags.Rollout)
 	g.suspensions.Total = g.Suspended
 	g.checkSuspension()
@@ -216,6 +224,7 @@
 		Ends:        &g.ledger,
 		Dispatch:    g,
 		Rollouts:    g,
+		Origins:     g,
 		Cores:       g.Settings.Cores,
 		Log:         g.Logs.For(logflags.Peer),
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -53,6 +53,11 @@
 	// customer, the requests refused for it and the answers cut because they were not read.
 	kept                       expvar.Int
 	memoryRefusals, unreadCuts expvar.Map
+	// takeUps counts the streams that callers took up, and those that they could not, by reason.
+	// origins is the number of streams of which this box knows which release began them.
+	// originsTold and originsAsked count those that it told other boxes, and asked them for.
+	takeUps                            expvar.Map
+	origins, originsTold, originsAsked expvar.Int
 }
 
 // Publish registers the metrics under their expvar names. It may be called only once in a
@@ -79,6 +84,10 @@
 	expvar.Publish("Kept", &m.kept)
 	expvar.Publish("TurnedMemory", &m.memoryRefusals)
 	expvar.Publish("CutUnread", &m.unreadCuts)
+	expvar.Publish("TakeUps", &m.takeUps)
+	expvar.Publish("Origins", &m.origins)
+	expvar.Publish("OriginsTold", &m.originsTold)
+	expvar.Publish("OriginsAsked", &m.originsAsked)
 }
 
 // FirstEvent records the time to a stream's first event.
@@ -143,6 +152,26 @@
 // CutUnread counts, by customer, an answer cut because it was not read.
 func (m *Metrics) CutUnread(customer string) { m.unreadCuts.Add(customer, 1) }
 
+// TakenUp counts a stream that its caller took up and that goes on.
+func (m *Metrics) TakenUp() { m.takeUps.Add("Continued", 1) }
+
+// TakeUpRefused counts, by reason, a stream that its caller could not take up.
+func (m *Metrics) TakeUpRefused(reason string) { m.takeUps.Add(reason, 1) }
+
+// OriginsHeld records the number of streams of which it is known which release began them.
+func (m *Metrics) OriginsHeld(count int) { m.origins.Set(int64(count)) }
+
+// OriginTold counts an origin of a stream that one other box is told.
+func (m *Metrics) OriginTold() { m.originsTold.Add(1) }
+
+// OriginAsked counts a request to one other box for the origin of a stream.
+func (m *Metrics) OriginAsked() { m.originsAsked.Add(1) }
+
+// OriginMessages returns how often other boxes were told an origin of a stream, and asked for one.
+func (m *Metrics) OriginMessages() (told, asked int64) {
+	return m.originsTold.Value(), m.originsAsked.Value()
+}
+
 // HandedBack counts a chosen endpoint to which nothing was sent.
 func (m *Metrics) HandedBack() { m.handedBack.Add(1) }
 
@@ -180,6 +209,7 @@
 			zap.Int64("Snapshots", traffic.Snapshots.Load()),
 			zap.Int64("Dispatch", traffic.Dispatch.Load()),
 			zap.Int64("Handovers", traffic.Handovers.Load()),
+			zap.Int64("Origins", traffic.Origins.Load()),
 			zap.Int64("InFlight", g.inFlight.Load()),
 			zap.Duration("ProcessorWait", g.load.meanDelay()),
 			zap.Int64("Kept", g.Metrics.kept.Value()),
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -103,6 +103,7 @@
 			begin:     func() { s.begin(c.ID) },
 			finish:    func(result outcome) { s.end(c.ID, c.dispatchOutcome(result)) },
 			granted:   v,
+			group:     s,
 			grantedAt: time.Now(),
 		}, true
 	}
@@ -244,8 +245,7 @@
 		return err
 	}
 	to.begin()
-	c.begunAt = rollout.VersionFilter{Version: to.Release, Exact: true}
-	c.logTakenUp(to)
+	c.recordBegun(&to)
 	c.gateway.Metrics.FirstEvent(c.customer, c.route.Name, time.Since(c.arrived))
 	c.forwardHead(response)
 	c.streaming = true
@@ -254,16 +254,23 @@
 	return nil
 }
 
-// logTakenUp logs that a stream that an earlier request of the caller began goes on.
-func (c *call) logTakenUp(to destination) {
-	if c.LastEvent == "" {
+// recordBegun records that the first events of a stream have arrived and can be delivered to the
+// caller.
+func (c *call) recordBegun(to *destination) {
+	c.begunAt = rollout.VersionFilter{Version: to.Release, Exact: true}
+	if c.route.Resumable {
+		c.gateway.continuations.begin(c, to)
+	}
+	if !c.resumesStream() {
 		return
 	}
+	c.gateway.Metrics.TakenUp()
 	c.log().Info("stream taken up",
 		zap.String("Request", c.ID),
 		zap.String("Resumes", c.Resumes),
 		zap.String("Endpoint", to.ID),
 		zap.String("Release", to.Release),
+		zap.String("KnownBy", c.originKnownBy),
 		zap.String("After", c.LastEvent))
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -83,11 +83,13 @@
 
 // dispatchers returns the boxes that dispatch for the groups of engines and those that would
 // take over from them, to which sessions should exist before they are needed. It includes the
-// boxes from which this one fetches the tallies of a roll-out.
+// boxes that this one tells the origins of streams, and those from which it fetches the tallies of
+// a roll-out.
 func (g *Gateway) dispatchers() (boxes []string) {
 	for _, group := range g.schedulers() {
 		boxes = append(boxes, group.wantedSessions(sessionsPerGroup)...)
 	}
+	boxes = append(boxes, g.continuations.linkedBoxes()...)
 	return append(boxes, g.rollouts.proversToAsk()...)
 }
 
@@ -104,6 +106,7 @@
 		Directory: g.registry.NewestVersion(),
 		Orders:    g.registry.OrdersVersion(),
 		Rollouts:  g.rollouts.verdicts(),
+		Releases:  g.continuations.currentSummary(),
 	}
 }
 
@@ -198,6 +201,9 @@
 	if g.ledger.Merge(state.Ends, from.Box, time.Now()) {
 		g.exchange.SendNow()
 	}
+	if state.Releases.Version != 0 && g.continuations.releases.Merge(state.Releases, time.Now()) {
+		g.exchange.SendSoon()
+	}
 	if g.rollouts.applyVerdicts(state.Rollouts, time.Now()) {
 		g.exchange.SendNow()
 	}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -29,6 +29,9 @@
 			status := response.Head.StatusCode()
 			good := status < fasthttp.StatusInternalServerError
 			if err = c.forwardBuffered(response); err == nil {
+				if good && c.route.Streaming {
+					c.recordBegun(&to)
+				}
 				c.logEndpointError(to, status)
 				if good {
 					c.clearFingerprint(response)
--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -200,13 +200,8 @@
 // openStream opens a stream to a box, and first a session if there is none.
 func (s *scheduler) openStream(box string) (*peer.DispatchStream, error) {
 	g := s.gateway
-	if !g.exchange.IsConnected(box) {
-		ctx, cancel := context.WithTimeout(g.workContext, sessionOpenTimeout)
-		defer cancel()
-		if err := g.exchange.Connect(ctx, box, g.fleet.AddressOf(box)); err != nil {
-			return nil, err
-		}
-		g.wakeContacts()
+	if err := g.connectTo(g.workContext, box); err != nil {
+		return nil, err
 	}
 	return g.exchange.OpenDispatch(box, s.groupName)
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -223,6 +223,7 @@
 		zap.String("Customer", c.customer),
 		zap.String("Route", c.route.Name),
 		zap.String("Endpoint", s.to.ID),
+		zap.String("Release", s.to.Release),
 		zap.Int("Events", s.events),
 		zap.Bool("CallerGone", callerGone),
 		zap.Duration("Age", time.Since(c.arrived)),
--- a/pkg/membership/candidates.go
+++ b/pkg/membership/candidates.go
@@ -7,6 +7,8 @@
 // Candidate is a box that may take on a task for the fleet, such as dispatching.
 type Candidate struct {
 	Name string
+	// Zone is its availability zone.
+	Zone string
 	// Address is where other boxes connect to it; empty for this box.
 	Address string
 	// Incarnation is that of its process; 0 if it is not known.
@@ -48,6 +50,7 @@
 		if row.Configured && row.box != nil {
 			found = append(found, Candidate{
 				Name:        row.Box,
+				Zone:        row.Zone,
 				Address:     row.PeerAddress,
 				Incarnation: row.Incarnation,
 				Hash:        row.box.hash,
@@ -58,7 +61,7 @@
 	}
 	for _, box := range v.all {
 		if !box.hasRow && now.After(box.excludedUntil) {
-			found = append(found, Candidate{Name: box.name, Address: box.address, Hash: box.hash, Cores: box.cores})
+			found = append(found, Candidate{Name: box.name, Zone: box.zone, Address: box.address, Hash: box.hash, Cores: box.cores})
 		}
 	}
 	v.candidateCache = candidateCache{candidates: found, version: v.version, expiresAt: now.Add(candidateCacheTTL)}
--- a/pkg/membership/followers.go
+++ b/pkg/membership/followers.go
@@ -129,6 +129,15 @@
 	v.updateOwnRow(time.Now())
 }
 
+// IsInTouch reports whether what this box knows of the platform is up to date: its calls of the
+// store succeed, or it receives updates of at least half of the other boxes. Those in a smaller
+// part of a divided fleet may all have missed the same change.
+func (v *View) IsInTouch() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.own.StoreLost || 2*len(v.findLive()) >= len(v.all)
+}
+
 // AnyStoreLost reports whether the store calls of any other live box fail.
 func (v *View) AnyStoreLost() bool {
 	v.mu.Lock()
--- a/pkg/partition/rank.go
+++ b/pkg/partition/rank.go
@@ -11,7 +11,9 @@
 // Ranked is a box in the ranking for a group of engines, by weighted rendezvous hashing over
 // the candidates.
 type Ranked struct {
-	Name  string
+	Name string
+	// Zone is its availability zone.
+	Zone  string
 	Score float64
 	// Alive is set if the box is known to be alive, and not only listed.
 	Alive bool
@@ -39,7 +41,7 @@
 	key := xxhash.Sum64String(group)
 	ranking := make([]Ranked, 0, maxRanked+1)
 	insert := func(c *membership.Candidate) {
-		ranked := Ranked{Name: c.Name, Score: boxScore(key, c.Hash, c.Cores), Alive: c.Alive}
+		ranked := Ranked{Name: c.Name, Zone: c.Zone, Score: boxScore(key, c.Hash, c.Cores), Alive: c.Alive}
 		index := len(ranking)
 		for index > 0 && ranking[index-1].Score < ranked.Score {
 			index--
--- a/pkg/peer/conversions.go
+++ b/pkg/peer/conversions.go
@@ -51,6 +51,10 @@
 		state.Directory != e.last.Directory || state.Knowledge != e.last.Knowledge ||
 		state.Chosen != e.last.Chosen || state.Orders != e.last.Orders ||
 		!slices.Equal(state.Rollouts, e.last.Rollouts)
+	if state.Releases.Version != e.last.Releases.Version {
+		update.Releases = encodeReleases(state.Releases)
+		changed = true
+	}
 	e.last = state
 	e.first = false
 	return update, changed
@@ -140,6 +144,7 @@
 
 		Departures: DecodeDepartures(update.Departures),
 		Rollouts:   decodeRolloutVerdicts(update.Rollouts),
+		Releases:   decodeReleases(update.Releases),
 
 		Pools: make(map[string]PoolState, len(update.Pools)),
 	}
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/continuation"
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 	"github.com/quaylead/quaylead/pkg/quarantine"
@@ -74,6 +75,14 @@
 	RolloutTally(service string) *peerpb.RolloutTally
 }
 
+// OriginKeeper keeps the origins of streams that other boxes tell it.
+type OriginKeeper interface {
+	// AddOrigins records origins of another box's streams.
+	AddOrigins(origins []continuation.Origin)
+	// FindOrigin returns what this box knows of the release of a service that began a stream.
+	FindOrigin(key continuation.Key, service string) OriginAnswer
+}
+
 // DispatchServer serves the routers that request engines from this box.
 type DispatchServer interface {
 	// ServeDispatch serves one stream for a group of engines until it ends.
@@ -113,6 +122,8 @@
 	Departures DepartureSource
 	// Rollouts serves requests for roll-out tallies; nil rejects them.
 	Rollouts RolloutSource
+	// Origins keeps the origins of streams; nil rejects them.
+	Origins OriginKeeper
 	// Dispatch serves routers that request engines; nil rejects them.
 	Dispatch DispatchServer
 	Log      *zap.Logger
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/quaylead/quaylead/pkg/continuation"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 )
 
@@ -85,6 +86,8 @@
 		return e.sendSnapshot(stream, purpose.SnapshotRequest)
 	case *peerpb.Opening_DispatchHello:
 		return e.serveDispatch(stream, reader, purpose.DispatchHello)
+	case *peerpb.Opening_OriginsHello:
+		return e.receiveOrigins(stream, reader)
 	}
 	return trace.BadParameter("the opening message of a stream has no purpose")
 }
@@ -100,6 +103,10 @@
 		return trace.BadParameter("this box keeps no roll-out tallies")
 	case request.Rollout != "":
 		response.Tally = e.Rollouts.RolloutTally(request.Rollout)
+	case request.Origin != nil && e.Origins == nil:
+		return trace.BadParameter("this box keeps no origins of streams")
+	case request.Origin != nil:
+		response.Origin = encodeOriginAnswer(e.Origins.FindOrigin(continuation.Key(request.Origin.Key), request.Origin.Service))
 	case request.Orders:
 		response.Orders = e.orders()
 	default:
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"github.com/quaylead/quaylead/pkg/continuation"
 	"github.com/quaylead/quaylead/pkg/epoch"
 	"github.com/quaylead/quaylead/pkg/lifecycle"
 	"github.com/quaylead/quaylead/pkg/quarantine"
@@ -77,6 +78,9 @@
 	Departures []lifecycle.Departure
 	// Rollouts are the verdicts on roll-outs, sorted by service.
 	Rollouts []rollout.VerdictReport
+	// Releases are the releases in use. A received state holds them only if they changed; its
+	// Releases.Version is then not 0.
+	Releases continuation.Summary
 	// Pools are by name. A received state holds the changed ones only.
 	Pools map[string]PoolState
 }
--- a/pkg/peer/traffic.go
+++ b/pkg/peer/traffic.go
@@ -11,8 +11,9 @@
 	Received atomic.Int64
 	// Updates, Snapshots, Dispatch and Handovers count the bytes sent by kind of message,
 	// without the framing of yamux: updates; fetched settings, orders and endpoints; requests
-	// to a dispatcher and its decisions; and the cached parts that a new dispatcher is sent.
-	Updates, Snapshots, Dispatch, Handovers atomic.Int64
+	// to a dispatcher and its decisions; the cached parts that a new dispatcher is sent; and the
+	// origins of streams, without requests for them.
+	Updates, Snapshots, Dispatch, Handovers, Origins atomic.Int64
 }
 
 // countingConn counts the bytes of a session, including the framing of yamux.
--- a/pkg/request/refusal.go
+++ b/pkg/request/refusal.go
@@ -34,6 +34,8 @@
 	NotInTime Code = "not_in_time"
 	// Quarantined: the request has ended several endpoints and is not run for a while.
 	Quarantined Code = "quarantined"
+	// NotContinued: the stream that the caller takes up can not go on where it began.
+	NotContinued Code = "not_continued"
 	// TooLarge: the body exceeds the limit.
 	TooLarge Code = "too_large"
 )
@@ -56,6 +58,7 @@
 	Overloaded:       fasthttp.StatusServiceUnavailable,
 	TooLarge:         fasthttp.StatusRequestEntityTooLarge,
 	NotInTime:        fasthttp.StatusServiceUnavailable,
+	NotContinued:     fasthttp.StatusServiceUnavailable,
 	Quarantined:      fasthttp.StatusServiceUnavailable,
 }
 
