cmd/quaybench/soak: engines of three releases, and callers that take streams up

Callers broke no stream off and took none up, and all engines had one release, so that the soak could not find streams of two releases.

A caller takes a stream up that broke, or that it breaks off, at a random box. Checked: every run that continues a stream is at the release that began it, and streams taken up at boxes in touch while two servers of their release serve go on at least half as often as new ones begin. TestChecksFail has both.

--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -76,6 +76,45 @@
 		b.faultTimes = spans{{from: at(-9), to: at(-8)}, {from: at(-7), to: at(-6)}}
 		So(w.checkLeaving(runs), ShouldHaveLength, 1)
 	})
+	Convey("A stream that goes on at another release is found, in its answer and after it was taken up", t, func() {
+		w := &world{servers: []*server{
+			{Server: &standin.Server{ID: "llm-1", Release: "v1"}}, {Server: &standin.Server{ID: "llm-2", Release: "v1"}}, {Server: &standin.Server{ID: "llm-3", Release: "v2"}},
+		}}
+		w.outcomes = []outcome{{id: "1", kind: standin.ResumableStream, box: &box{}}, {id: "2", resumes: "1", kind: standin.ResumableStream, box: &box{}}}
+		// The first attempt sent no event, so that the stream began with the second one.
+		begun := []standin.Run{{ID: "1", Server: "llm-3"}, {ID: "1", Server: "llm-1"}}
+		runs := map[string][]standin.Run{"1": append(begun, standin.Run{ID: "1", Server: "llm-2", After: "3"}), "2": {{ID: "2", Server: "llm-1", After: "5"}}}
+		So(w.checkReleases(runs), ShouldBeEmpty)
+		runs["2"][0].Server = "llm-3"
+		So(w.checkReleases(runs), ShouldHaveLength, 1)
+		runs["1"][2].Server = "llm-3"
+		So(w.checkReleases(runs), ShouldHaveLength, 2)
+	})
+	Convey("Streams that are seldom taken up are found, while servers of their release serve", t, func() {
+		b := &box{}
+		w := &world{servers: []*server{{Server: &standin.Server{ID: "llm-1", Service: "llm", Release: "v1"}}, {Server: &standin.Server{ID: "llm-2", Service: "llm", Release: "v1"}}}}
+		for i := range 40 {
+			o := outcome{id: fmt.Sprint(i), kind: standin.ResumableStream, box: b, sent: at(1), ended: at(2), status: 200}
+			if i >= 20 {
+				o.resumes = "0"
+			}
+			if i >= 29 {
+				o.status = 503
+			}
+			w.outcomes = append(w.outcomes, o)
+		}
+		runs := map[string][]standin.Run{"0": {{ID: "0", Server: "llm-1"}}}
+		So(w.countTakeUps(runs), ShouldResemble, takeUps{begun: 20, beginsServed: 20, taken: 20, takenServed: 9})
+		So(w.countTakeUps(runs).check(), ShouldHaveLength, 1)
+		w.outcomes[29].status = 200
+		So(w.countTakeUps(runs).check(), ShouldBeEmpty)
+		w.outcomes[29].status = 503
+		b.faultTimes = spans{{from: at(0), to: at(3)}}
+		So(w.countTakeUps(runs).check(), ShouldBeEmpty)
+		b.faultTimes = nil
+		w.servers[0].leftAt = at(0)
+		So(w.countTakeUps(runs).check(), ShouldBeEmpty)
+	})
 	Convey("A return to an older configuration, and a late configuration, are found", t, func() {
 		b := &box{starts: 1}
 		present, absent := completedLookup(b), completedLookup(b)
--- a/cmd/quaybench/soak/crash.go
+++ b/cmd/quaybench/soak/crash.go
@@ -33,6 +33,13 @@
 	maxLateSends      = 3
 )
 
+// recordCrash records when a server crashed.
+func (w *world) recordCrash(s *server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.endedAt = time.Now()
+}
+
 // replaceServer starts another server in place of a crashed one, which had not announced that
 // it leaves.
 func (w *world) replaceServer(s *server) error {
--- a/cmd/quaybench/soak/soak.go
+++ b/cmd/quaybench/soak/soak.go
@@ -37,6 +37,9 @@
 	// response with status 200.
 	Requests, Completed int
 	Faults              int
+	// TakenUp counts the streams that boxes in touch were asked to take up while servers of their
+	// release served, and Continued those of them that went on.
+	TakenUp, Continued int
 	// Violations are the guarantees that were violated, one line each.
 	Violations []string
 }
@@ -83,6 +86,7 @@
 	// A request that was reported as not run may still run wrongly a little later.
 	_ = interval.Wait(ctx, time.Second)
 	verdict.Requests, verdict.Completed = w.countOutcomes()
+	verdict.TakenUp, verdict.Continued = w.summarizeTakeUps()
 	verdict.Violations = w.check(calmFrom.Add(calmPeriod / 2))
 	return verdict, ctx.Err()
 }
