--- a/pkg/dispatch/transfer.go
+++ b/pkg/dispatch/transfer.go
@@ -70,7 +70,7 @@
 func (p *Pool) maxTransfersHere() int { return max(1, maxTransfers/max(1, p.Routers)) }
 
 // planTransfer returns the transfer with which an engine can obtain most of the missing shared
-// tokens of a prompt. There is none if reading them is predicted to take hardly longer.
+// tokens of a prompt, from an engine of the same release. There is none if reading them is predicted to take hardly longer.
 func (p *Pool) planTransfer(e *engine, req *Request, missing int, now time.Time) (best transfer) {
 	if !p.Rules.Fetch || missing == 0 || e.receiving >= p.maxTransfersHere() {
 		return best
@@ -80,7 +80,7 @@
 	}
 	cached := sharedTokens(&req.Prompt) - missing
 	for _, source := range p.findSources(req, now) {
-		if source.engine == e || source.tokens <= cached {
+		if source.engine == e || source.engine.Release != e.Release || source.tokens <= cached {
 			continue
 		}
 		t := p.transferFrom(source.engine, e, source.tokens-cached, now)
--- a/pkg/dispatch/transfer_test.go
+++ b/pkg/dispatch/transfer_test.go
@@ -91,6 +91,16 @@
 		p.Rules.Fetch = false
 		So(fetched, ShouldBeLessThan, cost("e0")/2)
 	})
+	Convey("Nothing is copied between engines of two releases", t, func() {
+		p := newCopyingPool(0)
+		endpoints := zonedEndpoints(3)
+		endpoints[1].Release = "v2"
+		p.SetEndpoints(endpoints, start)
+		reportPart(p, "e1", 7)
+		So(plan(p, "e0", withPart("1", 7, start), start).source, ShouldBeNil)
+		reportPart(p, "e2", 7)
+		So(plan(p, "e0", withPart("1", 7, start), start).source.ID, ShouldEqual, "e2")
+	})
 	Convey("An engine with the first of two parts fetches the second", t, func() {
 		p := newCopyingPool(3)
 		first, second := Part{ID: 1, Tokens: 6000}, Part{ID: 2, Tokens: 6000}
--- a/pkg/gateway/transfers.go
+++ b/pkg/gateway/transfers.go
@@ -31,7 +31,7 @@
 // reads the rest itself.
 func sourceAddress(directory *route.Directory, id string, to *route.Endpoint) string {
 	source, listed := directory.Find(id)
-	if !listed || source.ID == to.ID || source.Service != to.Service || source.Evacuated {
+	if !listed || source.ID == to.ID || source.Service != to.Service || source.Release != to.Release || source.Evacuated {
 		return ""
 	}
 	return source.Address
--- a/pkg/gateway/transfers_test.go
+++ b/pkg/gateway/transfers_test.go
@@ -24,9 +24,11 @@
 		leaving.Facts = lifecycle.Facts{Leaving: true}
 		So(addressOf(&leaving), ShouldEqual, "10.0.0.2:1")
 	})
-	Convey("None is used if the source is gone, evacuated, of another service, or the engine itself", t, func() {
+	Convey("None is used if the source is gone, evacuated, of another service or release, or the engine itself", t, func() {
 		So(sourceAddress(nil, "from", to), ShouldBeEmpty)
-		evacuated, other := source, source
+		evacuated, other, newer := source, source, source
+		newer.Release = "v2"
+		So(addressOf(&newer), ShouldBeEmpty)
 		evacuated.Facts = lifecycle.Facts{Evacuated: true}
 		other.Service = "other"
 		So(addressOf(&evacuated), ShouldBeEmpty)
