pkg/gateway: a stream that is taken up goes to the service that began it

For routes that may be resumed, the draw now depends on the ID of the request that began the stream. A change of the weights while a stream is broken can still move it.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -7,12 +7,14 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/logflags"
+	"github.com/quaylead/quaylead/pkg/partition"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/rollout"
@@ -187,7 +189,7 @@
 	} else if !c.route.Anonymous && len(catalog.Customers) > 0 {
 		return notRun(request.InvalidKey, "the key is not known", 0)
 	}
-	name := c.route.Pick(rand.Float64())
+	name := c.drawService()
 	service, known := catalog.Services[name]
 	if !known {
 		service = route.Service{Name: name}
@@ -200,6 +202,16 @@
 	return nil
 }
 
+// drawService draws one of the services of the route. For a stream that may be resumed it depends on
+// the request that began it, so that it goes on at the same service.
+func (c *call) drawService() string {
+	point := rand.Float64()
+	if c.route.Resumable {
+		point = 1 - partition.Uniform(xxhash.Sum64String(c.streamID()))
+	}
+	return c.route.Pick(point)
+}
+
 // pathOf returns the path of a request target, without the query.
 func pathOf(target string) string {
 	for i := range len(target) {
--- a/pkg/gateway/take_up.go
+++ b/pkg/gateway/take_up.go
@@ -15,13 +15,18 @@
 // resumesStream reports whether the request takes up a stream that an earlier one began.
 func (c *call) resumesStream() bool { return c.route.Streaming && c.LastEvent != "" }
 
-// streamKey returns the key of the stream that the request begins or takes up.
-func (c *call) streamKey() continuation.Key {
-	began := c.ID
+// streamID returns the ID of the request that began the stream which this one begins or takes up;
+// empty if the caller does not name it.
+func (c *call) streamID() string {
 	if c.resumesStream() {
-		began = c.Resumes
+		return c.Resumes
 	}
-	return continuation.KeyOf(c.customer, c.service.Name, began)
+	return c.ID
+}
+
+// streamKey returns the key of the stream that the request begins or takes up.
+func (c *call) streamKey() continuation.Key {
+	return continuation.KeyOf(c.customer, c.service.Name, c.streamID())
 }
 
 // takeUp determines the release at which a stream goes on that an earlier request of the caller
