--- a/pkg/gateway/continuations.go
+++ b/pkg/gateway/continuations.go
@@ -37,6 +37,8 @@
 	// summary is the last one computed, at summaryAt.
 	summary   continuation.Summary
 	summaryAt time.Time
+	// expiredAt is when expired origins were last removed.
+	expiredAt time.Time
 }
 
 // liveStream is a stream in progress, of which callers may have received events.
@@ -59,6 +61,8 @@
 	minStreamAge = time.Minute
 	// originInterval is the time between two checks of whether the keepers changed.
 	originInterval = 250 * time.Millisecond
+	// expiryInterval is the time between two removals of expired origins.
+	expiryInterval = 5 * time.Second
 	// maxSummaryAge bounds the age of the cached summary of releases.
 	maxSummaryAge = 10 * time.Second
 )
@@ -140,11 +144,14 @@
 // drops expired origins.
 func (k *continuations) refresh() {
 	now := time.Now()
-	k.origins.Expire(now)
-	k.gateway.Metrics.OriginsHeld(k.origins.Len())
 	keepers := map[*scheduler][]continuation.Box{}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if now.Sub(k.expiredAt) >= expiryInterval {
+		k.expiredAt = now
+		k.origins.Expire(now)
+		k.gateway.Metrics.OriginsHeld(k.origins.Len())
+	}
 	for _, stream := range k.live {
 		k.tell(stream, now, keepers)
 	}
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -289,3 +289,21 @@
 		So(found, ShouldBeFalse)
 	})
 }
+
+func TestCutOffBoxIsOutOfTouch(t *testing.T) {
+	inFleet(t, "A box that loses the store is in touch while it receives updates of half of the fleet", func(f *fleet) {
+		large, small := f.nodes[0], f.nodes[1]
+		So(large.IsInTouch(), ShouldBeTrue)
+		for i, n := range f.nodes {
+			if n != large && (n == small || i%3 == 0) {
+				n.partition = 1
+			}
+			n.SetStoreLost(true)
+		}
+		f.run(5 * time.Second)
+		So(large.IsInTouch(), ShouldBeTrue)
+		So(small.IsInTouch(), ShouldBeFalse)
+		small.SetStoreLost(false)
+		So(small.IsInTouch(), ShouldBeTrue)
+	})
+}
