pkg/dispatch: streams that go on at their release go before new ones

Cause: new streams can go to all engines, and took those of the release as soon as they had room, before the customer of a broken stream had its turn.

Where all engines run one release nothing changes.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -19,6 +19,7 @@
 	p.updateRateSpread(now)
 	p.round++
 	p.best = p.bestSnapshot(now)
+	decisions = p.grantContinued(now)
 	for granted := true; granted; {
 		granted = false
 		for _, a := range p.waitingAccounts(now) {
@@ -32,6 +33,33 @@
 	return p.refuseOverdue(decisions, now)
 }
 
+// grantContinued grants, before any others, the streams that go on at the release that began them
+// and for which there is room. New streams can go to all engines: while the pool was overloaded,
+// they took those of a release that few engines ran before its streams had a turn.
+func (p *Pool) grantContinued(now time.Time) (decisions []Decision) {
+	if !p.hasSeveralReleases() {
+		return nil
+	}
+	for _, a := range p.waitingAccounts(now) {
+		for _, q := range a.waitingQueues(now, p.Rules.Window) {
+			for _, req := range slices.Clone(q.queue) {
+				if !req.Releases.Exact {
+					continue
+				}
+				if e := p.choose(a, req, now); e != nil {
+					decisions = append(decisions, *p.grant(a, req, e, now))
+				}
+			}
+		}
+	}
+	return decisions
+}
+
+// hasSeveralReleases reports whether the engines run different releases.
+func (p *Pool) hasSeveralReleases() bool {
+	return slices.ContainsFunc(p.sorted, func(e *engine) bool { return e.Release != p.sorted[0].Release })
+}
+
 // waitingAccounts returns the customers with waiting requests, the one that was granted least
 // first.
 func (p *Pool) waitingAccounts(now time.Time) []*account {
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -49,6 +49,8 @@
 	chunkEngines map[string]*chunkEngine
 
 	tallies map[tallyKey]*tally
+	// filter is called with each request that arrives; nil means that none is changed.
+	filter func(*Request)
 	// observe is called with each decision; nil means that nobody observes.
 	observe func(Decision)
 	// otherGroups returns what a customer gets in other groups; nil means that there are none.
@@ -263,6 +265,9 @@
 	if s.otherGroups != nil {
 		req.OtherGroupUsage = s.otherGroups(req.Customer)
 	}
+	if s.filter != nil {
+		s.filter(req)
+	}
 	t := s.tally(req)
 	t.requested++
 	t.requestedTokens += req.Cost()
