pkg/peer, pkg/gateway: no origin is lost when its link ends unused

An origin queued in the moment in which an unused link ended was never sent, and counted as told. A link takes none any more once it ends, so that the origin is told with the next check. Streams whose request has no ID, or that are taken up without one, are not recorded: they would all have the same key.

--- a/pkg/dispatch/transfer.go
+++ b/pkg/dispatch/transfer.go
@@ -70,7 +70,8 @@
 func (p *Pool) maxTransfersHere() int { return max(1, maxTransfers/max(1, p.Routers)) }
 
 // planTransfer returns the transfer with which an engine can obtain most of the missing shared
-// tokens of a prompt, from an engine of the same release. There is none if reading them is predicted to take hardly longer.
+// tokens of a prompt, from an engine of the same release. There is none if reading them is
+// predicted to take hardly longer.
 func (p *Pool) planTransfer(e *engine, req *Request, missing int, now time.Time) (best transfer) {
 	if !p.Rules.Fetch || missing == 0 || e.receiving >= p.maxTransfersHere() {
 		return best
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -177,7 +177,7 @@
 	}
 	message := "the engines are busy, decided by " + v.decidedBy
 	if v.noEligibleEngine && c.begunAt.Exact {
-		message = "no engine of release " + c.begunAt.Version + ", which began the stream, may serve it, decided by " + v.decidedBy
+		message = "no engine of the release that began the stream may serve it, decided by " + v.decidedBy
 	} else if v.noEligibleEngine {
 		message = "all engines that may serve it asked for rest or leave, decided by " + v.decidedBy
 	} else if v.overShare {
@@ -258,7 +258,7 @@
 // caller.
 func (c *call) recordBegun(to *destination) {
 	c.begunAt = rollout.VersionFilter{Version: to.Release, Exact: true}
-	if c.route.Resumable {
+	if c.route.Resumable && c.streamID() != "" {
 		c.gateway.continuations.begin(c, to)
 	}
 	if !c.resumesStream() {
--- a/pkg/peer/origins.go
+++ b/pkg/peer/origins.go
@@ -32,6 +32,8 @@
 	mu sync.Mutex
 	// waiting are the origins not yet sent; at most maxOutboxLength.
 	waiting []continuation.Origin
+	// ended is set once Write takes no more.
+	ended bool
 	// ready signals that origins wait. Capacity 1.
 	ready chan struct{}
 }
@@ -55,11 +57,11 @@
 	return &OriginStream{stream: raw, timeout: e.Box.Exchange.Lapse.Duration, traffic: &e.Traffic, ready: make(chan struct{}, 1)}, nil
 }
 
-// Send queues an origin. It never blocks, and reports false if too many wait.
+// Send queues an origin. It never blocks, and reports false if too many wait or Write has ended.
 func (s *OriginStream) Send(origin continuation.Origin) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.waiting) >= maxOutboxLength {
+	if s.ended || len(s.waiting) >= maxOutboxLength {
 		return false
 	}
 	s.waiting = append(s.waiting, origin)
@@ -67,6 +69,16 @@
 	return true
 }
 
+// take removes and returns the queued origins. If there are none and the stream is idle, none can be
+// queued any more.
+func (s *OriginStream) take(isIdle bool) (origins []continuation.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	origins, s.waiting = s.waiting, nil
+	s.ended = isIdle && len(origins) == 0
+	return origins
+}
+
 // Close closes the stream.
 func (s *OriginStream) Close() error { return s.stream.Close() }
 
@@ -75,20 +87,24 @@
 func (s *OriginStream) Write(ctx context.Context, idle time.Duration) error {
 	defer s.Close()
 	for {
+		isIdle := false
 		timer := time.NewTimer(idle)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return ctx.Err()
 		case <-timer.C:
-			return nil
+			isIdle = true
 		case <-s.ready:
 			timer.Stop()
 		}
-		s.mu.Lock()
-		origins := s.waiting
-		s.waiting = nil
-		s.mu.Unlock()
+		origins := s.take(isIdle)
+		switch {
+		case len(origins) == 0 && isIdle:
+			return nil
+		case len(origins) == 0:
+			continue
+		}
 		if err := send(s.stream, encodeOrigins(origins, time.Now()), s.timeout, &s.traffic.Origins); err != nil {
 			return err
 		}
