pkg/gateway: a stream is refused for its release only while others serve

A service none of whose endpoints may get requests refused streams that were taken up without a time to retry, though all endpoints ran one release and other requests were told one. A caller that left while its stream's origin was asked for was logged as one whose origin is not known.

--- a/pkg/gateway/take_up.go
+++ b/pkg/gateway/take_up.go
@@ -37,6 +37,9 @@
 		return nil
 	}
 	release, knownBy := c.findOrigin()
+	if c.ctx.Err() != nil {
+		return c.endedRefusal()
+	}
 	if knownBy == "" {
 		return c.refuseTakeUp("Unknown", "", "it is not known which release began the stream")
 	}
@@ -44,7 +47,7 @@
 	switch {
 	case c.gateway.rollouts.forbids(&route.Endpoint{Service: c.service.Name, Release: release}):
 		return c.refuseTakeUp("Forbidden", release, "the release that began the stream is no longer used")
-	case !c.hasEndpointOf(release):
+	case c.isReleaseGone(release):
 		return c.refuseTakeUp("NoEndpoint", release, "no endpoint of the release that began the stream is left")
 	}
 	return nil
@@ -64,13 +67,18 @@
 	return notRun(request.NotContinued, message, 0)
 }
 
-// hasEndpointOf reports whether any endpoint of a release may get requests.
-func (c *call) hasEndpointOf(release string) (found bool) {
+// isReleaseGone reports whether all endpoints that may get requests run other releases. While there
+// are none, the request is refused as any other, with a time to retry.
+func (c *call) isReleaseGone(release string) bool {
+	found, others := false, false
 	c.gateway.registry.Directory().Each(c.service.Name, func(e *route.Endpoint) bool {
-		found = e.Release == release && e.Admits()
+		if e.Admits() {
+			found = found || e.Release == release
+			others = true
+		}
 		return !found
 	})
-	return found
+	return others && !found
 }
 
 // findOrigin returns the release that began the stream and the box that knows it; empty if none
