pkg/gateway: late keepers do not keep a stream from going on

A box that took a stream up waited 250 ms for its keepers, and then asked others without listening to them any more. Keepers are late just when boxes were killed and start again. Now the others are asked after 100 ms as well, and the first that knows counts, of all of them, within 500 ms.

--- a/pkg/gateway/take_up.go
+++ b/pkg/gateway/take_up.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -108,49 +109,94 @@
 	// maxAskedOthers bounds the other boxes that are asked if none of these knows, only those to
 	// which there is a session.
 	maxAskedOthers = 8
-	// originTimeout bounds the wait for all of the boxes that are asked together. It takes a
-	// millisecond or two unless a box lacks processor time.
-	originTimeout = 250 * time.Millisecond
+	// keepersTimeout is how long the keepers are waited for alone, and originTimeout bounds the wait
+	// for all boxes. An answer takes a millisecond or two, and more at boxes that have just started
+	// or lack processor time.
+	keepersTimeout = 100 * time.Millisecond
+	originTimeout  = 500 * time.Millisecond
 )
 
-// askOrigin asks other boxes for the release that began the stream.
+// originResponse is the answer of one box.
+type originResponse struct {
+	peer.OriginAnswer
+	box string
+	err error
+}
+
+// askOrigin asks other boxes for the release that began the stream: the keepers and, once all of
+// them have answered that they do not know or are late, others. The first answer that names the
+// recorded release counts.
 func (c *call) askOrigin() (release, knownBy string) {
+	keepers, others := c.boxesToAsk()
+	responses := make(chan originResponse, len(keepers)+len(others))
+	c.ask(keepers, responses)
+	waiting := len(keepers)
+	askOthers := func() {
+		c.ask(others, responses)
+		waiting += len(others)
+		others = nil
+	}
+	late := time.NewTimer(keepersTimeout)
+	defer late.Stop()
+	timeout := time.NewTimer(originTimeout)
+	defer timeout.Stop()
+	for {
+		if waiting == 0 {
+			if knownBy != "" || len(others) == 0 {
+				return release, knownBy
+			}
+			askOthers()
+		}
+		select {
+		case response := <-responses:
+			waiting--
+			switch {
+			case response.err != nil:
+				c.log().Debug("origin of a stream not answered", zap.String("Request", c.ID), zap.String("Peer", response.box), zap.Error(response.err))
+			case response.Known:
+				return response.Release, response.box
+			case response.Only && c.isOnlyRelease(response.Release):
+				release, knownBy = response.Release, response.box
+			}
+		case <-late.C:
+			askOthers()
+		case <-timeout.C:
+			return release, knownBy
+		case <-c.ctx.Done():
+			return "", ""
+		}
+	}
+}
+
+// isOnlyRelease reports whether this box knows of no other release of the service. That another box
+// knows of only one counts only then: it may not have learnt of one that appeared just now.
+func (c *call) isOnlyRelease(release string) bool {
+	k := &c.gateway.continuations
+	own, isOnly, _ := k.releases.Only(c.service.Name, time.Duration(k.maxAge.Load()), time.Now())
+	return isOnly && own == release
+}
+
+// boxesToAsk returns the boxes that are the keepers of the stream if it began at another box, and
+// some others.
+func (c *call) boxesToAsk() (keepers, others []continuation.Box) {
 	g := c.gateway
 	var group *scheduler
 	if p := g.pool(c.service.Name); p != nil && c.isDispatched() {
 		group = p.groupFor(c.dispatchRequest())
 	}
 	ranked := g.rankedBoxes(group, c.service.Name)
-	first := continuation.Keepers(ranked, askedKeepers)
-	if release, knownBy = c.askBoxes(first); knownBy != "" {
-		return release, knownBy
-	}
-	asked := map[string]bool{}
-	for _, box := range first {
-		asked[box.Name] = true
-	}
-	var others []continuation.Box
+	keepers = continuation.Keepers(ranked, askedKeepers)
 	for _, box := range ranked {
-		if !asked[box.Name] && len(others) < maxAskedOthers && g.exchange.IsConnected(box.Name) {
+		if !slices.Contains(keepers, box) && len(others) < maxAskedOthers && g.exchange.IsConnected(box.Name) {
 			others = append(others, box)
 		}
 	}
-	return c.askBoxes(others)
+	return keepers, others
 }
 
-// originResponse is the answer of one box.
-type originResponse struct {
-	peer.OriginAnswer
-	box string
-	err error
-}
-
-// askBoxes asks several boxes at once and returns the first answer that names the recorded release.
-// That there was only one counts if this box knows of no other either.
-func (c *call) askBoxes(boxes []continuation.Box) (release, knownBy string) {
-	g := c.gateway
-	responses := make(chan originResponse, len(boxes))
-	key, service := c.streamKey(), c.service.Name
+// ask asks boxes for the origin of the stream. Each sends one response.
+func (c *call) ask(boxes []continuation.Box, responses chan<- originResponse) {
+	g, key, service := c.gateway, c.streamKey(), c.service.Name
 	for _, box := range boxes {
 		g.Metrics.OriginAsked()
 		g.work.Go(func() error {
@@ -162,25 +208,4 @@
 			return nil
 		})
 	}
-	own, isOnly, _ := g.continuations.releases.Only(service, time.Duration(g.continuations.maxAge.Load()), time.Now())
-	timer := time.NewTimer(originTimeout)
-	defer timer.Stop()
-	for range boxes {
-		select {
-		case response := <-responses:
-			switch {
-			case response.err != nil:
-				c.log().Debug("origin of a stream not answered", zap.String("Request", c.ID), zap.String("Peer", response.box), zap.Error(response.err))
-			case response.Known:
-				return response.Release, response.box
-			case response.Only && isOnly && response.Release == own:
-				release, knownBy = own, response.box
-			}
-		case <-timer.C:
-			return release, knownBy
-		case <-c.ctx.Done():
-			return "", ""
-		}
-	}
-	return release, knownBy
 }
