pkg/dispatch, pkg/gateway: whether engines run several releases is kept with the engines

Each decision looked at the releases of all engines of the group, up to 192, though they change only with the engines. SetEndpoints keeps the answer now; the same requests are granted (TestTakenUpStreamsGetEnginesOfTheirRelease and the tests of placement and transfers pass). How much the tests of the package gain was not measured.

The log key Resumes was the platform's name of a header; it is BegunBy. The comment at grantContinued told what happened before it.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -34,10 +34,10 @@
 }
 
 // grantContinued grants, before any others, the streams that go on at the release that began them
-// and for which there is room. New streams can go to all engines: while the pool was overloaded,
-// they took those of a release that few engines ran before its streams had a turn.
+// and for which there is room. New streams can go to all engines, and would take those of a release
+// that few engines run before its own streams have a turn.
 func (p *Pool) grantContinued(now time.Time) (decisions []Decision) {
-	if !p.hasSeveralReleases() {
+	if !p.severalReleases {
 		return nil
 	}
 	for _, a := range p.waitingAccounts(now) {
@@ -55,11 +55,6 @@
 	return decisions
 }
 
-// hasSeveralReleases reports whether the engines run different releases.
-func (p *Pool) hasSeveralReleases() bool {
-	return slices.ContainsFunc(p.sorted, func(e *engine) bool { return e.Release != p.sorted[0].Release })
-}
-
 // waitingAccounts returns the customers with waiting requests, the one that was granted least
 // first.
 func (p *Pool) waitingAccounts(now time.Time) []*account {
--- a/pkg/dispatch/endpoints.go
+++ b/pkg/dispatch/endpoints.go
@@ -14,6 +14,7 @@
 // the state of the previous one is dropped.
 func (p *Pool) SetEndpoints(endpoints []route.Endpoint, now time.Time) {
 	initial := len(p.engines) == 0
+	p.severalReleases = slices.ContainsFunc(endpoints, func(e route.Endpoint) bool { return e.Release != endpoints[0].Release })
 	engines := make(map[string]*engine, len(endpoints))
 	changed := len(endpoints) != len(p.engines)
 	for _, endpoint := range endpoints {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -267,7 +267,7 @@
 	c.gateway.Metrics.TakenUp()
 	c.log().Info("stream taken up",
 		zap.String("Request", c.ID),
-		zap.String("Resumes", c.Resumes),
+		zap.String("BegunBy", c.Resumes),
 		zap.String("Endpoint", to.ID),
 		zap.String("Release", to.Release),
 		zap.String("KnownBy", c.originKnownBy),
--- a/pkg/gateway/take_up.go
+++ b/pkg/gateway/take_up.go
@@ -59,7 +59,7 @@
 	c.gateway.Metrics.TakeUpRefused(reason)
 	c.log().Info("stream not taken up",
 		zap.String("Request", c.ID),
-		zap.String("Resumes", c.Resumes),
+		zap.String("BegunBy", c.Resumes),
 		zap.String("Service", c.service.Name),
 		zap.String("Release", release),
 		zap.String("KnownBy", c.originKnownBy),
