pkg/endpoint, pkg/gateway: logs and metrics show how answers are framed

No line named the framing of an answer, so that the hypotheses about short answers that were framed as complete could not be told apart. "stream answered" and "stream cut" now have Framing, "stream cut" the bytes after the last event, errors of broken bodies their framing and length, and "response ended with its connection" (debug) and the metric Unframed count answers without a length or chunks. `quayctl losses` names them.

Decisions are unchanged: the tests of pkg/endpoint, pkg/gateway and pkg/loss pass.

--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -55,12 +55,12 @@
 	client *Client
 	conn   *conn
 	body   io.Reader
-	// remaining counts the unread bytes of a body of known length; chunked and untilClose are
-	// the other framings.
-	remaining  int
-	chunked    bool
-	untilClose bool
-	complete   bool
+	// framing shows where the body ends. remaining counts the unread bytes of a body of known
+	// length, and bytesRead those that were read.
+	framing   Framing
+	remaining int
+	bytesRead int
+	complete  bool
 	// noReuse is set if the connection must not be used again.
 	noReuse    bool
 	closed     bool
@@ -247,15 +247,17 @@
 	length := r.Head.ContentLength()
 	switch {
 	case isHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		r.framing = FramingNone
 		r.body = strings.NewReader("")
 	case length >= 0:
+		r.framing = FramingLength
 		r.remaining = length
 		r.body = io.LimitReader(r.conn.reader, int64(length))
 	case length == chunkedLength:
-		r.chunked = true
+		r.framing = FramingChunked
 		r.body = httputil.NewChunkedReader(r.conn.reader)
 	default:
-		r.untilClose = true
+		r.framing = FramingClose
 		r.noReuse = true
 		r.body = r.conn.reader
 	}
@@ -271,24 +273,29 @@
 	}
 	n, err = r.body.Read(p)
 	r.remaining -= n
+	r.bytesRead += n
 	if err == nil {
 		return n, nil
 	}
 	if !errors.Is(err, io.EOF) {
-		return n, err
+		return n, r.brokenOff(err)
 	}
 	switch {
-	case r.chunked:
+	case r.framing == FramingChunked:
 		if err := readTrailer(r.conn.reader); err != nil {
-			return n, asUnexpectedEOF(err)
+			return n, r.brokenOff(asUnexpectedEOF(err))
 		}
-	case !r.untilClose && r.remaining > 0:
-		return n, io.ErrUnexpectedEOF
+	case r.framing == FramingLength && r.remaining > 0:
+		return n, r.brokenOff(io.ErrUnexpectedEOF)
 	}
 	r.complete = true
 	return n, io.EOF
 }
 
+func (r *Response) brokenOff(err error) error {
+	return &BodyError{Framing: r.framing, Bytes: r.bytesRead, Err: err}
+}
+
 // readTrailer reads the lines after the last chunk, up to the empty one.
 func readTrailer(reader *bufio.Reader) error {
 	for {
@@ -302,9 +309,14 @@
 	}
 }
 
-// IsFramed reports whether the header defines where the body ends. A body that runs until the
-// connection closes looks complete even if its endpoint crashed.
-func (r *Response) IsFramed() bool { return !r.untilClose }
+// Framing returns how the end of the body is found.
+func (r *Response) Framing() Framing { return r.framing }
+
+// BytesRead returns the number of bytes of the body that were read.
+func (r *Response) BytesRead() int { return r.bytesRead }
+
+// IsFramed reports whether the header defines where the body ends.
+func (r *Response) IsFramed() bool { return r.framing != FramingClose }
 
 // ReadAll reads the rest of the body, up to a limit.
 func (r *Response) ReadAll(limit int) ([]byte, error) {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -331,10 +331,26 @@
 		zap.Duration("Age", time.Since(c.arrived)))
 }
 
+// recordUnframedEnd records how a response without a length or chunks ended: with err, or without one at the
+// end of its connection.
+func (c *call) recordUnframedEnd(to *destination, response *endpoint.Response, err error) {
+	if response.IsFramed() || c.ctx.Err() != nil {
+		return
+	}
+	c.gateway.Metrics.UnframedEnded(err != nil)
+	c.log().Debug("response ended with its connection",
+		zap.String("Request", c.ID),
+		zap.String("Route", c.route.Name),
+		zap.String("Endpoint", to.ID),
+		zap.Int("Bytes", response.BytesRead()),
+		zap.Error(err))
+}
+
 // forwardBuffered forwards a response that is read completely before any of it is sent, so that
 // a truncated one can still be reported as failed.
-func (c *call) forwardBuffered(response *endpoint.Response) error {
+func (c *call) forwardBuffered(to *destination, response *endpoint.Response) error {
 	body, err := c.readAnswer(response)
+	c.recordUnframedEnd(to, response, err)
 	if err != nil {
 		response.Close()
 		return &endpoint.NoResponseError{Address: c.route.Name, Err: err}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -55,9 +55,13 @@
 	memoryRefusals, unreadCuts expvar.Map
 	// takeUps counts the streams that callers took up, and those that they could not, by reason.
 	// origins is the number of streams of which this box knows which release began them.
-	// originsTold and originsAsked count those that it told other boxes, and asked them for.
+	// originsTold and originsAsked count those of which it notified other boxes, and for which it
+	// asked them.
 	takeUps                            expvar.Map
 	origins, originsTold, originsAsked expvar.Int
+	// unframed counts the responses of endpoints with neither a length nor chunks, by how they
+	// ended.
+	unframed expvar.Map
 }
 
 // Publish registers the metrics under their expvar names. It may be called only once in a
@@ -88,6 +92,7 @@
 	expvar.Publish("Origins", &m.origins)
 	expvar.Publish("OriginsTold", &m.originsTold)
 	expvar.Publish("OriginsAsked", &m.originsAsked)
+	expvar.Publish("Unframed", &m.unframed)
 }
 
 // FirstEvent records the time to a stream's first event.
@@ -172,6 +177,28 @@
 	return m.originsTold.Value(), m.originsAsked.Value()
 }
 
+// UnframedEnded counts a response that ended with its connection; broken is set if it is known to
+// have broken off.
+func (m *Metrics) UnframedEnded(broken bool) {
+	if broken {
+		m.unframed.Add("Broken", 1)
+	} else {
+		m.unframed.Add("Ended", 1)
+	}
+}
+
+// Unframed returns how many responses ended with their connection, and how many of them are known to
+// have broken off.
+func (m *Metrics) Unframed() (ended, broken int64) {
+	count := func(key string) int64 {
+		if n, ok := m.unframed.Get(key).(*expvar.Int); ok {
+			return n.Value()
+		}
+		return 0
+	}
+	return count("Ended"), count("Broken")
+}
+
 // HandedBack counts a chosen endpoint to which nothing was sent.
 func (m *Metrics) HandedBack() { m.handedBack.Add(1) }
 
@@ -221,6 +248,7 @@
 			zap.Int64("Rests", g.Metrics.rests.Value()),
 			zap.Int64("HandedBack", g.Metrics.handedBack.Value()),
 			zap.String("Refusals", g.Metrics.refusals.String()),
+			zap.String("Unframed", g.Metrics.unframed.String()),
 			zap.Int64("LinesDropped", g.Logs.Dropped()))
 		for _, group := range g.schedulers() {
 			group.logHomes()
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -213,7 +213,7 @@
 	if status == fasthttp.StatusOK && bytes.HasPrefix(response.Head.ContentType(), eventStreamType) {
 		return c.forwardStream(to, response)
 	}
-	if err := c.forwardBuffered(response); err != nil {
+	if err := c.forwardBuffered(&to, response); err != nil {
 		return err
 	}
 	c.logEndpointError(to, status)
@@ -240,6 +240,7 @@
 		grant:     to.granted,
 	}
 	if err := s.awaitEvent(); err != nil {
+		c.recordUnframedEnd(&to, response, err)
 		c.release(s.buffer)
 		response.Close()
 		return err
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -28,7 +28,7 @@
 		} else if err == nil {
 			status := response.Head.StatusCode()
 			good := status < fasthttp.StatusInternalServerError
-			if err = c.forwardBuffered(response); err == nil {
+			if err = c.forwardBuffered(&to, response); err == nil {
 				if good && c.route.Streaming {
 					c.recordBegun(&to)
 				}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -71,9 +71,11 @@
 		}
 		if errors.Is(s.err, io.EOF) {
 			s.complete = true
+			s.call.recordUnframedEnd(&s.to, s.response, nil)
 			return 0, io.EOF
 		}
 		broken := s.err
+		s.call.recordUnframedEnd(&s.to, s.response, broken)
 		s.response.Close()
 		if err := s.resume(broken); err != nil {
 			s.settled = true
@@ -152,6 +154,7 @@
 		zap.String("FetchFrom", s.grant.fetchFrom),
 		zap.Duration("Pause", s.maxGap),
 		zap.Int("Events", s.events),
+		zap.String("Framing", string(s.response.Framing())),
 		zap.Duration("Age", time.Since(c.arrived)))
 }
 
@@ -225,6 +228,8 @@
 		zap.String("Endpoint", s.to.ID),
 		zap.String("Release", s.to.Release),
 		zap.Int("Events", s.events),
+		zap.String("Framing", string(s.response.Framing())),
+		zap.Int("Unfinished", len(s.buffer)-s.ready),
 		zap.Bool("CallerGone", callerGone),
 		zap.Duration("Age", time.Since(c.arrived)),
 		zap.NamedError("Cause", contextCause(c)),
--- a/pkg/loss/loss.go
+++ b/pkg/loss/loss.go
@@ -94,12 +94,17 @@
 	return Failed, cause
 }
 
+// framingClose is the framing of responses that end with their connection.
+const framingClose = "Close"
+
 func cutCause(line *Line) string {
 	switch {
 	case line.Fields["CallerGone"] == "true":
 		return "the caller went away"
 	case line.Fields["Cause"] != "":
 		return line.Fields["Cause"]
+	case line.Fields["error"] != "" && line.Fields["Framing"] == framingClose:
+		return "the endpoint broke off, without a length or chunks: " + innermostError(line.Fields["error"])
 	case line.Fields["error"] != "":
 		return "the endpoint broke off: " + innermostError(line.Fields["error"])
 	default:
--- a/pkg/loss/loss_test.go
+++ b/pkg/loss/loss_test.go
@@ -46,6 +46,14 @@
 		So(out.String(), ShouldContainSubstring, "7 requests")
 		So(out.String(), ShouldContainSubstring, "camp")
 	})
+	Convey("A broken response without a length or chunks is named as such", t, func() {
+		const line = `Time=2026-03-05T12:08:14.000Z Event="stream cut" Request=r9 CallerGone=false Framing=Close error="body broke off: unexpected EOF"`
+		report := &Report{}
+		_, err := Read(strings.NewReader(line), "box-1", report.Add)
+		So(err, ShouldBeNil)
+		So(report.losses, ShouldHaveLength, 1)
+		So(report.losses[0].Cause, ShouldEqual, "the endpoint broke off, without a length or chunks: unexpected EOF")
+	})
 	Convey("A report without losses is no error", t, func() {
 		out := &strings.Builder{}
 		So((&Report{}).Write(out, 10), ShouldBeNil)
