pkg/endpoint, pkg/gateway: events end with a blank line however lines end

Callers of an engine that ends lines with CR LF or CR got no event before the end of the answer: only two LF ended an event, so that the whole stream waited in the box, was late, and could not be continued after its last event. A stream's ID was lost in CR streams.

Cause: the rule of the format (lines end with CR, LF or both) was written in two places as the search for two LF. pkg/endpoint has it in one place now, for both routers.

--- /dev/null
+++ b/pkg/endpoint/event.go
@@ -0,0 +1,66 @@
+package endpoint
+
+import "bytes"
+
+// lineEnds are the bytes that end a line of an event stream: CR, LF, or both in this order.
+const lineEnds = "\r\n"
+
+var blankLine = []byte("\n\n")
+
+// EventLength returns the length of the first event of a stream of server-sent events, up to and
+// including the blank line that ends it, or -1 if the data holds no whole event. Blank lines before
+// an event belong to it.
+func EventLength(data []byte) int {
+	start := len(data) - len(bytes.TrimLeft(data, lineEnds))
+	// Most streams use LF alone, which is found several times faster.
+	if end := bytes.Index(data[start:], blankLine); end >= 0 {
+		if bytes.IndexByte(data[start:start+end], '\r') < 0 {
+			return start + end + len(blankLine)
+		}
+	} else if bytes.IndexByte(data[start:], '\r') < 0 {
+		return -1
+	}
+	afterCR := false
+	for at := start; ; {
+		length := bytes.IndexAny(data[at:], lineEnds)
+		if length < 0 {
+			return -1
+		}
+		end := at + length + 1
+		endsWithCR := data[end-1] == '\r'
+		switch {
+		case !endsWithCR:
+		case end < len(data) && data[end] == '\n':
+			end++
+			endsWithCR = false
+		case end == len(data) && !afterCR:
+			// The LF of this line end may follow.
+			return -1
+		}
+		if length == 0 && at > start {
+			return end
+		}
+		at, afterCR = end, endsWithCR
+	}
+}
+
+// IsInsideEvent reports whether the data after the last event of a stream is part of another one.
+func IsInsideEvent(rest []byte) bool { return len(bytes.TrimLeft(rest, lineEnds)) > 0 }
+
+var eventIDField = []byte("id:")
+
+// EventID returns the ID of an event.
+func EventID(event []byte) (id string, found bool) {
+	for len(event) > 0 {
+		line := event
+		if end := bytes.IndexAny(event, lineEnds); end >= 0 {
+			line, event = event[:end], event[end+1:]
+		} else {
+			event = nil
+		}
+		if value, ok := bytes.CutPrefix(line, eventIDField); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/pkg/endpoint/event_test.go
@@ -0,0 +1,73 @@
+package endpoint_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/quaylead/quaylead/pkg/endpoint"
+)
+
+func TestEventLength(t *testing.T) {
+	Convey("An event ends with a blank line, however lines end", t, func() {
+		for data, length := range map[string]int{
+			"":                          -1,
+			"\n":                        -1,
+			"\r\n\r\n":                  -1,
+			"data: a":                   -1,
+			"data: a\n":                 -1,
+			"data: a\n\n":               9,
+			"data: a\n\nid":             9,
+			"\n\ndata: a\n\n":           11,
+			"data: a\ndata: b\n\n":      17,
+			"data: a\r\n":               -1,
+			"data: a\r\n\r":             -1,
+			"data: a\r\n\r\n":           11,
+			"data: a\r\n\r\ndata: b":    11,
+			"data: a\r":                 -1,
+			"data: a\r\r":               9,
+			"data: a\r\rdata: b\r\r":    9,
+			"data: a\n\r\n":             10,
+			"data: a\ndata: b\r\n\r\n:": 19,
+		} {
+			So(endpoint.EventLength([]byte(data)), ShouldEqual, length)
+		}
+	})
+	Convey("Events are found whole, however they arrive", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "lineEnd")
+			event := rapid.StringMatching(`[a-z]: [a-z]{0,4}(X[a-z]: [a-z]{0,4}){0,2}XX`)
+			events := rapid.SliceOfN(event, 1, 5).Draw(t, "events")
+			whole := strings.ReplaceAll(strings.Join(events, ""), "X", lineEnd)
+			var buffer []byte
+			found := 0
+			for i := range len(whole) {
+				buffer = append(buffer, whole[i])
+				for length := endpoint.EventLength(buffer); length >= 0; length = endpoint.EventLength(buffer) {
+					if got := string(buffer[:length]); got != strings.ReplaceAll(events[found], "X", lineEnd) {
+						t.Fatalf("event %d is %q of %q", found, got, whole)
+					}
+					buffer = buffer[length:]
+					found++
+				}
+			}
+			if found != len(events) || endpoint.IsInsideEvent(buffer) {
+				t.Fatalf("%d of %d events of %q, %q left", found, len(events), whole, buffer)
+			}
+		})
+	})
+}
+
+func TestEventID(t *testing.T) {
+	Convey("The ID of an event is found, however lines end", t, func() {
+		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+			id, found := endpoint.EventID([]byte(strings.ReplaceAll("data: xXid: 7XX", "X", lineEnd)))
+			So(found, ShouldBeTrue)
+			So(id, ShouldEqual, "7")
+		}
+		_, found := endpoint.EventID([]byte("data: id: 7\n\n"))
+		So(found, ShouldBeFalse)
+	})
+}
--- a/pkg/endpoint/stream.go
+++ b/pkg/endpoint/stream.go
@@ -33,7 +33,6 @@
 }
 
 var (
-	eventEnd   = []byte("\n\n")
 	dataPrefix = []byte("data:")
 	doneMarker = []byte("[DONE]")
 )
@@ -95,11 +94,10 @@
 // scan handles the complete events in the buffer and returns the number of their tokens.
 func (s *EventStream) scan() (tokens int) {
 	for {
-		length := bytes.Index(s.buffer[s.ready:], eventEnd)
+		length := EventLength(s.buffer[s.ready:])
 		if length < 0 {
 			return tokens
 		}
-		length += len(eventEnd)
 		event := s.buffer[s.ready : s.ready+length]
 		keep, isToken := s.handleEvent(event)
 		if isToken {
@@ -115,7 +113,7 @@
 }
 
 func (s *EventStream) handleEvent(event []byte) (keep, isToken bool) {
-	data, found := bytes.CutPrefix(event, dataPrefix)
+	data, found := bytes.CutPrefix(bytes.TrimLeft(event, lineEnds), dataPrefix)
 	if !found {
 		return true, false
 	}
--- a/pkg/endpoint/stream_test.go
+++ b/pkg/endpoint/stream_test.go
@@ -53,6 +53,13 @@
 		So(err, ShouldBeNil)
 		So(string(got), ShouldEqual, whole)
 	})
+	Convey("So is one whose lines end with CR and LF, and with more blank lines than needed", t, func() {
+		text := strings.ReplaceAll(tokenEvent+"\n"+usageEvent+"\n\n"+endEvent, "\n", "\r\n")
+		events := &endpoint.EventStream{Source: strings.NewReader(text)}
+		_, err := io.ReadAll(events)
+		So(err, ShouldBeNil)
+		So(events.UsageKnown, ShouldBeTrue)
+	})
 	Convey("A stream that ends anywhere before its [DONE] event is cut off", t, func() {
 		for length := range len(whole) - 1 {
 			_, err := io.ReadAll(&endpoint.EventStream{Source: strings.NewReader(whole[:length])})
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"time"
@@ -46,11 +45,6 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
-var (
-	eventEnd     = []byte("\n\n")
-	eventIDField = []byte("id:")
-)
-
 // awaitEvent waits until there is something to forward. If it fails, nothing has been delivered.
 func (s *stream) awaitEvent() error {
 	for s.ready == 0 && s.err == nil {
@@ -161,11 +155,10 @@
 // scan advances ready past the complete events.
 func (s *stream) scan() {
 	for {
-		length := bytes.Index(s.buffer[s.ready:], eventEnd)
+		length := endpoint.EventLength(s.buffer[s.ready:])
 		if length < 0 {
 			return
 		}
-		length += len(eventEnd)
 		s.recordEvent(s.buffer[s.ready : s.ready+length])
 		s.ready += length
 	}
@@ -174,11 +167,8 @@
 // recordEvent counts an event and records its ID.
 func (s *stream) recordEvent(event []byte) {
 	s.events++
-	for line := range bytes.Lines(event) {
-		if id, found := bytes.CutPrefix(line, eventIDField); found {
-			s.lastEvent = string(bytes.TrimSpace(id))
-			return
-		}
+	if id, found := endpoint.EventID(event); found {
+		s.lastEvent = id
 	}
 }
 
