pkg/gateway: a stream that ends inside an event has been broken off

The log shows it by what is missing: the broken answers of the same engines that had chunks are logged as cut, these are not.

What proves the end of a stream is now asked in one place, where its response ends: the framing or, without one, a last event that is whole. An incomplete event is never forwarded; what follows is what follows from any broken stream: it goes on at the release that began it, is sent again before its first event where its route allows it, or is cut; the end of the engine is recorded. An engine that itself ends the framing inside an event did not crash, and no end is recorded.

--- a/pkg/endpoint/framing.go
+++ b/pkg/endpoint/framing.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "strconv"
+import (
+	"errors"
+	"strconv"
+)
 
 // Framing is how the end of a response's body is found (RFC 9112, section 6.3).
 type Framing string
@@ -16,6 +19,10 @@
 	FramingClose Framing = "Close"
 )
 
+// ErrIncomplete reports a body that ends where its framing says, but whose content is incomplete. Its
+// endpoint has not crashed: it sent the end of the body.
+var ErrIncomplete = errors.New("the endpoint ended the body in the middle of its content")
+
 // BodyError reports that a response's body broke off.
 type BodyError struct {
 	Framing Framing
--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -292,6 +292,15 @@
 	return n, io.EOF
 }
 
+// CutError returns the error for a body that was read to its end and whose content is incomplete. If
+// it ended with its connection, the endpoint broke it off.
+func (r *Response) CutError() error {
+	if r.IsFramed() {
+		return r.brokenOff(ErrIncomplete)
+	}
+	return r.brokenOff(io.ErrUnexpectedEOF)
+}
+
 func (r *Response) brokenOff(err error) error {
 	return &BodyError{Framing: r.framing, Bytes: r.bytesRead, Err: err}
 }
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -308,7 +308,7 @@
 				zap.String("From", brokenAt.ID),
 				zap.String("FromRelease", brokenAt.Release),
 				zap.String("After", s.lastEvent))
-			s.response = response
+			s.response, s.eventsBefore = response, s.events
 			return nil
 		}
 		broken = err
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -26,6 +26,8 @@
 	// lastEvent is the ID of the last event up to buffer[:ready].
 	lastEvent string
 	events    int
+	// eventsBefore is the number of events before the current response.
+	eventsBefore int
 	// grantedAt is when the first engine was granted, firstAfter the age of the request at its
 	// first event, lastEventAt when the last event arrived, and maxGap the longest time between
 	// two events.
@@ -106,10 +108,21 @@
 	}
 	s.err = err
 	if errors.Is(err, io.EOF) {
-		s.ready = len(s.buffer)
+		s.err = s.checkEnd()
 	}
 }
 
+// checkEnd returns io.EOF if the stream is complete where its response ended. Without framing the
+// response of an engine that crashed ends like any other, and only its events show that it is cut.
+func (s *stream) checkEnd() error {
+	insideEvent := endpoint.IsInsideEvent(s.buffer[s.ready:])
+	if insideEvent || (!s.response.IsFramed() && s.events == s.eventsBefore) {
+		return s.response.CutError()
+	}
+	s.ready = len(s.buffer)
+	return io.EOF
+}
+
 // recordEventTime records when an event arrived.
 func (s *stream) recordEventTime(now time.Time) {
 	if s.lastEventAt.IsZero() {
