pkg/gateway: plain answers without framing reach callers without framing

The bytes do not show whether such an answer is whole, and the box said that it is.

The box no longer says what it does not know: the answer ends with the caller's connection, as the endpoint's did. The HTTP server frames all responses, so this one is written to the connection directly, within the handler: a planned stop waits for it like for any other. Weighed and not done: cutting them all (whole ones would fail too), checking JSON (an endpoint may mislabel what it sends), asking the endpoint for a connection (an endpoint that leaves may refuse it after a whole answer).

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -331,21 +331,6 @@
 		zap.Duration("Age", time.Since(c.arrived)))
 }
 
-// recordUnframedEnd records how a response without a length or chunks ended: with err, or without one at the
-// end of its connection.
-func (c *call) recordUnframedEnd(to *destination, response *endpoint.Response, err error) {
-	if response.IsFramed() || c.ctx.Err() != nil {
-		return
-	}
-	c.gateway.Metrics.UnframedEnded(err != nil)
-	c.log().Debug("response ended with its connection",
-		zap.String("Request", c.ID),
-		zap.String("Route", c.route.Name),
-		zap.String("Endpoint", to.ID),
-		zap.Int("Bytes", response.BytesRead()),
-		zap.Error(err))
-}
-
 // forwardBuffered forwards a response that is read completely before any of it is sent, so that
 // a truncated one can still be reported as failed.
 func (c *call) forwardBuffered(to *destination, response *endpoint.Response) error {
@@ -357,6 +342,10 @@
 	}
 	response.Close()
 	c.forwardHead(response)
+	if !response.IsFramed() {
+		c.forwardUnframed(body)
+		return nil
+	}
 	c.http.Response.SetBodyRaw(body)
 	return nil
 }
--- /dev/null
+++ b/pkg/gateway/unframed.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/quaylead/quaylead/pkg/endpoint"
+)
+
+// recordUnframedEnd records how a response without a length or chunks ended: with err, or without one
+// at the end of its connection.
+func (c *call) recordUnframedEnd(to *destination, response *endpoint.Response, err error) {
+	if response.IsFramed() || c.ctx.Err() != nil {
+		return
+	}
+	c.gateway.Metrics.UnframedEnded(err != nil)
+	c.log().Debug("response ended with its connection",
+		zap.String("Request", c.ID),
+		zap.String("Route", c.route.Name),
+		zap.String("Endpoint", to.ID),
+		zap.Int("Bytes", response.BytesRead()),
+		zap.Error(err))
+}
+
+// forwardUnframed sends a response that ended with the endpoint's connection, whose head is set
+// already. It ends with the caller's connection too: this box does not know whether it is complete,
+// and a length or a last chunk would say so. The HTTP server frames all responses, so this one is
+// written to the connection directly; earlier ones were flushed, as ReduceMemoryUsage is set.
+func (c *call) forwardUnframed(body []byte) {
+	const closeDelimited = -2
+	header := &c.http.Response.Header
+	header.SetContentLength(closeDelimited)
+	buffers := net.Buffers{header.Header(), body}
+	conn := c.http.Conn()
+	err := conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err == nil {
+		_, err = buffers.WriteTo(conn)
+	}
+	if err != nil {
+		c.log().Info("response without framing not written", zap.String("Request", c.ID), zap.Error(err))
+	}
+	c.http.HijackSetNoResponse(true)
+	c.http.Hijack(func(net.Conn) {
+		_ = conn.Close()
+		// The server does not report that a hijacked connection is closed.
+		if c.gateway.memory != nil {
+			c.gateway.memory.trackConnection(conn, fasthttp.StateClosed)
+		}
+	})
+}
