cmd/quaybench/soak, platform/standin: servers that answer without framing

The soak never had an answer with neither a length nor chunks, so that it could not find streams that broke off without framing. Servers now send such answers for a while, streams among them ended inside an event. Plain answers are sent whole: a cut one is not told from a whole one by anybody (docs/api/callers.md).

--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -232,10 +232,12 @@
 
 func drawServerFault(rng *rand.Rand, s *server) injection {
 	probability := 0.05 + 0.9*rng.Float64()
-	switch rng.IntN(9) {
+	switch rng.IntN(11) {
 	case 7, 8:
 		rest := fmt.Sprintf("%.1f", 0.5+3.5*rng.Float64())
 		return serverFault{server: s, description: "asks for " + rest + " s of rest", fault: standin.ServerFault{Full: true, RetryAfter: rest}}
+	case 9, 10:
+		return serverFault{server: s, description: "sends answers without framing", fault: standin.ServerFault{Unframed: 1, Cut: probability}}
 	case 0:
 		return serverFault{server: s, description: "full", fault: standin.ServerFault{Full: true}}
 	case 1:
