pkg/gateway: ends of endpoints are logged with the parts of the prompt

"endpoint ended under a request" named neither the parts of the prompt nor whether the request had an event, so that the hypotheses about engines that end one after the other (requests that share a part; ends that are lost; engines that end of themselves) could not be told apart. Decisions are unchanged; the tests of pkg/gateway and pkg/dispatch pass.

--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/quaylead/quaylead/pkg/quarantine"
@@ -17,6 +18,9 @@
 	Tokens int
 }
 
+// String returns the ID in hexadecimal, as callers write it.
+func (p Part) String() string { return strconv.FormatUint(p.ID, 16) }
+
 // Prompt describes the work of a request, as far as it is known before the request runs.
 type Prompt struct {
 	// Parts are in order. An engine that has a part cached can use it only if it also has every
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -42,6 +42,7 @@
 		// A received request can always be queued.
 		_ = c.lifecycle.Advance(request.Queued)
 	}
+	c.attemptBegan = false
 	out := c.buildRequest(to, lastEvent)
 	ctx := c.startGuard(to)
 	body := c.bodyTo(to)
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -65,6 +65,8 @@
 	begunAt rollout.VersionFilter
 	// originKnownBy is the box that knew which release began a stream that the request takes up.
 	originKnownBy string
+	// attemptBegan is set once the endpoint of the current attempt has sent an event.
+	attemptBegan bool
 	// excluded are the IDs of the endpoints that failed this request.
 	excluded []string
 	// unreachable counts the endpoints that accepted no connection.
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/request"
@@ -60,6 +61,14 @@
 	}
 }
 
+// sharedParts returns the parts of the request's prompt that other requests may have too.
+func (c *call) sharedParts() []dispatch.Part {
+	if c.Prompt == nil {
+		return nil
+	}
+	return c.Prompt.Shared()
+}
+
 // publishEnds sends the changes of the ledger to the other boxes and the store.
 func (g *Gateway) publishEnds() {
 	g.exchange.SendNow()
@@ -83,6 +92,8 @@
 		zap.String("Customer", c.customer),
 		zap.String("Route", c.route.Name),
 		zap.String("Endpoint", to.ID),
+		zap.Stringers("Parts", c.sharedParts()),
+		zap.Bool("Begun", c.attemptBegan),
 		zap.Int("Ends", c.gateway.ledger.Check(c.fingerprint, now).Ends))
 	return outcomeEnded
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -131,6 +131,7 @@
 		s.maxGap = max(s.maxGap, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	s.call.attemptBegan = true
 	s.call.guard.reset(s.call.gapStallTimeout())
 }
 
