pkg/quarantine, pkg/dispatch, pkg/gateway: a part of prompts that ends endpoints is quarantined

Cause: ends were counted by the fingerprint of method, target, customer and body alone. The class: an account kept by the identity of a request where the cause is in a property that requests share.

A shared part of a prompt is now a suspect like a request, in the same ledger, messages and rows. Suspects are the parts of requests that had no event from the engine that ended; any event clears its parts. The account is by customer, as IDs of parts are callers' own words, and by release. Four ends quarantine a part; a second later one request is tried at one engine, and a fifth end quarantines it for ten minutes and more. Of parts that wait for this, requests with fewer are tried first, so that a popular part is cleared by sound requests. Between the first and the last end, requests with the part run before their first event at no more engines than may still end. The arrival at a box, the queue, the grant and the send ask for both kinds; what can not be sent is refused at once, as not run.

Why it works: a deadly request never has an event, so nothing clears its part, while a popular part is cleared by the next answer that has it.

Six crashes of half of the engines refuse nothing (TestPartsOfMassCrashes, 6 fleets).

--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -42,6 +42,8 @@
 	lost        int
 	// refusedInnocent counts the innocent requests refused by quarantine.
 	refusedInnocent int
+	// knownPartEnds counts the engines that ended under a part by requests granted after the first end.
+	knownPartEnds int
 }
 
 // crashRequest is a request and the box that received it.
@@ -50,6 +52,10 @@
 	box int
 	// crashesEngine makes the request end its engine.
 	crashesEngine bool
+	// deadlyPart makes a part of its prompt end the engine before the first event, which begun records.
+	deadlyPart, begun bool
+	// afterEnd is set if it was granted after the first end of an engine.
+	afterEnd bool
 	// repeats is how often it may still be repeated after a break.
 	repeats int
 	ended   bool
@@ -121,8 +127,9 @@
 	for s.dead[req.box] {
 		req.box = s.rand.IntN(len(s.ledgers))
 	}
-	if s.ledgers[req.box].Check(req.Fingerprint, s.now).IsQuarantined() {
-		if !req.crashesEngine {
+	_, partQuarantined := quarantine.FirstQuarantined(s.ledgers[req.box].CheckParts(s.partKeys(req), s.now))
+	if partQuarantined || s.ledgers[req.box].Check(req.Fingerprint, s.now).IsQuarantined() {
+		if !req.crashesEngine && !req.deadlyPart {
 			s.refusedInnocent++
 		}
 		return
@@ -145,6 +152,9 @@
 			delete(s.waiting, req.ID)
 			s.run(req, d)
 		case Refusal:
+			if !s.waiting[d.Request.ID].deadlyPart && s.pool.hasQuarantinedPart(d.Request, s.now) {
+				s.refusedInnocent++
+			}
 			delete(s.waiting, d.Request.ID)
 		}
 	}
@@ -158,6 +168,7 @@
 	if req.crashesEngine {
 		s.sends[req.Fingerprint]++
 	}
+	req.afterEnd = len(s.ends) > 0
 	s.running[g.Endpoint] = append(s.running[g.Endpoint], req)
 	if s.cached[g.Endpoint] == nil {
 		s.cached[g.Endpoint] = map[uint64]cachedAt{}
@@ -167,12 +178,18 @@
 		if req.ended {
 			return
 		}
+		if req.deadlyPart {
+			s.crash(g.Endpoint, req)
+			return
+		}
+		req.begun = true
 		s.pool.Begin(req.ID, s.now)
+		s.clearParts(req)
 		if req.crashesEngine {
 			s.at(s.now.Add(crashDelay), func() { s.crash(g.Endpoint, req) })
 		}
 	})
-	if req.crashesEngine {
+	if req.crashesEngine || req.deadlyPart {
 		return
 	}
 	s.at(begins.Add(time.Duration(req.ExpectedOutput())*s.tokenInterval), func() {
@@ -197,16 +214,20 @@
 		return
 	}
 	s.ends[by.Fingerprint]++
+	if by.deadlyPart && by.afterEnd {
+		s.knownPartEnds++
+	}
 	instance := quarantine.InstanceOf("llm", engine, 0)
 	s.down[engine] = true
 	broken := s.running[engine]
 	delete(s.running, engine)
 	for _, req := range broken {
 		req.ended = true
-		if !req.crashesEngine {
+		if !req.crashesEngine && !req.deadlyPart {
 			s.lost++
 		}
 		end := s.ledgers[req.box].RecordEnd(req.Fingerprint, instance, s.now)
+		s.recordPartEnds(req, instance)
 		s.pool.End(req.ID, Ended{End: end}, s.now)
 		s.retry(req)
 	}
--- a/pkg/dispatch/exposure.go
+++ b/pkg/dispatch/exposure.go
@@ -64,10 +64,19 @@
 	// fingerprint is the request's, and ends the number of engines that ended under it.
 	fingerprint quarantine.Fingerprint
 	ends        int
+	// parts further limits the engines, by release, if engines ended under parts of the prompt.
+	parts map[string]partScope
 }
 
 // placementScope returns the engines that a request may go to.
 func (p *Pool) placementScope(req *Request, now time.Time) placementScope {
+	scope := p.requestScope(req, now)
+	scope.parts = p.partScopes(req, now)
+	return scope
+}
+
+// requestScope returns the engines that a request may go to, regardless of its parts.
+func (p *Pool) requestScope(req *Request, now time.Time) placementScope {
 	if req.Fingerprint.IsZero() {
 		return placementScope{anyEngine: true}
 	}
@@ -82,7 +91,7 @@
 	case len(running) == 0 && status.Ends == 0 && !p.Contested:
 		scope.anyEngine = true
 	default:
-		scope.preferred = p.preferredEngine(req, status.Ends, now)
+		scope.preferred = p.preferredEngine(req, req.Fingerprint, status.Ends, now)
 	}
 	return scope
 }
@@ -91,12 +100,12 @@
 // may arrive that the engine ended under its request.
 const maxEndReportDelay = 100 * time.Millisecond
 
-// preferredEngine returns the engine that a request's fingerprint ranks first among those that
-// may serve it. Boxes with the same list of engines find the same one, whatever else differs
+// preferredEngine returns the engine that a fingerprint of a request, or of a part of it, ranks first
+// among those that may serve it. Boxes with the same list of engines find the same one, whatever else differs
 // between them. An engine that ended under the request is skipped, and so is one that cannot
 // take it, unless it failed less than maxEndReportDelay ago. If such an engine ranks first, the
 // result is nil: a report that it ended under the request may be on its way.
-func (p *Pool) preferredEngine(req *Request, ends int, now time.Time) *engine {
+func (p *Pool) preferredEngine(req *Request, f quarantine.Fingerprint, ends int, now time.Time) *engine {
 	var preferred *engine
 	var weight uint64
 	usable := false
@@ -105,10 +114,10 @@
 		if !canTake && now.Sub(e.failedAt) >= maxEndReportDelay {
 			continue
 		}
-		if ends > 0 && p.Ledger.HasEnded(req.Fingerprint, e.instance()) {
+		if ends > 0 && p.Ledger.HasEnded(f, e.instance()) {
 			continue
 		}
-		if w := e.weight(req.Fingerprint); preferred == nil || w > weight {
+		if w := e.weight(f); preferred == nil || w > weight {
 			preferred, weight, usable = e, w, canTake
 		}
 	}
@@ -133,7 +142,7 @@
 
 // includes reports whether the request may go to an engine.
 func (s placementScope) includes(e *engine) bool {
-	return s.anyEngine || e == s.preferred || s.exposed[e] > 0
+	return (s.anyEngine || e == s.preferred || s.exposed[e] > 0) && (s.parts == nil || s.parts[e.Release].includes(e))
 }
 
 // maxOtherEnds returns, for a request under which engines ended, the most ends of any other such
@@ -154,13 +163,14 @@
 // waiting request, which takes 37 instead of 24 microseconds for 400 of them (BenchmarkDecide),
 // so that a request that waits while its third engine ends is refused within milliseconds.
 func (p *Pool) isQuarantined(req *Request, now time.Time) bool {
-	return !req.Fingerprint.IsZero() && p.Ledger.Check(req.Fingerprint, now).IsQuarantined()
+	return (!req.Fingerprint.IsZero() && p.Ledger.Check(req.Fingerprint, now).IsQuarantined()) || p.hasQuarantinedPart(req, now)
 }
 
 // recordEnd records a router's report that an engine ended while it ran a request. At the other
 // engines that run the request, it is a suspect from then on.
-func (p *Pool) recordEnd(ended Ended, now time.Time) {
+func (p *Pool) recordEnd(g *grant, ended Ended, now time.Time) {
 	p.Ledger.Merge([]quarantine.End{ended.End}, "", now)
+	p.recordPartEnds(g, ended, now)
 	f := ended.End.Fingerprint
 	for e := range p.exposures[f] {
 		e.suspects[f] = p.Ledger.Check(f, now).Ends
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -179,7 +179,7 @@
 		return nil
 	}
 	candidates, scope := p.sorted, p.placementScope(req, now)
-	if scope.anyEngine && hasLongShared(&req.Prompt) {
+	if scope.anyEngine && scope.parts == nil && hasLongShared(&req.Prompt) {
 		candidates = p.candidates(req, now)
 	}
 	best := p.cheapest(candidates, req, scope, now)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -140,7 +140,8 @@
 	parts    map[uint64]*partStats
 	// exposures are the engines at which requests run, by fingerprint.
 	exposures map[quarantine.Fingerprint]exposure
-	queued    int
+	partExposures
+	queued int
 	// waitingParts counts the waiting requests by their long shared part.
 	waitingParts map[uint64]int
 	// round numbers the calls of Decide. A request that found no room in a round finds none
@@ -313,7 +314,7 @@
 	}
 	delete(p.grants, id)
 	if ended, ok := outcome.(Ended); ok {
-		p.recordEnd(ended, now)
+		p.recordEnd(g, ended, now)
 	}
 	p.removeExposure(g)
 	if _, done := outcome.(Done); done {
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -113,6 +113,8 @@
 	// Fingerprint identifies repeats of the same request; zero means unknown.
 	Fingerprint quarantine.Fingerprint
 
+	// partKeys caches the fingerprints of the shared parts of its prompt.
+	partKeys []releasePartKeys
 	// cost caches Prompt.Cost.
 	cost float64
 	// refuseNow requests are refused unless the next Decide grants them.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -55,7 +55,7 @@
 			if c.gateway.suspensions.isOutdated(to.suspendedTotal) || !c.gateway.admits(&to.Endpoint) {
 				return errNotAdmitted
 			}
-			if c.gateway.ledger.Check(c.fingerprint, time.Now()).IsQuarantined() {
+			if c.isQuarantinedAt(to.Release) {
 				return errQuarantined
 			}
 			if !body.send() {
@@ -207,7 +207,7 @@
 	if c.lifecycle.Attempts() >= c.route.MaxAttempts || c.remaining() < minRetryTime {
 		return false
 	}
-	if c.gateway.ledger.Check(c.fingerprint, time.Now()).IsQuarantined() {
+	if c.refuseQuarantined() != nil {
 		return false
 	}
 	reserved, ok := c.gateway.budget.take(c.service.Name)
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -222,8 +222,9 @@
 	c.gateway.rollouts.recordResponse(&to.Endpoint, c.route.Name, failed, 0)
 	if failed {
 		result = outcomeFailed
-	} else {
+	} else if response.IsFramed() {
 		c.clearFingerprint(response)
+		c.clearParts(&to)
 	}
 	to.finish(result)
 	return nil
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/request"
@@ -28,12 +27,23 @@
 	now := time.Now()
 	status := c.gateway.ledger.Check(c.fingerprint, now)
 	if !status.IsQuarantined() {
-		return nil
+		return c.refuseQuarantinedPart(now)
 	}
 	message := fmt.Sprintf("%d endpoints ended while they ran this request; it is sent to none until its time is over", status.Ends)
 	return notRun(request.Quarantined, message, status.Until.Sub(now))
 }
 
+// isQuarantinedAt reports whether the request must not be sent to a release of its service, because too
+// many endpoints have ended while they ran it or requests with a part of its prompt.
+func (c *call) isQuarantinedAt(release string) bool {
+	now := time.Now()
+	if c.gateway.ledger.Check(c.fingerprint, now).IsQuarantined() {
+		return true
+	}
+	_, _, found := c.quarantinedPart(release, now)
+	return found
+}
+
 // allowedEndpoints returns the endpoints that a request may be sent to. Once an endpoint has
 // ended while it ran the request, this box runs it at no more endpoints at once than the number
 // of ends that is left before its quarantine.
@@ -61,14 +71,6 @@
 	}
 }
 
-// sharedParts returns the parts of the request's prompt that other requests may have too.
-func (c *call) sharedParts() []dispatch.Part {
-	if c.Prompt == nil {
-		return nil
-	}
-	return c.Prompt.Shared()
-}
-
 // publishEnds sends the changes of the ledger to the other boxes and the store.
 func (g *Gateway) publishEnds() {
 	g.exchange.SendNow()
@@ -84,6 +86,7 @@
 	now := time.Now()
 	instance := quarantine.InstanceOf(to.Service, to.ID, to.Born)
 	c.lastEnd = c.gateway.ledger.RecordEnd(c.fingerprint, instance, now)
+	c.recordPartEnds(&to, instance, now)
 	c.gateway.unconfirmed.add(instance, to.Endpoint, c.gateway.registry.Knowledge().Polls, now)
 	c.gateway.publishEnds()
 	c.log().Info("endpoint ended under a request",
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -131,7 +131,10 @@
 		s.maxGap = max(s.maxGap, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
-	s.call.attemptBegan = true
+	if !s.call.attemptBegan {
+		s.call.attemptBegan = true
+		s.call.clearParts(&s.to)
+	}
 	s.call.guard.reset(s.call.gapStallTimeout())
 }
 
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -1,7 +1,9 @@
 // Package quarantine detects crashing requests: an endpoint that runs one ends, that is, its
 // process ends. Callers repeat such a request with another ID and at any box, so the ends are
-// counted by what the repeats have in common, their fingerprint. A request under which too
-// many endpoints ended is quarantined: no endpoint gets it for a time.
+// counted by what the repeats have in common, their fingerprint. Where not the repeats but a part of
+// their prompts is the cause, they have only that part in common, and the ends are counted by the
+// part's fingerprint too. A request or part under which too many endpoints ended is quarantined: no
+// endpoint gets it for a time.
 package quarantine
 
 import (
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,6 +81,8 @@
 type Ledger struct {
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
+	// parts counts the suspects that are parts of prompts.
+	parts atomic.Int64
 	// sequence counts the changes.
 	sequence uint64
 	// unstored are the fingerprints whose rows in the store have to be changed: those for
@@ -109,7 +112,7 @@
 // ended reports whether the end has not been retracted.
 func (r *endRecord) ended() bool { return r.version%2 == 1 }
 
-// Status is what may be done with a request.
+// Status is what may be done with a request, or with requests that share a part.
 type Status struct {
 	// Ends is how many endpoints have ended under it.
 	Ends int
@@ -127,15 +130,21 @@
 func (l *Ledger) Check(f Fingerprint, now time.Time) Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.check(f, 0, now)
+}
+
+// check returns the status of a fingerprint, with some time added to its quarantine. The lock is held.
+func (l *Ledger) check(f Fingerprint, longer time.Duration, now time.Time) Status {
 	known := l.suspects[f]
+	maxEnds := f.maxEnds()
 	if known == nil {
-		return Status{Allowed: MaxEnds}
+		return Status{Allowed: maxEnds}
 	}
 	ends, last := known.countEnds()
-	if ends < MaxEnds {
-		return Status{Ends: ends, Allowed: MaxEnds - ends}
+	if ends < maxEnds {
+		return Status{Ends: ends, Allowed: maxEnds - ends}
 	}
-	if until := last.Add(quarantineTime(ends)); now.Before(until) {
+	if until := last.Add(f.quarantineTime(ends) + longer); now.Before(until) {
 		return Status{Ends: ends, Until: until}
 	}
 	return Status{Ends: ends, Allowed: 1}
@@ -197,6 +206,9 @@
 		l.evict(now)
 		known = &suspect{ends: map[Instance]*endRecord{}}
 		l.suspects[f] = known
+		if f.IsPart() {
+			l.parts.Add(1)
+		}
 	}
 	r := known.ends[instance]
 	if r == nil {
@@ -261,8 +273,8 @@
 	for f, known := range l.suspects {
 		ends, last := known.countEnds()
 		retention := minRetention
-		if ends >= MaxEnds {
-			retention = quarantineTime(ends) + maxQuarantine
+		if ends >= f.maxEnds() {
+			retention = f.quarantineTime(ends) + maxQuarantine
 		}
 		if now.Sub(later(known.changedAt(), last)) > retention {
 			l.drop(f)
@@ -290,6 +302,9 @@
 	if l.suspects[f].stored {
 		l.unstored[f] = true
 	}
+	if f.IsPart() {
+		l.parts.Add(-1)
+	}
 	delete(l.suspects, f)
 }
 
