pkg/continuation, pkg/gateway: replicas are notified of origins

The code spoke of keepers that are told; the field's words are replicas and notify. Names and comments only: log lines, log keys, expvar names and the wire are unchanged, and so are the tests but for names.

--- a/pkg/continuation/continuation_test.go
+++ b/pkg/continuation/continuation_test.go
@@ -118,7 +118,7 @@
 }
 
 // TestTakerAsksAKeeper checks that a box which takes up a stream asks one that keeps its origin,
-// whichever boxes began the stream and take it up, also after one of the keepers is lost.
+// whichever boxes began the stream and take it up, also after one of the replicas is lost.
 func TestTakerAsksAKeeper(t *testing.T) {
 	without := func(ranking []Box, names ...string) (left []Box) {
 		for _, box := range ranking {
@@ -135,14 +135,14 @@
 		}
 		first := rapid.SampledFrom(ranking).Draw(t, "first").Name
 		taker := rapid.SampledFrom(without(ranking, first)).Draw(t, "taker").Name
-		keepers := Keepers(without(ranking, first), 2)
-		for _, lost := range []string{first, keepers[0].Name, keepers[1].Name} {
+		replicas := Replicas(without(ranking, first), 2)
+		for _, lost := range []string{first, replicas[0].Name, replicas[1].Name} {
 			gone := []string{first, lost}
-			knows := func(box Box) bool { return slices.Contains(keepers, box) && !slices.Contains(gone, box.Name) }
-			asked := Keepers(without(ranking, append(gone, taker)...), 3)
+			knows := func(box Box) bool { return slices.Contains(replicas, box) && !slices.Contains(gone, box.Name) }
+			asked := Replicas(without(ranking, append(gone, taker)...), 3)
 			own := slices.IndexFunc(ranking, func(b Box) bool { return b.Name == taker })
 			if taker != lost && !knows(ranking[own]) && !slices.ContainsFunc(asked, knows) {
-				t.Fatalf("%s took up a stream of %s without %s, and asked %v, but %v know", taker, first, lost, asked, keepers)
+				t.Fatalf("%s took up a stream of %s without %s, and asked %v, but %v know", taker, first, lost, asked, replicas)
 			}
 		}
 	})
--- a/pkg/continuation/fleet_test.go
+++ b/pkg/continuation/fleet_test.go
@@ -15,23 +15,23 @@
 	"github.com/quaylead/quaylead/pkg/partition"
 )
 
-// scheme decides which boxes are told the origin of a stream, and which ones are asked for it.
+// scheme decides which boxes are notified of the origin of a stream, and which ones are asked for it.
 type scheme struct {
 	name string
-	// told and asked are numbers of boxes of the ranking, without the box itself.
-	told, asked int
+	// notified and asked are numbers of boxes of the ranking, without the box itself.
+	notified, asked int
 	// byStream ranks the boxes anew for each stream, and not for the group of engines.
 	byStream bool
-	// repeats is set if the origins of streams in progress are told to new keepers.
+	// repeats is set if the origins of streams in progress are sent to new replicas.
 	repeats bool
 }
 
 var (
 	// dispatcherAlone needs no message of its own: the dispatcher learns the origin with the grant.
-	dispatcherAlone = scheme{name: "the dispatcher alone remembers", told: 1, asked: 1}
-	keepersOnce     = scheme{name: "two keepers, told once", told: 2, asked: 3}
-	keepers         = scheme{name: "two keepers, told again when they change", told: 2, asked: 3, repeats: true}
-	hashed          = scheme{name: "two boxes by the hash of the stream", told: 2, asked: 3, byStream: true}
+	dispatcherAlone = scheme{name: "the dispatcher alone remembers", notified: 1, asked: 1}
+	keepersOnce     = scheme{name: "two keepers, told once", notified: 2, asked: 3}
+	replicas        = scheme{name: "two keepers, told again when they change", notified: 2, asked: 3, repeats: true}
+	hashed          = scheme{name: "two boxes by the hash of the stream", notified: 2, asked: 3, byStream: true}
 )
 
 // drawnBox is a box that loses its memory when it is killed.
@@ -50,7 +50,7 @@
 	box       *drawnBox
 	ends      time.Duration
 	returnsAt time.Duration
-	told      []string
+	notified  []string
 }
 
 // drawnFleet is a fleet whose boxes are killed while they serve streams, in steps of time.
@@ -64,16 +64,16 @@
 	// ranking is that of the group of engines, for the boxes that were live with liveKey.
 	ranking []continuation.Box
 	liveKey string
-	// known, unknown and wrong count the streams taken up; messages counts origins told.
+	// known, unknown and wrong count the streams taken up; messages counts origins sent.
 	known, unknown, wrong, messages int
-	// sessions are the pairs of boxes between which an origin was told.
+	// sessions are the pairs of boxes between which an origin was sent.
 	sessions map[[2]string]bool
 }
 
 const (
 	step     = 10 * time.Millisecond
 	downTime = time.Second
-	// repeatInterval is the time between two checks of whether the keepers changed.
+	// repeatInterval is the time between two checks of whether the replicas changed.
 	repeatInterval = 250 * time.Millisecond
 	// meanStream is the mean time of a stream, and maxReturn the longest time after which a caller
 	// takes it up.
@@ -147,18 +147,18 @@
 	return f.boxes[slices.IndexFunc(f.boxes, func(b *drawnBox) bool { return b.Name == name })]
 }
 
-// tell tells the origin of a stream to its keepers.
-func (f *drawnFleet) tell(stream *drawnStream) {
+// notify sends the origin of a stream to its replicas.
+func (f *drawnFleet) notify(stream *drawnStream) {
 	origin := continuation.Origin{Key: continuation.Key(stream.id), Release: stream.release, Expires: epoch.Add(f.now + time.Minute)}
 	stream.box.origins.Add(origin)
-	for _, box := range continuation.Keepers(f.ranked(stream, stream.box), f.told) {
-		keeper := f.named(box.Name)
-		life := fmt.Sprint(box.Name, keeper.life)
-		if slices.Contains(stream.told, life) {
+	for _, box := range continuation.Replicas(f.ranked(stream, stream.box), f.notified) {
+		replica := f.named(box.Name)
+		life := fmt.Sprint(box.Name, replica.life)
+		if slices.Contains(stream.notified, life) {
 			continue
 		}
-		stream.told = append(stream.told, life)
-		keeper.origins.Add(origin)
+		stream.notified = append(stream.notified, life)
+		replica.origins.Add(origin)
 		f.messages++
 		f.sessions[[2]string{stream.box.Name, box.Name}] = true
 	}
@@ -186,7 +186,7 @@
 	}
 	taker := live[f.draw.IntN(len(live))]
 	asked := []*drawnBox{taker}
-	for _, box := range continuation.Keepers(f.ranked(stream, taker), f.asked) {
+	for _, box := range continuation.Replicas(f.ranked(stream, taker), f.asked) {
 		asked = append(asked, f.named(box.Name))
 	}
 	for _, box := range asked {
@@ -198,7 +198,7 @@
 		if release != stream.release {
 			f.wrong++
 		}
-		stream.box, stream.told = taker, nil
+		stream.box, stream.notified = taker, nil
 		f.tell(stream)
 		return true
 	}
@@ -277,7 +277,7 @@
 func TestStreamsGoOnAfterKills(t *testing.T) {
 	for name, history := range histories {
 		shares := map[string]float64{}
-		for _, s := range []scheme{dispatcherAlone, keepersOnce, keepers, hashed} {
+		for _, s := range []scheme{dispatcherAlone, keepersOnce, replicas, hashed} {
 			f := newDrawnFleet(s, 12, 7)
 			f.run(history)
 			shares[s.name] = float64(f.known) / float64(max(1, f.known+f.unknown))
@@ -287,7 +287,7 @@
 			})
 		}
 		Convey("Nine in ten streams go on with keepers that are told again: "+name, t, func() {
-			So(shares[keepers.name], ShouldBeGreaterThanOrEqualTo, 0.9)
+			So(shares[replicas.name], ShouldBeGreaterThanOrEqualTo, 0.9)
 		})
 	}
 }
--- a/pkg/continuation/releases.go
+++ b/pkg/continuation/releases.go
@@ -18,7 +18,7 @@
 	services map[string]map[string]*presence
 	// knownSince is the time since when no release was missed; zero if none is known.
 	knownSince time.Time
-	// version rises with each change that other boxes have to be told.
+	// version rises with each change of which other boxes have to be notified.
 	version uint64
 }
 
@@ -156,7 +156,7 @@
 	return summary
 }
 
-// Merge adds what another box knows. It reports whether further boxes have to be told.
+// Merge adds what another box knows. It reports whether further boxes have to be notified.
 func (r *Releases) Merge(summary Summary, now time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/gateway/continuations.go
+++ b/pkg/gateway/continuations.go
@@ -21,7 +21,7 @@
 	gateway  *Gateway
 	log      *zap.Logger
 	releases continuation.Releases
-	// origins are those of this box's streams, and those that other boxes told.
+	// origins are those of this box's streams, and those that other boxes sent.
 	origins continuation.Origins
 	// maxAge is the longest time in nanoseconds that a stream can be in progress or taken up after
 	// it began.
@@ -47,19 +47,19 @@
 	service string
 	// group is the group of engines that runs it; nil for plain services that are not queued.
 	group *scheduler
-	// told are the incarnations of the boxes that were told its origin.
-	told map[uint64]bool
+	// notified are the incarnations of the boxes that were notified of its origin.
+	notified map[uint64]bool
 }
 
 const (
-	// keeperCount is the number of boxes that are told the origin of each stream, besides the one
-	// that serves it. Kills in a row leave a copy, as the others are told when the keepers change.
-	keeperCount = 2
+	// replicaCount is the number of boxes that are notified of the origin of each stream, besides the one
+	// that serves it. Kills in a row leave a copy, as the others are notified when the replicas change.
+	replicaCount = 2
 	// takeUpSlack is how much longer than its deadline a stream may be taken up.
 	takeUpSlack = 2 * time.Second
 	// minStreamAge is the lower bound of continuations.maxAge.
 	minStreamAge = time.Minute
-	// originInterval is the time between two checks of whether the keepers changed.
+	// originInterval is the time between two checks of whether the replicas changed.
 	originInterval = 250 * time.Millisecond
 	// expiryInterval is the time between two removals of expired origins.
 	expiryInterval = 5 * time.Second
@@ -104,7 +104,7 @@
 		k.live = map[*call]*liveStream{}
 	}
 	k.live[c] = stream
-	k.tell(stream, now, map[*scheduler][]continuation.Box{})
+	k.notify(stream, now, map[*scheduler][]continuation.Box{})
 }
 
 // end records that a stream is no longer in progress here. Its origin is kept, as it may be taken
@@ -115,36 +115,36 @@
 	delete(k.live, c)
 }
 
-// tell tells the origin of a stream to its keepers, unless they know it or the service has only
-// one release. keepers caches those of each group. The lock is held.
-func (k *continuations) tell(stream *liveStream, now time.Time, keepers map[*scheduler][]continuation.Box) {
+// notify sends the origin of a stream to its replicas, unless they know it or the service has only
+// one release. replicas caches those of each group. The lock is held.
+func (k *continuations) notify(stream *liveStream, now time.Time, replicas map[*scheduler][]continuation.Box) {
 	if _, isSole := k.soleRelease(stream.service, now); isSole {
 		return
 	}
-	boxes, found := keepers[stream.group]
+	boxes, found := replicas[stream.group]
 	if !found {
-		boxes = continuation.Keepers(k.gateway.rankedBoxes(stream.group, stream.service), keeperCount)
+		boxes = continuation.Replicas(k.gateway.rankedBoxes(stream.group, stream.service), replicaCount)
 		if stream.group != nil {
-			keepers[stream.group] = boxes
+			replicas[stream.group] = boxes
 		}
 	}
-	if stream.told == nil {
-		stream.told = map[uint64]bool{}
+	if stream.notified == nil {
+		stream.notified = map[uint64]bool{}
 	}
 	for _, box := range boxes {
 		incarnation := k.gateway.fleet.IncarnationOf(box.Name)
-		if !stream.told[incarnation] && k.send(box.Name, incarnation, stream.origin, now) {
-			stream.told[incarnation] = true
-			k.gateway.Metrics.OriginTold()
+		if !stream.notified[incarnation] && k.send(box.Name, incarnation, stream.origin, now) {
+			stream.notified[incarnation] = true
+			k.gateway.Metrics.OriginNotified()
 		}
 	}
 }
 
-// refresh tells the origins of the streams in progress to boxes that have become their keepers, and
+// refresh sends the origins of the streams in progress to boxes that have become their replicas, and
 // drops expired origins.
 func (k *continuations) refresh() {
 	now := time.Now()
-	keepers := map[*scheduler][]continuation.Box{}
+	replicas := map[*scheduler][]continuation.Box{}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if now.Sub(k.expiredAt) >= expiryInterval {
@@ -153,7 +153,7 @@
 		k.gateway.Metrics.OriginsHeld(k.origins.Len())
 	}
 	for _, stream := range k.live {
-		k.tell(stream, now, keepers)
+		k.notify(stream, now, replicas)
 	}
 }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -55,10 +55,10 @@
 	memoryRefusals, unreadCuts expvar.Map
 	// takeUps counts the streams that callers took up, and those that they could not, by reason.
 	// origins is the number of streams of which this box knows which release began them.
-	// originsTold and originsAsked count those of which it notified other boxes, and for which it
+	// originsNotified and originsAsked count those of which it notified other boxes, and for which it
 	// asked them.
-	takeUps                            expvar.Map
-	origins, originsTold, originsAsked expvar.Int
+	takeUps                                expvar.Map
+	origins, originsNotified, originsAsked expvar.Int
 	// unframed counts the responses of endpoints with neither a length nor chunks, by how they
 	// ended.
 	unframed expvar.Map
@@ -90,7 +90,7 @@
 	expvar.Publish("CutUnread", &m.unreadCuts)
 	expvar.Publish("TakeUps", &m.takeUps)
 	expvar.Publish("Origins", &m.origins)
-	expvar.Publish("OriginsTold", &m.originsTold)
+	expvar.Publish("OriginsTold", &m.originsNotified)
 	expvar.Publish("OriginsAsked", &m.originsAsked)
 	expvar.Publish("Unframed", &m.unframed)
 }
@@ -166,15 +166,15 @@
 // OriginsHeld records the number of streams of which it is known which release began them.
 func (m *Metrics) OriginsHeld(count int) { m.origins.Set(int64(count)) }
 
-// OriginTold counts an origin of a stream that one other box is told.
-func (m *Metrics) OriginTold() { m.originsTold.Add(1) }
+// OriginNotified counts an origin of a stream of which one other box is notified.
+func (m *Metrics) OriginNotified() { m.originsNotified.Add(1) }
 
 // OriginAsked counts a request to one other box for the origin of a stream.
 func (m *Metrics) OriginAsked() { m.originsAsked.Add(1) }
 
-// OriginMessages returns how often other boxes were told an origin of a stream, and asked for one.
-func (m *Metrics) OriginMessages() (told, asked int64) {
-	return m.originsTold.Value(), m.originsAsked.Value()
+// OriginMessages returns how often other boxes were notified of an origin of a stream, and asked for one.
+func (m *Metrics) OriginMessages() (notified, asked int64) {
+	return m.originsNotified.Value(), m.originsAsked.Value()
 }
 
 // UnframedEnded counts a response that ended with its connection; broken is set if it is known to
--- a/pkg/gateway/origin_link.go
+++ b/pkg/gateway/origin_link.go
@@ -29,8 +29,8 @@
 	originLinkDelay = time.Second
 )
 
-// send queues an origin for a box. It reports whether the box will be told; if it is not, or the
-// link fails later, the streams in progress are told again. The lock is held.
+// send queues an origin for a box. It reports whether the box will be notified; if it is not, or the
+// link fails later, the origins of streams in progress are sent again. The lock is held.
 func (k *continuations) send(box string, incarnation uint64, origin continuation.Origin, now time.Time) bool {
 	link := k.links[box]
 	switch {
@@ -103,7 +103,7 @@
 	k.log.Debug("origins of streams not told", zap.String("Peer", link.box), zap.Error(err))
 	k.avoided[link.box] = time.Now().Add(originLinkDelay)
 	for _, stream := range k.live {
-		delete(stream.told, link.incarnation)
+		delete(stream.notified, link.incarnation)
 	}
 }
 
--- a/pkg/gateway/take_up.go
+++ b/pkg/gateway/take_up.go
@@ -103,17 +103,17 @@
 }
 
 const (
-	// askedKeepers is the number of boxes that are asked first: the keepers, one of which may have
+	// askedReplicas is the number of boxes that are asked first: the replicas, one of which may have
 	// become one only lately, and the next.
-	askedKeepers = keeperCount + 1
+	askedReplicas = replicaCount + 1
 	// maxAskedOthers bounds the other boxes that are asked if none of these knows, only those to
 	// which there is a session.
 	maxAskedOthers = 8
-	// keepersTimeout is how long the keepers are waited for alone, and originTimeout bounds the wait
+	// replicasTimeout is how long the replicas are waited for alone, and originTimeout bounds the wait
 	// for all boxes. An answer takes a millisecond or two, and more at boxes that have just started
 	// or lack processor time.
-	keepersTimeout = 100 * time.Millisecond
-	originTimeout  = 500 * time.Millisecond
+	replicasTimeout = 100 * time.Millisecond
+	originTimeout   = 500 * time.Millisecond
 )
 
 // originResponse is the answer of one box.
@@ -123,20 +123,20 @@
 	err error
 }
 
-// askOrigin asks other boxes for the release that began the stream: the keepers and, once all of
+// askOrigin asks other boxes for the release that began the stream: the replicas and, once all of
 // them have answered that they do not know or are late, others. The first answer that names the
 // recorded release counts.
 func (c *call) askOrigin() (release, knownBy string) {
-	keepers, others := c.boxesToAsk()
-	responses := make(chan originResponse, len(keepers)+len(others))
-	c.ask(keepers, responses)
-	waiting := len(keepers)
+	replicas, others := c.boxesToAsk()
+	responses := make(chan originResponse, len(replicas)+len(others))
+	c.ask(replicas, responses)
+	waiting := len(replicas)
 	askOthers := func() {
 		c.ask(others, responses)
 		waiting += len(others)
 		others = nil
 	}
-	late := time.NewTimer(keepersTimeout)
+	late := time.NewTimer(replicasTimeout)
 	defer late.Stop()
 	timeout := time.NewTimer(originTimeout)
 	defer timeout.Stop()
@@ -176,22 +176,22 @@
 	return isOnly && own == release
 }
 
-// boxesToAsk returns the boxes that are the keepers of the stream if it began at another box, and
+// boxesToAsk returns the boxes that are the replicas of the stream if it began at another box, and
 // some others.
-func (c *call) boxesToAsk() (keepers, others []continuation.Box) {
+func (c *call) boxesToAsk() (replicas, others []continuation.Box) {
 	g := c.gateway
 	var group *scheduler
 	if p := g.pool(c.service.Name); p != nil && c.isDispatched() {
 		group = p.groupFor(c.dispatchRequest())
 	}
 	ranked := g.rankedBoxes(group, c.service.Name)
-	keepers = continuation.Keepers(ranked, askedKeepers)
+	replicas = continuation.Replicas(ranked, askedReplicas)
 	for _, box := range ranked {
-		if !slices.Contains(keepers, box) && len(others) < maxAskedOthers && g.exchange.IsConnected(box.Name) {
+		if !slices.Contains(replicas, box) && len(others) < maxAskedOthers && g.exchange.IsConnected(box.Name) {
 			others = append(others, box)
 		}
 	}
-	return keepers, others
+	return replicas, others
 }
 
 // ask asks boxes for the origin of the stream. Each sends one response.
