--- a/pkg/continuation/fleet_test.go
+++ b/pkg/continuation/fleet_test.go
@@ -174,7 +174,7 @@
 		id: f.next, release: fmt.Sprint("v1.", f.draw.IntN(3)), box: live[f.draw.IntN(len(live))],
 		ends: f.now + time.Duration(f.draw.ExpFloat64()*float64(meanStream)),
 	}
-	f.tell(stream)
+	f.notify(stream)
 	f.streams = append(f.streams, stream)
 }
 
@@ -199,7 +199,7 @@
 			f.wrong++
 		}
 		stream.box, stream.notified = taker, nil
-		f.tell(stream)
+		f.notify(stream)
 		return true
 	}
 	f.unknown++
@@ -264,7 +264,7 @@
 				return true
 			case stream.box != nil:
 				if f.repeats && f.now%repeatInterval == 0 {
-					f.tell(stream)
+					f.notify(stream)
 				}
 				return false
 			}
