--- a/pkg/dispatch/exposure.go
+++ b/pkg/dispatch/exposure.go
@@ -101,8 +101,8 @@
 const maxEndReportDelay = 100 * time.Millisecond
 
 // preferredEngine returns the engine that a fingerprint of a request, or of a part of it, ranks first
-// among those that may serve it. Boxes with the same list of engines find the same one, whatever else differs
-// between them. An engine that ended under the request is skipped, and so is one that cannot
+// among those that may serve it. Boxes with the same list of engines find the same one, whatever else
+// differs between them. An engine that ended under the request is skipped, and so is one that cannot
 // take it, unless it failed less than maxEndReportDelay ago. If such an engine ranks first, the
 // result is nil: a report that it ended under the request may be on its way.
 func (p *Pool) preferredEngine(req *Request, f quarantine.Fingerprint, ends int, now time.Time) *engine {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -224,7 +224,9 @@
 		result = outcomeFailed
 	} else if response.IsFramed() {
 		c.clearFingerprint(response)
-		c.clearParts(&to)
+		if status < fasthttp.StatusMultipleChoices {
+			c.clearParts(&to)
+		}
 	}
 	to.finish(result)
 	return nil
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -56,9 +56,9 @@
 // asked for parts if not.
 func (l *Ledger) HasParts() bool { return l.parts.Load() > 0 }
 
-// CheckParts returns what may be done with requests that have these parts, for each part. Of parts that
-// wait for a trial, a request with one is tried first, and one with more that much later: what ended
-// the endpoints is the part in which sound requests differ from the others.
+// CheckParts returns, for each of the parts of a request, what may be done with it; nil if no endpoint
+// ended under any part. A request with several parts that wait for their trial is tried later than one
+// with fewer: requests with the cause have it beside the other suspects, and sound ones have not.
 func (l *Ledger) CheckParts(parts []Fingerprint, now time.Time) []Status {
 	if len(parts) == 0 || !l.HasParts() {
 		return nil
