pkg/quarantine, pkg/dispatch: a part's ends at other releases bound its trials

Where engines of several releases serve, a part could end four engines of each, and one more at its trial: fifteen of three releases, more than the users' rule allows after the fifth. Found by reading, before it was seen. The dispatcher now looks at all releases that its engines run: once five engines have ended altogether, a part is tried at one engine of each other release at most. An answer of one release still clears nothing at another, and a release that does not crash on the part serves it.

--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -37,7 +37,7 @@
 // and for which there is room. New streams can go to all engines, and would take those of a release
 // that few engines run before its own streams have a turn.
 func (p *Pool) grantContinued(now time.Time) (decisions []Decision) {
-	if !p.severalReleases {
+	if !p.severalReleases() {
 		return nil
 	}
 	for _, a := range p.waitingAccounts(now) {
--- a/pkg/dispatch/endpoints.go
+++ b/pkg/dispatch/endpoints.go
@@ -14,7 +14,7 @@
 // the state of the previous one is dropped.
 func (p *Pool) SetEndpoints(endpoints []route.Endpoint, now time.Time) {
 	initial := len(p.engines) == 0
-	p.severalReleases = slices.ContainsFunc(endpoints, func(e route.Endpoint) bool { return e.Release != endpoints[0].Release })
+	p.releases = releasesOf(endpoints)
 	engines := make(map[string]*engine, len(endpoints))
 	changed := len(endpoints) != len(p.engines)
 	for _, endpoint := range endpoints {
@@ -91,3 +91,15 @@
 	}
 	return e
 }
+
+// releasesOf returns the different software versions of endpoints.
+func releasesOf(endpoints []route.Endpoint) (releases []string) {
+	for i := range endpoints {
+		if !slices.Contains(releases, endpoints[i].Release) {
+			releases = append(releases, endpoints[i].Release)
+		}
+	}
+	return releases
+}
+
+func (p *Pool) severalReleases() bool { return len(p.releases) > 1 }
--- a/pkg/dispatch/part_scope.go
+++ b/pkg/dispatch/part_scope.go
@@ -106,10 +106,10 @@
 
 // partScope returns the scope of a request at the engines of a release, and whether it is limited.
 func (p *Pool) partScope(req *Request, release string, now time.Time) (scope partScope, limited bool) {
-	keys := p.partKeysAt(req, release)
+	keys, statuses := p.partStatuses(req, release, now)
 	var trial quarantine.Fingerprint
 	trialEnds := 0
-	for i, status := range p.Ledger.CheckParts(keys, now) {
+	for i, status := range statuses {
 		if status.Ends == 0 {
 			continue
 		}
@@ -133,19 +133,23 @@
 	return scope, scope.none || trialEnds > 0 || len(scope.limits) > 0
 }
 
-// releasesFor returns the releases of the engines to which a request may go.
-func (p *Pool) releasesFor(req *Request) (releases []string) {
-	if !p.severalReleases {
-		if len(p.sorted) > 0 {
-			releases = append(releases, p.sorted[0].Release)
+// partStatuses returns the fingerprints of a request's parts at a release, and what may be done there.
+func (p *Pool) partStatuses(req *Request, release string, now time.Time) ([]quarantine.Fingerprint, []quarantine.Status) {
+	var elsewhere [][]quarantine.Fingerprint
+	for _, other := range p.releases {
+		if other != release {
+			elsewhere = append(elsewhere, p.partKeysAt(req, other))
 		}
-		return releases
 	}
-	seen := map[string]bool{}
-	for _, e := range p.sorted {
-		if !seen[e.Release] && req.Releases.Admits(e.Release) {
-			seen[e.Release] = true
-			releases = append(releases, e.Release)
+	keys := p.partKeysAt(req, release)
+	return keys, p.Ledger.CheckParts(keys, elsewhere, now)
+}
+
+// releasesFor returns the releases of the engines to which a request may go.
+func (p *Pool) releasesFor(req *Request) (releases []string) {
+	for _, release := range p.releases {
+		if req.Releases.Admits(release) {
+			releases = append(releases, release)
 		}
 	}
 	return releases
@@ -154,12 +158,13 @@
 // hasQuarantinedPart reports whether a part of a request's prompt is quarantined at all releases to
 // which it may go.
 func (p *Pool) hasQuarantinedPart(req *Request, now time.Time) bool {
-	if !p.Ledger.HasParts() {
+	if !p.Ledger.HasQuarantinedParts() && (!p.severalReleases() || !p.Ledger.HasParts()) {
 		return false
 	}
 	releases := p.releasesFor(req)
 	for _, release := range releases {
-		if _, found := quarantine.FirstQuarantined(p.Ledger.CheckParts(p.partKeysAt(req, release), now)); !found {
+		_, statuses := p.partStatuses(req, release, now)
+		if _, found := quarantine.FirstQuarantined(statuses); !found {
 			return false
 		}
 	}
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -130,8 +130,8 @@
 	transfers    TransferCounts
 	// rests are the rests that engines asked of a router, by the number of its stream.
 	rests map[uint64]*lifecycle.Rests
-	// severalReleases is set if the engines run different releases.
-	severalReleases bool
+	// releases are the software versions of the engines, in order of the engines.
+	releases []string
 	// sorted are the engines ordered by ID; decisions must not depend on the order of a map.
 	sorted   []*engine
 	accounts map[string]*account
--- a/pkg/gateway/part_quarantine.go
+++ b/pkg/gateway/part_quarantine.go
@@ -31,10 +31,10 @@
 
 // quarantinedPart returns a part of the request's prompt that is quarantined at a release.
 func (c *call) quarantinedPart(release string, now time.Time) (part dispatch.Part, status quarantine.Status, found bool) {
-	if !c.gateway.ledger.HasParts() {
+	if !c.gateway.ledger.HasQuarantinedParts() {
 		return part, status, false
 	}
-	for i, status := range c.gateway.ledger.CheckParts(c.partKeys(release), now) {
+	for i, status := range c.gateway.ledger.CheckParts(c.partKeys(release), nil, now) {
 		if status.IsQuarantined() {
 			return c.sharedParts()[i], status, true
 		}
@@ -45,7 +45,7 @@
 // refuseQuarantinedPart refuses a request if parts of its prompt are quarantined at all releases that
 // the service has. It returns nil if the request may be sent to one of them.
 func (c *call) refuseQuarantinedPart(now time.Time) *request.Refusal {
-	if !c.gateway.ledger.HasParts() || len(c.sharedParts()) == 0 {
+	if !c.gateway.ledger.HasQuarantinedParts() || len(c.sharedParts()) == 0 {
 		return nil
 	}
 	var refusal *request.Refusal
--- a/pkg/quarantine/changes.go
+++ b/pkg/quarantine/changes.go
@@ -86,6 +86,7 @@
 		}
 		r.version, r.at = end.Version, now.Add(-end.Age)
 		l.markChanged(r, from)
+		l.countPart(end.Fingerprint, l.suspects[end.Fingerprint])
 		changed = true
 	}
 	return changed
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -81,8 +81,9 @@
 type Ledger struct {
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
-	// parts counts the suspects that are parts of prompts.
-	parts atomic.Int64
+	// parts counts the suspects that are parts of prompts, and quarantinedParts those of them with
+	// MaxPartEnds and more.
+	parts, quarantinedParts atomic.Int64
 	// sequence counts the changes.
 	sequence uint64
 	// unstored are the fingerprints whose rows in the store have to be changed: those for
@@ -95,6 +96,8 @@
 	ends map[Instance]*endRecord
 	// stored is set once this box had it written to the store.
 	stored bool
+	// quarantinedPart is set if it is counted in Ledger.quarantinedParts.
+	quarantinedPart bool
 }
 
 // endRecord is an End as this box keeps it.
@@ -191,6 +194,7 @@
 		r.at = now
 		l.markChanged(r, "")
 		l.unstored[f] = true
+		l.countPart(f, l.suspects[f])
 	}
 	return r.toEnd(now)
 }
@@ -304,6 +308,9 @@
 	}
 	if f.IsPart() {
 		l.parts.Add(-1)
+		if l.suspects[f].quarantinedPart {
+			l.quarantinedParts.Add(-1)
+		}
 	}
 	delete(l.suspects, f)
 }
@@ -328,6 +335,7 @@
 	r.at = now
 	l.markChanged(r, "")
 	l.unstored[r.fingerprint] = true
+	l.countPart(r.fingerprint, l.suspects[r.fingerprint])
 	return 1
 }
 
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -52,14 +52,37 @@
 	return quarantineTime(ends - MaxPartEnds + MaxEnds - 1)
 }
 
-// HasParts reports whether endpoints have ended under any part of prompts. Nothing else has to be
-// asked for parts if not.
+// HasParts reports whether endpoints have ended under any part of prompts. Otherwise all parts may be
+// sent to any endpoint.
 func (l *Ledger) HasParts() bool { return l.parts.Load() > 0 }
 
+// HasQuarantinedParts reports whether any part is quarantined or waits for its trial.
+func (l *Ledger) HasQuarantinedParts() bool { return l.quarantinedParts.Load() > 0 }
+
+// countPart updates quarantinedParts after a change of the ends under a fingerprint. The lock is held.
+func (l *Ledger) countPart(f Fingerprint, known *suspect) {
+	if !f.IsPart() {
+		return
+	}
+	ends, _ := known.countEnds()
+	if quarantined := ends >= MaxPartEnds; quarantined != known.quarantinedPart {
+		known.quarantinedPart = quarantined
+		if quarantined {
+			l.quarantinedParts.Add(1)
+		} else {
+			l.quarantinedParts.Add(-1)
+		}
+	}
+}
+
 // CheckParts returns, for each of the parts of a request, what may be done with it; nil if no endpoint
 // ended under any part. A request with several parts that wait for their trial is tried later than one
 // with fewer: requests with the cause have it beside the other suspects, and sound ones have not.
-func (l *Ledger) CheckParts(parts []Fingerprint, now time.Time) []Status {
+//
+// If the service has several releases, elsewhere are the same parts at each of the others. A part that
+// has ended as many endpoints altogether as one release may lose is then tried at one endpoint of each
+// other release at most.
+func (l *Ledger) CheckParts(parts []Fingerprint, elsewhere [][]Fingerprint, now time.Time) []Status {
 	if len(parts) == 0 || !l.HasParts() {
 		return nil
 	}
@@ -72,17 +95,40 @@
 			awaiting++
 		}
 	}
-	if awaiting < 2 {
-		return statuses
-	}
 	for i, f := range parts {
-		if statuses[i].Ends == MaxPartEnds {
+		if awaiting > 1 && statuses[i].Ends == MaxPartEnds {
 			statuses[i] = l.check(f, time.Duration(awaiting-1)*partTrialDelay, now)
 		}
+		if others := l.countElsewhere(elsewhere, i); others > 0 && statuses[i].Ends+others > MaxPartEnds {
+			statuses[i] = l.checkElsewhere(f, statuses[i], others, now)
+		}
 	}
 	return statuses
 }
 
+// countElsewhere counts the ends under a part at other releases. The lock is held.
+func (l *Ledger) countElsewhere(elsewhere [][]Fingerprint, part int) (count int) {
+	for _, parts := range elsewhere {
+		if known := l.suspects[parts[part]]; known != nil {
+			ends, _ := known.countEnds()
+			count += ends
+		}
+	}
+	return count
+}
+
+// checkElsewhere returns the status of a part under which others endpoints of other releases ended. The
+// lock is held.
+func (l *Ledger) checkElsewhere(f Fingerprint, here Status, others int, now time.Time) Status {
+	if here.Ends > 0 {
+		_, last := l.suspects[f].countEnds()
+		if until := last.Add(minQuarantine); now.Before(until) {
+			return Status{Ends: here.Ends + others, Until: later(until, here.Until)}
+		}
+	}
+	return Status{Ends: here.Ends + others, Allowed: min(here.Allowed, 1), Until: here.Until}
+}
+
 // FirstQuarantined returns the first status that allows nothing.
 func FirstQuarantined(statuses []Status) (first Status, found bool) {
 	for _, status := range statuses {
