pkg/quarantine, pkg/dispatch: releases share what may end under a part at once

Cause: the ends of other releases counted for a part only once five engines had ended; until then each release bounded its own exposure, as if the others were another service. Now ends and running requests of all releases bound what may still end.

TestDeadlyPart and the tests beside it pass once with the race detector.

--- a/pkg/dispatch/part_scope.go
+++ b/pkg/dispatch/part_scope.go
@@ -113,16 +113,16 @@
 		if status.Ends == 0 {
 			continue
 		}
-		running := p.partExposure(keys[i])
+		running, others := p.partExposure(keys[i]), p.exposedElsewhere(req, release, i)
 		switch isTrial := status.Ends >= quarantine.MaxPartEnds; {
-		case status.IsQuarantined() || (isTrial && len(running) > 0):
+		case status.IsQuarantined() || (isTrial && len(running)+others > 0):
 			return partScope{none: true}, true
 		case isTrial:
 			// Of several parts one decides, the same at all boxes, so that they agree on the engine.
 			if trialEnds == 0 || bytes.Compare(keys[i][:], trial[:]) < 0 {
 				trial, trialEnds = keys[i], status.Ends
 			}
-		case len(running) >= status.Allowed:
+		case len(running)+others >= status.Allowed:
 			scope.limits = append(scope.limits, running)
 		}
 	}
@@ -145,6 +145,17 @@
 	return keys, p.Ledger.CheckParts(keys, elsewhere, now)
 }
 
+// exposedElsewhere counts the engines of other releases at which requests with a part run that have no
+// event yet.
+func (p *Pool) exposedElsewhere(req *Request, release string, part int) (count int) {
+	for _, other := range p.releases {
+		if other != release {
+			count += len(p.partExposure(p.partKeysAt(req, other)[part]))
+		}
+	}
+	return count
+}
+
 // releasesFor returns the releases of the engines to which a request may go.
 func (p *Pool) releasesFor(req *Request) (releases []string) {
 	for _, release := range p.releases {
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -99,7 +99,7 @@
 		if awaiting > 1 && statuses[i].Ends == MaxPartEnds {
 			statuses[i] = l.check(f, time.Duration(awaiting-1)*partTrialDelay, now)
 		}
-		if others := l.countElsewhere(elsewhere, i); others > 0 && statuses[i].Ends+others > MaxPartEnds {
+		if others := l.countElsewhere(elsewhere, i); others > 0 {
 			statuses[i] = l.checkElsewhere(f, statuses[i], others, now)
 		}
 	}
@@ -120,13 +120,14 @@
 // checkElsewhere returns the status of a part under which others endpoints of other releases ended. The
 // lock is held.
 func (l *Ledger) checkElsewhere(f Fingerprint, here Status, others int, now time.Time) Status {
-	if here.Ends > 0 {
+	ends := here.Ends + others
+	if ends > MaxPartEnds && here.Ends > 0 {
 		_, last := l.suspects[f].countEnds()
 		if until := last.Add(minQuarantine); now.Before(until) {
-			return Status{Ends: here.Ends + others, Until: later(until, here.Until)}
+			return Status{Ends: ends, Until: later(until, here.Until)}
 		}
 	}
-	return Status{Ends: here.Ends + others, Allowed: min(here.Allowed, 1), Until: here.Until}
+	return Status{Ends: ends, Allowed: min(here.Allowed, max(1, MaxPartEnds-ends)), Until: here.Until}
 }
 
 // FirstQuarantined returns the first status that allows nothing.
