cmd/quaybench/soak: requests with a part of their prompts that ends engines

Cause: the deadly requests of the soak were repeats of one request, so that it could not find what the users saw: requests, no two alike, with a deadly part in common (docs/incidents/deadly-prompt-parts.md).

Change: such requests are drawn, beside sound ones with the same key and first part, while engines run three releases and boxes are killed, paused, stopped and cut off. Checked as the users require it: at most three more are sent later than 3 s after the fifth end, by boxes that had no fault since the first; sound streams are not refused for it. The verdict has the number of these parts and the most engines that one of them ended.

--- a/cmd/quaybench/cmds/soak.go
+++ b/cmd/quaybench/cmds/soak.go
@@ -61,8 +61,9 @@
 	} else {
 		cleanup()
 	}
-	fmt.Fprintf(out, "soak seed %d: %d faults, %d requests, %d answered, %d of %d streams taken up, %d broken: %s\n",
-		run.Seed, verdict.Faults, verdict.Requests, verdict.Completed, verdict.Continued, verdict.TakenUp, len(verdict.Violations), outcome)
+	fmt.Fprintf(out, "soak seed %d: %d faults, %d requests, %d answered, %d of %d streams taken up, %d parts crashed %d servers at most, %d broken: %s\n",
+		run.Seed, verdict.Faults, verdict.Requests, verdict.Completed, verdict.Continued, verdict.TakenUp,
+		verdict.CrashingParts, verdict.MostPartCrashes, len(verdict.Violations), outcome)
 	if len(verdict.Violations) > 0 {
 		return errGuaranteeViolated
 	}
--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -52,6 +52,7 @@
 	violations = append(violations, w.checkLeaving(runs)...)
 	violations = append(violations, w.checkConfigurations()...)
 	violations = append(violations, w.checkCrashes()...)
+	violations = append(violations, w.checkCrashingParts()...)
 	violations = append(violations, w.checkSelfReports(w.truth.Arrivals())...)
 	for _, b := range w.boxes {
 		violations = append(violations, checkLogged(w.outcomes, b)...)
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -186,6 +186,66 @@
 	})
 }
 
+func TestDeadlyPartChecked(t *testing.T) {
+	f := crashingPart{crashingSends{number: 7}}
+	b := &box{}
+	// world returns one in which a number of requests with the part crashed a server each, a second apart.
+	world := func(count int) (w *world, runs []standin.Run) {
+		w = newEmptyWorld()
+		for i := range count {
+			call, _ := f.request(fmt.Sprint(i))
+			w.crashingSends[call.ID] = b
+			runs = append(runs, standin.Run{ID: call.ID, Server: fmt.Sprint("llm-", i), Crashed: true, Began: at(float64(i)), Ended: at(float64(i) + 0.1)})
+		}
+		return w, runs
+	}
+	Convey("Requests sent later than three seconds after the fifth crash are counted, where their box had no fault", t, func() {
+		w, runs := world(8)
+		So(w.latePartSends(runs), ShouldEqual, 0)
+		w, runs = world(12)
+		So(w.latePartSends(runs), ShouldEqual, 4)
+		runs[11].Crashed = false
+		So(w.latePartSends(runs), ShouldEqual, 4)
+		runs[2].Server = runs[1].Server
+		So(w.latePartSends(runs), ShouldEqual, 3)
+		runs[2].Server = "llm-2"
+		w.linkFaultTimes = spans{{from: at(0), to: at(1.5)}}
+		So(w.latePartSends(runs), ShouldEqual, 2)
+		w.linkFaultTimes, b.faultTimes = nil, spans{{from: at(9), to: at(9.5)}}
+		So(w.latePartSends(runs), ShouldEqual, 2)
+		b.faultTimes = nil
+	})
+	Convey("Sound streams refused as quarantined are counted from six seconds after the last crash on", t, func() {
+		w, runs := world(5)
+		w.crashingUntil[f.part()] = at(40)
+		for i := range 60 {
+			w.outcomes = append(w.outcomes, outcome{kind: standin.Stream, box: b, sent: at(float64(i)), ended: at(float64(i) + 0.1), status: 503, body: "the request is quarantined"})
+		}
+		refused, sent := w.countSoundRefused(f.part(), runs)
+		So(sent, ShouldEqual, 30)
+		So(refused, ShouldEqual, 30)
+		w.outcomes[20].body, w.outcomes[21].customer, w.outcomes[22].kind = "overloaded", 1, standin.Lookup
+		refused, sent = w.countSoundRefused(f.part(), runs)
+		So(sent, ShouldEqual, 28)
+		So(refused, ShouldEqual, 27)
+	})
+	Convey("Both are violations", t, func() {
+		w, runs := world(12)
+		w.crashingUntil[f.part()] = at(40)
+		for i := range 60 {
+			w.outcomes = append(w.outcomes, outcome{kind: standin.Stream, box: b, sent: at(float64(i)), ended: at(float64(i) + 0.1), status: 503, body: "the request is quarantined"})
+		}
+		So(w.checkCrashingPart(f.part(), runs), ShouldHaveLength, 2)
+		So(w.checkCrashingPart(f.part(), runs[:7]), ShouldHaveLength, 1)
+	})
+	Convey("A prompt with the part names it", t, func() {
+		call, _ := f.request("1")
+		request := call.Build()
+		run := standin.Run{Prompt: string(request.Header.Peek("X-Quaylead-Prompt-Prefix"))}
+		So(run.PartWith(crashPart), ShouldEqual, f.part())
+	})
+}
+
 func TestWordsChecked(t *testing.T) {
 	b := &box{starts: 1}
 	sent := func(id string, after float64) outcome {
--- a/cmd/quaybench/soak/crash.go
+++ b/cmd/quaybench/soak/crash.go
@@ -33,8 +33,9 @@
 	maxLateSends      = 3
 )
 
-// recordCrash records when a server crashed.
+// recordCrash records when a server crashed, which may cut responses.
 func (w *world) recordCrash(s *server) {
+	w.recordSharedFault(0)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s.endedAt = time.Now()
@@ -53,14 +54,10 @@
 	return nil
 }
 
-// sendCrashing sends one crashing request repeatedly until the end of the fault, each time with
-// another ID and to a random box or to all boxes at once.
-func (w *world) sendCrashing(ctx context.Context, f crashingRequest, length time.Duration) {
+// sendCrashing sends the requests that build returns until the end of the fault, to a random box or
+// to all boxes at once.
+func (w *world) sendCrashing(ctx context.Context, f crashingSends, length time.Duration, build func(id string) (standin.CallerRequest, string)) {
 	rng := rand.New(rand.NewPCG(f.seed, 1))
-	route := routeNames[standin.Lookup]
-	if f.service == "llm" {
-		route = routeNames[standin.Stream]
-	}
 	for number, end := 0, time.Now().Add(length); time.Now().Before(end); number++ {
 		boxes := w.boxes
 		if !f.allBoxes {
@@ -69,18 +66,10 @@
 		}
 		group := errgroup.Group{}
 		for i, b := range boxes {
-			request := standin.CallerRequest{
-				ID:       fmt.Sprintf("%08x%04x%04x", f.number, number, i),
-				Host:     host,
-				Path:     "/" + route + "/1",
-				Key:      "key-0",
-				Deadline: callerDeadline,
-			}
-			if f.service == "llm" {
-				request.SharedPrefix = 1000000
-			}
+			request, body := build(fmt.Sprintf("%08x%04x%04x", f.number, number, i))
+			w.recordCrashingSend(request.ID, b)
 			group.Go(func() error {
-				sendOnce(b, request, fmt.Sprintf("%s %d", crashMarker, f.number))
+				sendOnce(b, request, body)
 				return nil
 			})
 		}
@@ -91,6 +80,22 @@
 	}
 }
 
+// recordCrashingSend records the box to which a crashing request is sent.
+func (w *world) recordCrashingSend(id string, b *box) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashingSends[id] = b
+}
+
+// request returns the request with the given ID, and its body.
+func (f crashingRequest) request(id string) (call standin.CallerRequest, body string) {
+	call = standin.CallerRequest{ID: id, Host: host, Path: "/" + routeNames[standin.Lookup] + "/1", Key: "key-0", Deadline: callerDeadline}
+	if f.service == "llm" {
+		call.Path, call.SharedPrefix = "/"+routeNames[standin.Stream]+"/1", 1000000
+	}
+	return call, fmt.Sprintf("%s %d", crashMarker, f.number)
+}
+
 // sendOnce sends a request and waits for its response, which it discards.
 func sendOnce(b *box, call standin.CallerRequest, body string) {
 	request := call.Build()
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -89,18 +89,27 @@
 // reconfigured writes a new configuration.
 type reconfigured struct{}
 
-// crashingRequest sends one request repeatedly, to any box, that crashes the servers of a
-// service which run it.
-type crashingRequest struct {
-	service string
-	number  int
+// crashingSends describes when and where to requests are sent that crash servers.
+type crashingSends struct {
+	number int
 	// maxPause bounds the time between two sends.
 	maxPause time.Duration
 	seed     uint64
-	// allBoxes sends it to all boxes at once each time.
+	// allBoxes sends to all boxes at once each time.
 	allBoxes bool
 }
 
+// crashingRequest sends one request repeatedly, to any box, that crashes the servers of a
+// service which run it.
+type crashingRequest struct {
+	crashingSends
+	service string
+}
+
+// crashingPart sends requests, to any box, that have in common only a part of their prompts, which
+// crashes the engines that run them.
+type crashingPart struct{ crashingSends }
+
 func (killed) injection()                  {}
 func (paused) injection()                  {}
 func (stopped) injection()                 {}
@@ -116,6 +125,7 @@
 func (allBoxesKilled) injection()          {}
 func (reconfigured) injection()            {}
 func (crashingRequest) injection()         {}
+func (crashingPart) injection()            {}
 
 // String describes the fault for the progress lines of a run.
 func (f killed) String() string {
@@ -143,12 +153,15 @@
 func (f crashingRequest) String() string {
 	return fmt.Sprintf("a request that crashes servers of %s, repeated within %s, at all boxes at once: %t", f.service, f.maxPause, f.allBoxes)
 }
+func (f crashingPart) String() string {
+	return fmt.Sprintf("requests with a part that crashes engines, repeated within %s, at all boxes at once: %t", f.maxPause, f.allBoxes)
+}
 
 // drawFault returns a random fault of a random box, server or of the store.
 func drawFault(rng *rand.Rand, w *world) injection {
 	b := w.boxes[rng.IntN(len(w.boxes))]
 	s := w.drawServer(rng)
-	switch rng.IntN(22) {
+	switch rng.IntN(24) {
 	case 0:
 		return killed{boxes: []*box{b}}
 	case 1:
@@ -172,14 +185,7 @@
 	case 11:
 		return reconfigured{}
 	case 12:
-		return crashingRequest{
-			service:  []string{"llm", "api"}[rng.IntN(2)],
-			number:   rng.IntN(1 << 30),
-			maxPause: time.Duration(50+rng.IntN(800)) * time.Millisecond,
-			seed:     rng.Uint64(),
-
-			allBoxes: rng.IntN(2) == 0,
-		}
+		return crashingRequest{service: []string{"llm", "api"}[rng.IntN(2)], crashingSends: drawCrashingSends(rng)}
 	case 13:
 		return serverLeavesByResponses{server: s}
 	case 14, 15:
@@ -195,11 +201,22 @@
 			storeDelay:        time.Duration(rng.IntN(600)) * time.Millisecond,
 			entryRemovedAfter: time.Duration(rng.IntN(1500)) * time.Millisecond,
 		}
+	case 19, 20:
+		return crashingPart{crashingSends: drawCrashingSends(rng)}
 	default:
 		return drawServerFault(rng, s)
 	}
 }
 
+func drawCrashingSends(rng *rand.Rand) crashingSends {
+	return crashingSends{
+		number:   rng.IntN(1 << 30),
+		maxPause: time.Duration(50+rng.IntN(800)) * time.Millisecond,
+		seed:     rng.Uint64(),
+		allBoxes: rng.IntN(2) == 0,
+	}
+}
+
 func drawLinkFault(rng *rand.Rand, link string, b *box) injection {
 	f := linkFault{link: link, box: b}
 	switch rng.IntN(4) {
@@ -318,7 +335,11 @@
 		return w.writeConfiguration()
 	case crashingRequest:
 		w.recordSharedFault(length)
-		w.sendCrashing(ctx, f, length)
+		w.sendCrashing(ctx, f.crashingSends, length, f.request)
+	case crashingPart:
+		length *= crashingPartFactor
+		w.recordCrashingPart(f, length)
+		w.sendCrashing(ctx, f.crashingSends, length, f.request)
 	}
 	return nil
 }
--- a/cmd/quaybench/soak/soak.go
+++ b/cmd/quaybench/soak/soak.go
@@ -40,6 +40,9 @@
 	// TakenUp counts the streams that boxes in touch were asked to take up while servers of their
 	// release served, and Continued those of them that went on.
 	TakenUp, Continued int
+	// CrashingParts counts the parts of prompts that crashed servers, and MostPartCrashes the servers
+	// that one of them crashed.
+	CrashingParts, MostPartCrashes int
 	// Violations are the guarantees that were violated, one line each.
 	Violations []string
 }
@@ -87,6 +90,7 @@
 	_ = interval.Wait(ctx, time.Second)
 	verdict.Requests, verdict.Completed = w.countOutcomes()
 	verdict.TakenUp, verdict.Continued = w.summarizeTakeUps()
+	verdict.CrashingParts, verdict.MostPartCrashes = w.countPartCrashes()
 	verdict.Violations = w.check(calmFrom.Add(calmPeriod / 2))
 	return verdict, ctx.Err()
 }
--- a/cmd/quaybench/soak/world.go
+++ b/cmd/quaybench/soak/world.go
@@ -42,6 +42,10 @@
 	sharedFaultTimes spans
 	// linkFaultTimes are the times of faults of the connections to some server.
 	linkFaultTimes spans
+	// crashingSends are the boxes to which crashing requests were sent, by the ID of the request.
+	crashingSends map[string]*box
+	// crashingUntil is until when requests with a part that crashes engines were sent.
+	crashingUntil map[string]time.Time
 }
 
 // box is one router process.
@@ -85,9 +89,20 @@
 	maxStopDuration = 6 * time.Second
 )
 
+// newEmptyWorld returns a world in which nothing runs.
+func newEmptyWorld() *world {
+	return &world{
+		truth:         &standin.Truth{},
+		acceptedAt:    map[int]time.Time{},
+		crashingSends: map[string]*box{},
+		crashingUntil: map[string]time.Time{},
+	}
+}
+
 func newWorld(s *Soak) (w *world, err error) {
 	defer func() { err = trace.Wrap(err, "setting up the fleet") }()
-	w = &world{soak: s, truth: &standin.Truth{}, proxies: fault.NewProxySet(), acceptedAt: map[int]time.Time{}}
+	w = newEmptyWorld()
+	w.soak, w.proxies = s, fault.NewProxySet()
 	w.store, err = standin.NewStore("127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -121,7 +136,7 @@
 	id := fmt.Sprintf("%s-%d", service, w.serverCount)
 	release := fmt.Sprintf("v1.%d", w.serverCount%releases)
 	w.mu.Unlock()
-	s := &server{startedAt: time.Now(), Server: &standin.Server{ID: id, Service: service, Zone: "zone-a", Truth: w.truth, CrashMarker: crashMarker}}
+	s := &server{startedAt: time.Now(), Server: &standin.Server{ID: id, Service: service, Zone: "zone-a", Truth: w.truth, CrashMarker: crashMarker, CrashPart: crashPart}}
 	s.OnCrash = func() {
 		w.recordCrash(s)
 		w.group.Go(func() error { return w.replaceServer(s) })
