pkg/peer, pkg/continuation: replicas are notified, in what was left

Change: peer.OriginKeeper is OriginReplica; comments and names of tests follow. Log events and the wire stay. No logic changes.

Measured: check, and the tests of pkg/continuation and pkg/peer, pass.

--- a/pkg/continuation/continuation_test.go
+++ b/pkg/continuation/continuation_test.go
@@ -24,7 +24,7 @@
 }
 
 func TestOrigins(t *testing.T) {
-	Convey("An origin is known until it expires, also if it is told several times", t, func() {
+	Convey("An origin is known until it expires, also if it is sent several times", t, func() {
 		o := Origins{}
 		o.Add(Origin{Key: 1, Release: "v1", Expires: now.Add(time.Second)})
 		o.Add(Origin{Key: 1, Release: "v1", Expires: now.Add(5 * time.Second)})
@@ -90,7 +90,7 @@
 		release, isOnly, _ = r.Only("llm", period, now.Add(time.Minute+2*time.Second))
 		So([]any{release, isOnly}, ShouldResemble, []any{"", true})
 	})
-	Convey("A box that starts later does not know of releases before, until another box tells it", t, func() {
+	Convey("A box that starts later does not know of releases before, until another box notifies it", t, func() {
 		r, other := Releases{}, Releases{}
 		other.Apply([]route.Change{added("llm", "v1"), added("llm", "v2")}, now)
 		other.Start(true, now)
--- a/pkg/continuation/fleet_test.go
+++ b/pkg/continuation/fleet_test.go
@@ -29,8 +29,8 @@
 var (
 	// dispatcherAlone needs no message of its own: the dispatcher learns the origin with the grant.
 	dispatcherAlone = scheme{name: "the dispatcher alone remembers", notified: 1, asked: 1}
-	keepersOnce     = scheme{name: "two keepers, told once", notified: 2, asked: 3}
-	replicas        = scheme{name: "two keepers, told again when they change", notified: 2, asked: 3, repeats: true}
+	replicasOnce    = scheme{name: "two replicas, notified once", notified: 2, asked: 3}
+	replicas        = scheme{name: "two replicas, notified again when they change", notified: 2, asked: 3, repeats: true}
 	hashed          = scheme{name: "two boxes by the hash of the stream", notified: 2, asked: 3, byStream: true}
 )
 
@@ -277,7 +277,7 @@
 func TestStreamsGoOnAfterKills(t *testing.T) {
 	for name, history := range histories {
 		shares := map[string]float64{}
-		for _, s := range []scheme{dispatcherAlone, keepersOnce, replicas, hashed} {
+		for _, s := range []scheme{dispatcherAlone, replicasOnce, replicas, hashed} {
 			f := newDrawnFleet(s, 12, 7)
 			f.run(history)
 			shares[s.name] = float64(f.known) / float64(max(1, f.known+f.unknown))
@@ -286,7 +286,7 @@
 				So(f.wrong, ShouldEqual, 0)
 			})
 		}
-		Convey("Nine in ten streams go on with keepers that are told again: "+name, t, func() {
+		Convey("Nine in ten streams go on with replicas that are notified again: "+name, t, func() {
 			So(shares[replicas.name], ShouldBeGreaterThanOrEqualTo, 0.9)
 		})
 	}
--- a/pkg/continuation/releases.go
+++ b/pkg/continuation/releases.go
@@ -105,7 +105,7 @@
 	return release, count == 1, isComplete
 }
 
-// Summary is what a box tells others of the releases.
+// Summary is what a box sends others of the releases.
 type Summary struct {
 	// Version is that of the Releases; it has no meaning for other boxes.
 	Version uint64
--- a/pkg/gateway/continuations.go
+++ b/pkg/gateway/continuations.go
@@ -30,7 +30,7 @@
 	mu sync.Mutex
 	// live are the streams in progress at this box.
 	live map[*call]*liveStream
-	// links are the streams to boxes that this one tells origins, by box.
+	// links are the streams to boxes that this one notifies of origins, by box.
 	links map[string]*originLink
 	// avoided are the boxes to which links failed, with the time until which none is opened.
 	avoided map[string]time.Time
@@ -189,7 +189,7 @@
 	return boxes
 }
 
-// AddOrigins records what another box tells of its streams.
+// AddOrigins records the origins of another box.
 func (g *Gateway) AddOrigins(origins []continuation.Origin) {
 	for _, origin := range origins {
 		g.continuations.origins.Add(origin)
--- a/pkg/gateway/origin_link.go
+++ b/pkg/gateway/origin_link.go
@@ -10,7 +10,7 @@
 	"github.com/quaylead/quaylead/pkg/peer"
 )
 
-// originLink is the stream to a box that this one tells origins.
+// originLink is the stream to a box that this one notifies of origins.
 type originLink struct {
 	box         string
 	incarnation uint64
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -83,7 +83,7 @@
 
 // dispatchers returns the boxes that dispatch for the groups of engines and those that would
 // take over from them, to which sessions should exist before they are needed. It includes the
-// boxes that this one tells the origins of streams, and those from which it fetches the tallies of
+// boxes that this one notifies of the origins of streams, and those from which it fetches the tallies of
 // a roll-out.
 func (g *Gateway) dispatchers() (boxes []string) {
 	for _, group := range g.schedulers() {
--- a/pkg/gateway/slot_request.go
+++ b/pkg/gateway/slot_request.go
@@ -93,7 +93,7 @@
 	return errLateResponse
 }
 
-// confirmQueued tells the boxes that ask this one which of their requests still wait for a slot.
+// confirmQueued notifies the boxes that ask this one which of their requests still wait for a slot.
 // The caller holds the lock.
 func (s *scheduler) confirmQueued(now time.Time) {
 	if !s.plain || now.Sub(s.confirmedAt) < confirmInterval {
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -75,8 +75,8 @@
 	RolloutTally(service string) *peerpb.RolloutTally
 }
 
-// OriginKeeper keeps the origins of streams that other boxes tell it.
-type OriginKeeper interface {
+// OriginReplica holds the origins of streams of other boxes.
+type OriginReplica interface {
 	// AddOrigins records origins of another box's streams.
 	AddOrigins(origins []continuation.Origin)
 	// FindOrigin returns what this box knows of the release of a service that began a stream.
@@ -123,7 +123,7 @@
 	// Rollouts serves requests for roll-out tallies; nil rejects them.
 	Rollouts RolloutSource
 	// Origins keeps the origins of streams; nil rejects them.
-	Origins OriginKeeper
+	Origins OriginReplica
 	// Dispatch serves routers that request engines; nil rejects them.
 	Dispatch DispatchServer
 	Log      *zap.Logger
--- a/pkg/peer/origins.go
+++ b/pkg/peer/origins.go
@@ -23,7 +23,7 @@
 	Release string
 }
 
-// OriginStream tells another box the origins of streams.
+// OriginStream sends another box the origins of streams.
 type OriginStream struct {
 	stream  net.Conn
 	timeout time.Duration
--- a/pkg/peer/origins_test.go
+++ b/pkg/peer/origins_test.go
@@ -12,14 +12,14 @@
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 )
 
-// keeper keeps the origins that it is told.
-type keeper struct {
+// replica records the origins that it is sent.
+type replica struct {
 	mu      sync.Mutex
 	origins continuation.Origins
 	batches int
 }
 
-func (k *keeper) AddOrigins(origins []continuation.Origin) {
+func (k *replica) AddOrigins(origins []continuation.Origin) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.batches++
@@ -28,16 +28,16 @@
 	}
 }
 
-func (k *keeper) FindOrigin(key continuation.Key, _ string) (answer OriginAnswer) {
+func (k *replica) FindOrigin(key continuation.Key, _ string) (answer OriginAnswer) {
 	answer.Release, answer.Known = k.origins.Find(key, time.Now())
 	return answer
 }
 
 func TestOriginsAreToldAndAsked(t *testing.T) {
-	Convey("What one box tells another answers", t, func() {
+	Convey("A box answers with what another one sent it", t, func() {
 		telling, _ := startExchange(t, "telling", 1)
 		keeping, address := startExchange(t, "keeping", 2)
-		kept := &keeper{}
+		kept := &replica{}
 		keeping.Origins = kept
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
