pkg/dispatch, pkg/gateway: tallies count what waited while other engines had room

The line that quayctl shares reads has Unplaced, the part of Turned that found engines with room while it waited, and GrantedElsewhere. No decision changes.

--- a/cmd/quayctl/cmds/shares.go
+++ b/cmd/quayctl/cmds/shares.go
@@ -17,7 +17,8 @@
 		Long: `Shares reads the logs of boxes, from files or from standard input, and prints for each
 customer and second, in thousands of tokens: what was requested from the box that dispatches,
 what a box refused without asking it (over the customer's share, or because it was busy),
-what was refused on arrival and after a wait, what was withdrawn, granted and given back,
+what was refused on arrival and after a wait, how much of that waited for certain engines while
+others had room, what was withdrawn, granted and given back,
 what began and what was answered; and which boxes granted and refused it. Boxes log the
 customers that request most, in seconds in which something is refused.`,
 		RunE: func(command *cobra.Command, files []string) error {
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -151,9 +151,13 @@
 	isOver := p.isOverShare(a, req)
 	queued := p.queued
 	p.dequeue(a, req)
-	if t := p.tallyFor(a.name); req.refuseNow {
+	switch t := p.tallyFor(a.name); {
+	case req.refuseNow:
 		t.RefusedOnArrival += req.cost
-	} else {
+	case req.unplaced:
+		t.Unplaced += req.cost
+		fallthrough
+	default:
 		t.RefusedAfterWait += req.cost
 	}
 	return Refusal{Request: req, RetryAfter: p.retryTime(a, req, isOver, now), OverShare: isOver, NoEligibleEngine: !p.hasEligibleEngine(req, now), Queued: queued}
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -184,6 +184,7 @@
 	}
 	best := p.cheapest(candidates, req, scope, now)
 	if best == nil || !p.hasRoom(best.snapshot, level) {
+		req.unplaced = true
 		return nil
 	}
 	return p.placeForPauses(best, candidates, req, scope, level, now)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -119,6 +119,8 @@
 	cost float64
 	// refuseNow requests are refused unless the next Decide grants them.
 	refuseNow bool
+	// unplaced is set once engines had room, but none that may read the request.
+	unplaced bool
 	// triedRound is the last round in which an engine was searched for it.
 	triedRound uint64
 }
--- a/pkg/dispatch/tally.go
+++ b/pkg/dispatch/tally.go
@@ -17,6 +17,9 @@
 	// RefusedAfterWait was refused after it had waited, and Withdrawn was withdrawn by its
 	// router.
 	RefusedAfterWait, Withdrawn float64
+	// Unplaced is the part of RefusedAfterWait that found engines with room while it waited, but
+	// none among those that may read it.
+	Unplaced float64
 	// Granted was assigned to an engine.
 	Granted float64
 	// Begun had its first event, and Completed ended after that without a failure.
@@ -32,6 +35,8 @@
 type CustomerTally struct {
 	Customer string
 	Tally
+	// OtherGroups is what the pool knows of the customer's usage of other groups of engines.
+	OtherGroups OtherGroupUsage
 }
 
 // tallyFor returns the current tally of a customer.
@@ -49,7 +54,11 @@
 func (p *Pool) TakeTallies() []CustomerTally {
 	tallies := make([]CustomerTally, 0, len(p.tallies))
 	for customer, t := range p.tallies {
-		tallies = append(tallies, CustomerTally{Customer: customer, Tally: *t})
+		one := CustomerTally{Customer: customer, Tally: *t}
+		if a := p.accounts[customer]; a != nil {
+			one.OtherGroups = a.otherGroups.sum
+		}
+		tallies = append(tallies, one)
 	}
 	clear(p.tallies)
 	slices.SortFunc(tallies, func(a, b CustomerTally) int {
--- a/pkg/dispatch/tally_test.go
+++ b/pkg/dispatch/tally_test.go
@@ -23,7 +23,7 @@
 		p.Begin("a", start)
 		p.End("a", Done{}, start)
 		p.End("b", Unused{}, start)
-		So(p.TakeTallies(), ShouldResemble, []CustomerTally{{"ward", Tally{
+		So(p.TakeTallies(), ShouldResemble, []CustomerTally{{Customer: "ward", Tally: Tally{
 			Requested: 2 * cost, Granted: 2 * cost, Begun: cost, Completed: cost, Refunded: cost,
 		}}})
 		So(p.TakeTallies(), ShouldBeEmpty)
@@ -36,10 +36,22 @@
 		So(p.Withdraw("b"), ShouldBeTrue)
 		So(p.Decide(start.Add(time.Minute)), ShouldHaveLength, 1)
 		So(p.TakeTallies(), ShouldResemble, []CustomerTally{
-			{"camp", Tally{Requested: cost, Withdrawn: cost}},
-			{"ward", Tally{Requested: cost, RefusedAfterWait: cost}},
+			{Customer: "camp", Tally: Tally{Requested: cost, Withdrawn: cost}},
+			{Customer: "ward", Tally: Tally{Requested: cost, RefusedAfterWait: cost}},
 		})
 	})
+	Convey("Requests that waited for a busy engine while another one had room are counted apart", t, func() {
+		p := newTestPool(2, 0)
+		p.addGrant(newRequest("before", "camp", start, shared(1), Part{ID: 2, Tokens: initialRate / 2}), p.engines["e0"], start)
+		waiting := req("a", "ward")
+		waiting.Parts = append([]Part{shared(1)}, waiting.Parts...)
+		So(submit(p, waiting, start), ShouldBeEmpty)
+		p.engines["e0"].ejectedUntil, p.engines["e1"].ejectedUntil = start.Add(time.Hour), start.Add(time.Hour)
+		So(p.Decide(start.Add(time.Minute)), ShouldHaveLength, 1)
+		tally := p.TakeTallies()[0].Tally
+		So(tally.Unplaced, ShouldEqual, waiting.Cost())
+		So(tally.RefusedAfterWait, ShouldEqual, waiting.Cost())
+	})
 	Convey("Grants of another pool are not counted here", t, func() {
 		p := newTestPool(1, 0)
 		p.Adopt(req("a", "ward"), "e0", false, start)
--- a/pkg/gateway/customer_reports.go
+++ b/pkg/gateway/customer_reports.go
@@ -104,9 +104,11 @@
 		zap.Int64("TurnedBusy", int64(one.overloaded)),
 		zap.Int64("Hopeless", int64(one.RefusedOnArrival)),
 		zap.Int64("Turned", int64(one.RefusedAfterWait)),
+		zap.Int64("Unplaced", int64(one.Unplaced)),
 		zap.Int64("Withdrawn", int64(one.Withdrawn)),
 		zap.Int64("Granted", int64(one.Granted)),
 		zap.Int64("GivenBack", int64(one.Refunded)),
 		zap.Int64("Begun", int64(one.Begun)),
-		zap.Int64("Answered", int64(one.Completed)))
+		zap.Int64("Answered", int64(one.Completed)),
+		zap.Int64("GrantedElsewhere", int64(one.OtherGroups.Granted)))
 }
--- a/pkg/loss/shares.go
+++ b/pkg/loss/shares.go
@@ -17,7 +17,7 @@
 // sharesColumns are the amounts of that line in the order in which they apply to a
 // request. All are tokens, and sums over the boxes that report.
 var sharesColumns = []string{
-	"Asked", "TurnedShare", "TurnedBusy", "Hopeless", "Turned", "Withdrawn", "Granted", "GivenBack", "Begun", "Answered",
+	"Asked", "TurnedShare", "TurnedBusy", "Hopeless", "Turned", "Unplaced", "Withdrawn", "Granted", "GivenBack", "Begun", "Answered", "GrantedElsewhere",
 }
 
 // Shares collects what customers requested and were granted, by second.
