pkg/dispatch: drawn fleets whose customers differ, failing

Customers of the simulated fleets had one mix of requests with hundreds of shared parts each, in one group of engines, from the first second on. Drawn fleets now differ by customer in kinds, sizes, number of shared parts (own or common), routers and start; have one or two groups, between which usage is reported with requests; lose answers, lose routers and change who dispatches. A request that begins after its target counts as refused, as in the promise.

--- a/pkg/dispatch/fleet_simulation_test.go
+++ b/pkg/dispatch/fleet_simulation_test.go
@@ -13,6 +13,18 @@
 	*simulation
 	routers   []BacklogLimiter
 	histories []History
+	// requested are the histories of what routers asked for.
+	requested []History
+	// groupFor returns the simulation of the group of engines for a request, and otherUsage what a
+	// router knows of the other groups; both are nil if there is one group.
+	groupFor   func(*Request) *fleetSimulation
+	otherUsage func(f *fleetSimulation, router int, customer string) OtherGroupUsage
+	// fleet are the simulations of all groups.
+	fleet []*fleetSimulation
+	// silent are the routers that fell silent. Their callers come to the next router.
+	silent map[int]bool
+	// lostFraction is the fraction of the answers that are lost before they begin.
+	lostFraction float64
 	// hop is the time of a message between a router and the pool.
 	hop time.Duration
 	// seconds are the usage of each customer in each second of the run. A grant counts when the
@@ -27,7 +39,7 @@
 }
 
 // secondUsage is the usage of one customer in one second, in tokens. refused is set if a request
-// was refused.
+// was refused, or began after its latency target.
 type secondUsage struct {
 	requested, granted float64
 	refused            bool
@@ -43,10 +55,10 @@
 	begun    bool
 }
 
-// callerGroup is a customer's callers, who come to the first so many routers.
+// callerGroup is a customer's callers, who come to so many routers from the first one on.
 type callerGroup struct {
-	sources []source
-	routers int
+	sources              []source
+	firstRouter, routers int
 	// after is when they come.
 	after time.Duration
 }
@@ -56,6 +68,8 @@
 		simulation: newSimulation(engines, tokensPerSecond, readRate),
 		routers:    make([]BacklogLimiter, routers),
 		histories:  make([]History, routers),
+		requested:  make([]History, routers),
+		silent:     map[int]bool{},
 		hop:        2 * time.Millisecond,
 		seconds:    map[string][]secondUsage{},
 		down:       map[string]bool{},
@@ -64,6 +78,7 @@
 	}
 	for i := range f.histories {
 		f.histories[i].Window = f.pool.Rules.Window
+		f.requested[i].Window = f.pool.Rules.Window
 	}
 	f.begun = f.now
 	return f
@@ -94,18 +109,28 @@
 			from := &c.sources[i]
 			for when := f.next(f.now.Add(c.after), from); when.Before(end); when = f.next(when, from) {
 				number++
-				req := &fleetRequest{Request: f.newRequest(from, number, when), router: f.rand.IntN(c.routers)}
-				f.at(when, func() { f.receive(req) })
+				router := (c.firstRouter + f.rand.IntN(c.routers)) % len(f.routers)
+				req := &fleetRequest{Request: f.newRequest(from, number, when), router: router}
+				group := f
+				if f.groupFor != nil {
+					group = f.groupFor(req.Request)
+				}
+				group.at(when, func() { group.receive(req) })
 			}
 		}
 	}
+	f.scheduleDecisions(end)
+	if takeOver > 0 {
+		f.at(f.now.Add(takeOver), f.takeOver)
+	}
+}
+
+// scheduleDecisions makes the pool decide periodically.
+func (f *fleetSimulation) scheduleDecisions(end time.Time) {
 	const tick = 4 * time.Millisecond
 	for at := f.now; at.Before(end); at = at.Add(tick) {
 		f.at(at, f.decide)
 	}
-	if takeOver > 0 {
-		f.at(f.now.Add(takeOver), f.takeOver)
-	}
 }
 
 // receive handles a caller's request at its router.
@@ -113,15 +138,47 @@
 	req.cost = req.Cost()
 	f.second(req.Customer).requested += req.cost
 	f.tally(req.Request).requested++
+	for f.silent[req.router] {
+		req.router = (req.router + 1) % len(f.routers)
+	}
+	req.Stream = uint64(req.router) + 1
 	if f.routers[req.router].Enter(req.Customer, false, f.now) != Admitted {
 		wait := fraction(req.LatencyTarget, f.pool.Rules.MaxWaitFraction)
 		f.refuse(req, wait+time.Duration(f.rand.Int64N(int64(wait))))
 		return
 	}
+	f.report(req)
 	f.at(f.now.Add(f.hop), func() { f.submit(req) })
 }
 
+// report sets what the router knows of the other groups.
+func (f *fleetSimulation) report(req *fleetRequest) {
+	if f.otherUsage == nil {
+		return
+	}
+	req.BoxHash, req.OtherGroupUsage = req.Stream, f.otherUsage(f, req.router, req.Customer)
+	f.requested[req.router].Grant(req.Request, f.now)
+}
+
+// silence makes a router fall silent. Its callers come to the next one.
+func (f *fleetSimulation) silence(router int) {
+	f.silent[router] = true
+	f.pool.DropStream(uint64(router)+1, f.now)
+	for _, of := range []map[string]*fleetRequest{f.waiting, f.running} {
+		for _, id := range slices.Sorted(maps.Keys(of)) {
+			if req := of[id]; req.router == router {
+				delete(of, id)
+				f.retry(req, f.hop)
+			}
+		}
+	}
+}
+
 func (f *fleetSimulation) submit(req *fleetRequest) {
+	if f.silent[req.router] {
+		f.retry(req, f.hop)
+		return
+	}
 	f.waiting[req.ID] = req
 	f.pool.Submit(req.Request, f.now)
 }
@@ -173,8 +230,18 @@
 		if f.running[req.ID] != req {
 			return
 		}
+		if f.lostFraction > 0 && f.rand.Float64() < f.lostFraction {
+			delete(f.running, req.ID)
+			f.histories[req.router].Refund(req.Request, f.now)
+			f.pool.End(req.ID, Broken{}, f.now)
+			f.retry(req, f.hop)
+			return
+		}
 		req.begun = true
 		f.second(req.Customer).granted += req.cost
+		if f.now.After(req.Arrived.Add(req.LatencyTarget)) {
+			f.second(req.Customer).refused = true
+		}
 		f.begin(req.Request)
 	})
 	f.at(begins.Add(time.Duration(req.ExpectedOutput())*f.tokenInterval), func() {
@@ -189,7 +256,7 @@
 // takeOver replaces the pool by another one, which receives the running and waiting requests.
 func (f *fleetSimulation) takeOver() {
 	before := f.pool
-	f.pool = &Pool{Rules: before.Rules, Rand: before.Rand, Warm: true}
+	f.pool = &Pool{Rules: before.Rules, Rand: before.Rand, Warm: true, Groups: before.Groups}
 	f.pool.Configure(before.service, before.tokensPerSecond)
 	f.pool.SetEndpoints(before.Endpoints(), f.now)
 	for _, cached := range before.CachedParts() {
@@ -211,12 +278,22 @@
 	}
 }
 
-// findUnfair describes the first six seconds in each of which a customer was refused and in which
-// it got less than a fraction of what was due to it: second by second, the smaller of what it
-// requested and what the most served customer got. It returns "" if there are none.
+// findUnfair describes the six seconds in each of which a customer was refused and in which it got
+// the smallest fraction of what was due to it, if that is less than the given one. What is due is,
+// second by second, the smaller of what it requested and what the most served customer got.
 func (f *fleetSimulation) findUnfair(fraction float64) string {
+	least, description := f.leastServed()
+	if least >= fraction {
+		return ""
+	}
+	return description
+}
+
+// leastServed returns the smallest such fraction over the whole run, and describes it.
+func (f *fleetSimulation) leastServed() (least float64, description string) {
 	const span = 6
 	length := int(f.now.Sub(f.begun) / time.Second)
+	least = 1
 	for from := 0; from+span <= length; from++ {
 		best := f.mostServed(from, from+span)
 		for _, customer := range slices.Sorted(maps.Keys(f.seconds)) {
@@ -227,12 +304,13 @@
 				due += min(one.requested, other.granted)
 				refused = refused && one.refused
 			}
-			if refused && got < fraction*due {
-				return fmt.Sprintf("from %d s: %s got %.2f of %.2f million that were due to it, as %s got", from, customer, got/1e6, due/1e6, best)
+			if refused && got < least*due {
+				least = got / due
+				description = fmt.Sprintf("from %d s: %s got %.2f of %.2f million that were due to it, as %s got", from, customer, got/1e6, due/1e6, best)
 			}
 		}
 	}
-	return ""
+	return least, description
 }
 
 func (f *fleetSimulation) usage(customer string, number int) secondUsage {
--- a/pkg/dispatch/simulation_test.go
+++ b/pkg/dispatch/simulation_test.go
@@ -110,7 +110,9 @@
 	gapTarget, deadline time.Duration
 	shared, own         int
 	sharedParts         int
-	output              int
+	// ownParts is set if no other customer's prompts have these shared parts.
+	ownParts bool
+	output   int
 	// skew is the power of an even number between 0 and 1 by which parts are drawn, so that some
 	// are requested more often; 0 means that all are alike.
 	skew float64
@@ -200,7 +202,11 @@
 		if from.skew > 0 {
 			partNumber = 1 + int(float64(from.sharedParts)*math.Pow(s.rand.Float64(), from.skew))
 		}
-		parts = append(parts, Part{ID: uint64(partNumber) + uint64(from.shared)<<32, Tokens: from.shared})
+		part := Part{ID: uint64(partNumber) + uint64(from.shared)<<32, Tokens: from.shared}
+		if from.ownParts {
+			part.ID ^= xxhash.Sum64String(from.customer)
+		}
+		parts = append(parts, part)
 		zone = s.zoneOf(from, partNumber)
 	}
 	parts = append(parts, Part{ID: uint64(number) << 40, Tokens: from.own})
