pkg/dispatch: customers are compared by what they recently got

Cause: the order of customers, and who gets idle engines only, went by the sum over a window of four seconds with sharp edges. Whoever was ahead in it waited until the others had as much, and what it got then left the window at once, four seconds later: service came in bursts of the window's length. In one fleet a customer got 1.39, 0.24, 0.03, 0.28, 1.44, 0.16, 0.18, 0.25 and 1.39 million tokens in nine seconds.

Change: customers are compared with each other by the newer half of the window, extrapolated. Their shares of the stated rate are still counted over the whole window, which is the promise.

--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -13,11 +13,20 @@
 	// last is the number of the newest bucket.
 	last int64
 	sum  float64
+	// recent is the sum of the newest recentBuckets.
+	recent float64
 }
 
-// windowBuckets is the number of buckets in a window. More would resolve time more finely than
-// requests arrive.
-const windowBuckets = 16
+const (
+	// windowBuckets is the number of buckets in a window. More would resolve time more finely than
+	// requests arrive.
+	windowBuckets = 16
+	// recentBuckets is the number of the newest buckets by which customers are compared with each
+	// other. Who was granted more than others waits until they have as much, or until that is no
+	// longer counted. Over the whole window, customers were served in bursts of its length: over six
+	// seconds, 7 of 200 random fleets gave a customer less than half of another one.
+	recentBuckets = windowBuckets / 2
+)
 
 func (w *window) advance(now time.Time, length time.Duration) {
 	number := now.UnixNano() / int64(length/windowBuckets)
@@ -30,6 +39,7 @@
 		at := &w.buckets[w.last%windowBuckets]
 		w.sum -= *at
 		*at = 0
+		w.recent -= w.buckets[(w.last+windowBuckets-recentBuckets)%windowBuckets]
 	}
 }
 
@@ -37,8 +47,12 @@
 	w.advance(now, length)
 	w.buckets[w.last%windowBuckets] += amount
 	w.sum += amount
+	w.recent += amount
 }
 
+// recentTotal returns the sum of a whole window, extrapolated from the recent buckets.
+func (w *window) recentTotal() float64 { return w.recent * windowBuckets / recentBuckets }
+
 // account tracks what one customer recently requested and was granted, and its waiting requests.
 type account struct {
 	name string
@@ -124,6 +138,17 @@
 	}
 }
 
+// recentlyGranted returns what the customer was granted over all groups in a window, extrapolated
+// from the recent part of it.
+func (a *account) recentlyGranted() float64 {
+	return a.granted.recentTotal() + a.otherGroups.sum.Granted
+}
+
+// recentlyRequested returns what it requested, in the same way.
+func (a *account) recentlyRequested() float64 {
+	return a.requested.recentTotal() + a.otherGroups.sum.Requested
+}
+
 // waitingQueues returns the queues with waiting requests, the one with the smallest served
 // fraction first. When requests were taken in order of arrival instead, a customer far over its
 // share had one in five of its requests with long prompts granted, but only one in twenty of
--- a/pkg/dispatch/decide.go
+++ b/pkg/dispatch/decide.go
@@ -55,8 +55,8 @@
 	return decisions
 }
 
-// waitingAccounts returns the customers with waiting requests, the one that was granted least
-// first.
+// waitingAccounts returns the customers with waiting requests, the one that was recently granted
+// least first.
 func (p *Pool) waitingAccounts(now time.Time) []*account {
 	var waiting []*account
 	for _, a := range p.accounts {
@@ -66,7 +66,7 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *account) int {
-		return cmp.Or(cmp.Compare(a.totalGranted(), b.totalGranted()), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.recentlyGranted(), b.recentlyGranted()), cmp.Compare(a.name, b.name))
 	})
 	return waiting
 }
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -163,7 +163,7 @@
 	// measuredShare is the same number, from the measured rates of the engines and from what the
 	// most served customer was granted.
 	measuredShare float64
-	// maxGranted is what the most served customer was granted in the window.
+	// maxGranted is what the customer that was recently served most was granted.
 	maxGranted float64
 	// granted and read are the tokens of recent grants, as counted by Prompt.Cost and as engines
 	// have to read them.
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		requested = append(requested, a.totalRequested())
-		p.maxGranted = max(p.maxGranted, a.totalGranted())
+		p.maxGranted = max(p.maxGranted, a.recentlyGranted())
 	}
 	seconds := p.Rules.Window.Seconds() * float64(max(1, p.Groups)) / float64(max(1, p.Routers))
 	p.share = maxMinShare(requested, p.tokensPerSecond*seconds)
@@ -53,11 +53,12 @@
 	return p.tokensPerSecond > 0 && a.totalGranted()+req.cost/2 > p.share
 }
 
-// isUnderserved reports whether a customer, apart from what still waits, was granted clearly less than
-// it requested and than the most served one was.
+// isUnderserved reports whether a customer, apart from what still waits, was recently granted
+// clearly less than it requested and than the most served one was.
 func (p *Pool) isUnderserved(a *account) bool {
-	due := min(a.totalRequested()-a.waitingCost, p.maxGranted)
-	return a.totalGranted() < p.Rules.CatchUpFraction*due
+	waiting := a.waitingCost * windowBuckets / recentBuckets
+	due := min(a.recentlyRequested()-waiting, p.maxGranted)
+	return a.recentlyGranted() < p.Rules.CatchUpFraction*due
 }
 
 // maxBacklog returns the longest predicted wait at an engine that gets new work.
@@ -111,7 +112,7 @@
 	switch {
 	case !p.isOverShare(a, req):
 		return withinShare
-	case a.totalGranted()+req.cost/2 <= p.measuredShare:
+	case a.recentlyGranted()+req.cost/2 <= p.measuredShare:
 		return overShare
 	default:
 		return farOverShare
--- a/pkg/dispatch/unequal_customers_test.go
+++ b/pkg/dispatch/unequal_customers_test.go
@@ -136,19 +136,15 @@
 	return first
 }
 
-// TestNoCustomerUnderHalfOfAnother checks that a customer that is refused in each of six seconds
-// gets half of what the most served one got.
-func TestNoCustomerUnderHalfOfAnother(t *testing.T) {
-	const length = 9 * time.Second
-	for groups, seeds := range map[int][]uint64{
-		1: {28, 31, 33, 49, 57},
-		2: {7, 14, 18, 28, 31, 39, 49, 57},
-	} {
-		for _, seed := range seeds {
+// checkShares plays drawn fleets, in each of which a customer that is refused in each of six seconds
+// has to get half of what the most served one got. seeds are by number of groups.
+func checkShares(t *testing.T, seeds map[int][]uint64) {
+	for groups := range seeds {
+		for _, seed := range seeds[groups] {
 			t.Run(fmt.Sprintf("%d groups, seed %d", groups, seed), func(t *testing.T) {
 				t.Parallel()
 				u := drawUnequalFleet(rand.New(rand.NewPCG(seed, 23)), groups)
-				f := u.play(length)
+				f := u.play(9 * time.Second)
 				Convey(u.String(), t, func() {
 					So(f.findUnfair(0.5), ShouldBeEmpty)
 				})
@@ -156,3 +152,14 @@
 		}
 	}
 }
+
+func TestNoCustomerUnderHalfOfAnother(t *testing.T) {
+	checkShares(t, map[int][]uint64{
+		1: {28, 31, 33, 49, 57},
+		2: {7, 14, 18, 28, 31, 39, 49, 57},
+	})
+}
+
+func TestNoCustomerStarvesWhileOthersCatchUp(t *testing.T) {
+	checkShares(t, map[int][]uint64{1: {22, 77}, 2: {74, 77}})
+}
