pkg/dispatch, pkg/gateway: what is known of other groups of engines is recent

Cause: a router reports with each request what its customer was granted in the other groups over the window of four seconds, and a report counted for another four seconds after the last request. So the order of customers in one group still followed bursts that the other groups no longer counted.

Change: reports are of the newer half of the window, extrapolated, and count for as long. The wire is unchanged; boxes of both builds understand each other.

--- a/pkg/dispatch/history.go
+++ b/pkg/dispatch/history.go
@@ -45,12 +45,13 @@
 	h.sums[key].add(factor*req.Cost(), now, h.Window)
 }
 
-// Granted returns what one customer was granted.
-func (h *History) Granted(customer string, now time.Time) (granted float64) {
+// RecentTotal returns what one customer was granted in the window, extrapolated from the recent part
+// of it.
+func (h *History) RecentTotal(customer string, now time.Time) (granted float64) {
 	for key, sum := range h.sums {
 		if key.customer == customer {
 			sum.advance(now, h.Window)
-			granted += sum.sum
+			granted += sum.recentTotal()
 		}
 	}
 	return granted
--- a/pkg/dispatch/other_groups.go
+++ b/pkg/dispatch/other_groups.go
@@ -3,8 +3,9 @@
 import "time"
 
 // OtherGroupUsage is what a customer requested through one router, and was granted, in the other
-// groups of engines of a service, within the window over which shares are counted. A customer's
-// prompts may go to few groups only; its share is counted over all of them.
+// groups of engines of a service, within the window over which shares are counted, as extrapolated by
+// History.RecentTotal. A customer's prompts may go to few groups only; its share is counted over all
+// of them.
 type OtherGroupUsage struct {
 	Requested, Granted float64
 }
@@ -35,10 +36,10 @@
 	e.sum.Granted += usage.Granted - previous.Granted
 }
 
-// advance drops reports from before the window.
+// advance drops reports older than what they report.
 func (e *otherGroupTotals) advance(now time.Time, length time.Duration) {
 	for box, usage := range e.byBox {
-		if now.Sub(usage.at) > length {
+		if now.Sub(usage.at) > length*recentBuckets/windowBuckets {
 			delete(e.byBox, box)
 			e.sum.Requested -= usage.Requested
 			e.sum.Granted -= usage.Granted
--- a/pkg/dispatch/unequal_customers_test.go
+++ b/pkg/dispatch/unequal_customers_test.go
@@ -105,8 +105,8 @@
 			f.otherUsage = func(own *fleetSimulation, router int, customer string) (usage OtherGroupUsage) {
 				for _, other := range fleet {
 					if other != own {
-						usage.Requested += other.requested[router].Granted(customer, own.now)
-						usage.Granted += other.histories[router].Granted(customer, own.now)
+						usage.Requested += other.requested[router].RecentTotal(customer, own.now)
+						usage.Granted += other.histories[router].RecentTotal(customer, own.now)
 					}
 				}
 				return usage
@@ -163,3 +163,7 @@
 func TestNoCustomerStarvesWhileOthersCatchUp(t *testing.T) {
 	checkShares(t, map[int][]uint64{1: {22, 77}, 2: {74, 77}})
 }
+
+func TestReportsOfOtherGroupsExpire(t *testing.T) {
+	checkShares(t, map[int][]uint64{2: {87}})
+}
--- a/pkg/gateway/histories.go
+++ b/pkg/gateway/histories.go
@@ -41,7 +41,7 @@
 func (h *histories) totals(customer string, now time.Time) dispatch.OtherGroupUsage {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return dispatch.OtherGroupUsage{Requested: h.requested.Granted(customer, now), Granted: h.granted.Granted(customer, now)}
+	return dispatch.OtherGroupUsage{Requested: h.requested.RecentTotal(customer, now), Granted: h.granted.RecentTotal(customer, now)}
 }
 
 // recordRequest records a request, and sets in it what its customer requested and was granted in
@@ -52,7 +52,7 @@
 		return
 	}
 	all := s.poolHistories.totals(req.Customer, now)
-	own := dispatch.OtherGroupUsage{Requested: s.requested.Granted(req.Customer, now), Granted: s.granted.Granted(req.Customer, now)}
+	own := dispatch.OtherGroupUsage{Requested: s.requested.RecentTotal(req.Customer, now), Granted: s.granted.RecentTotal(req.Customer, now)}
 	req.OtherGroupUsage = dispatch.OtherGroupUsage{Requested: max(0, all.Requested-own.Requested), Granted: max(0, all.Granted-own.Granted)}
 	s.poolHistories.recordRequest(req, now)
 	s.requested.Grant(req, now)
