pkg/dispatch: a few refused requests do not make a customer underserved

What callers saw: on small pools, prompts that came back from engines that had to read their shared parts again.

Cause: customers with few requests a second counted as underserved after one refused request, as the sum of the newer half of the window has few of them.

Change: underserved is counted over the whole window, below 0.6 of what is due less three requests, as the promise itself allows for three.

--- a/pkg/dispatch/account.go
+++ b/pkg/dispatch/account.go
@@ -144,11 +144,6 @@
 	return a.granted.recentTotal() + a.otherGroups.sum.Granted
 }
 
-// recentlyRequested returns what it requested, in the same way.
-func (a *account) recentlyRequested() float64 {
-	return a.requested.recentTotal() + a.otherGroups.sum.Requested
-}
-
 // waitingQueues returns the queues with waiting requests, the one with the smallest served
 // fraction first. When requests were taken in order of arrival instead, a customer far over its
 // share had one in five of its requests with long prompts granted, but only one in twenty of
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -184,7 +184,7 @@
 	if scope.anyEngine && scope.parts == nil && hasLongShared(&req.Prompt) {
 		candidates = p.candidates(req, now)
 	}
-	if p.isUnderserved(a) {
+	if p.isUnderserved(a, req) {
 		candidates = p.withRoom(candidates, level, now)
 	}
 	best := p.cheapest(candidates, req, scope, now)
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -26,14 +26,17 @@
 	// 0.4, such a failure reduced what was served in time by 4% of what was requested.
 	ReadFraction float64
 	// CatchUpFraction is the fraction of what the most served customer was granted in the window
-	// up to which other customers do not have to wait for idle engines, nor for the best engine if
-	// another one has room. No customer that is refused may get less than half of what another one
-	// gets: without this rule, of two that requested 3.7 and 19.8 million tokens a second, the first
-	// got 0.41 and the other 1.01 million; with 0.75 they got 0.53 and 0.72 million. Small customers,
-	// to whom the rule applies too, got 0.46 of what they requested, retries included, without it
-	// and 0.77 with 0.75. Under floods of requests, 0.9 cost 0.010 of what was requested and served
-	// in time.
+	// up to which other customers do not have to wait for idle engines. No customer that is
+	// refused may get less than half of what another one gets: without this rule, of two that
+	// requested 3.7 and 19.8 million tokens a second, the first got 0.41 and the other 1.01
+	// million; with 0.75 they got 0.53 and 0.72 million. Small customers, to whom the rule applies
+	// too, got 0.46 of what they requested, retries included, without it and 0.77 with 0.75.
+	// Under floods of requests, 0.9 cost 0.010 of what was requested and served in time.
 	CatchUpFraction float64
+	// UnderservedFraction is the fraction of what is due to a customer below which its requests do
+	// not wait for the best engine if another one has room. Engines then read shared parts again:
+	// with 0.75, and without underservedSlack, half more of them on a small pool.
+	UnderservedFraction float64
 	// MaxWaitFraction is the fraction of its latency target for which a request may wait here.
 	MaxWaitFraction float64
 	// MinHomes is the minimum number of engines at which a shared part is kept in the cache.
@@ -73,6 +76,7 @@
 		OverShareBacklogFraction: 0.125,
 		ReadFraction:             0.4,
 		CatchUpFraction:          0.75,
+		UnderservedFraction:      0.6,
 		MaxWaitFraction:          0.24,
 		MinHomes:                 2,
 		LoadPerHome:              0.25,
@@ -163,8 +167,9 @@
 	// measuredShare is the same number, from the measured rates of the engines and from what the
 	// most served customer was granted.
 	measuredShare float64
-	// maxGranted is what the customer that was recently served most was granted.
-	maxGranted float64
+	// maxGranted is what the most served customer was granted in the window, and maxRecentlyGranted
+	// what the one that was recently served most was.
+	maxGranted, maxRecentlyGranted float64
 	// granted and read are the tokens of recent grants, as counted by Prompt.Cost and as engines
 	// have to read them.
 	granted, read window
--- a/pkg/dispatch/share.go
+++ b/pkg/dispatch/share.go
@@ -10,7 +10,7 @@
 	}
 	p.shareAt = now
 	requested := make([]float64, 0, len(p.accounts))
-	p.maxGranted = 0
+	p.maxGranted, p.maxRecentlyGranted = 0, 0
 	for name, a := range p.accounts {
 		a.advance(now, p.Rules.Window)
 		a.otherGroups.advance(now, p.Rules.Window)
@@ -19,13 +19,14 @@
 			continue
 		}
 		requested = append(requested, a.totalRequested())
-		p.maxGranted = max(p.maxGranted, a.recentlyGranted())
+		p.maxGranted = max(p.maxGranted, a.totalGranted())
+		p.maxRecentlyGranted = max(p.maxRecentlyGranted, a.recentlyGranted())
 	}
 	seconds := p.Rules.Window.Seconds() * float64(max(1, p.Groups)) / float64(max(1, p.Routers))
 	p.share = maxMinShare(requested, p.tokensPerSecond*seconds)
 	// Other customers may have nearly as much as the most served one got, even if the engines
 	// are estimated to do less: see Rules.CatchUpFraction.
-	p.measuredShare = max(maxMinShare(requested, p.capacity(now)*seconds), p.Rules.CatchUpFraction*p.maxGranted)
+	p.measuredShare = max(maxMinShare(requested, p.capacity(now)*seconds), p.Rules.CatchUpFraction*p.maxRecentlyGranted)
 }
 
 // capacity returns what the engines can do in a second, in tokens as counted by Prompt.Cost, if
@@ -53,12 +54,15 @@
 	return p.tokensPerSecond > 0 && a.totalGranted()+req.cost/2 > p.share
 }
 
-// isUnderserved reports whether a customer, apart from what still waits, was recently granted
-// clearly less than it requested and than the most served one was.
-func (p *Pool) isUnderserved(a *account) bool {
-	waiting := a.waitingCost * windowBuckets / recentBuckets
-	due := min(a.recentlyRequested()-waiting, p.maxGranted)
-	return a.recentlyGranted() < p.Rules.CatchUpFraction*due
+// underservedSlack is the number of requests by which a customer may be short before it counts as
+// underserved: a small one that was refused a single request is not.
+const underservedSlack = 3
+
+// isUnderserved reports whether the customer of a request was granted clearly less than is due to it:
+// the smaller of what it requested, without what still waits, and what the most served one was granted.
+func (p *Pool) isUnderserved(a *account, req *Request) bool {
+	due := min(a.totalRequested()-a.waitingCost, p.maxGranted) - underservedSlack*req.cost
+	return a.totalGranted() < p.Rules.UnderservedFraction*due
 }
 
 // maxBacklog returns the longest predicted wait at an engine that gets new work.
