--- a/pkg/dispatch/fleet_simulation_test.go
+++ b/pkg/dispatch/fleet_simulation_test.go
@@ -19,8 +19,6 @@
 	// router knows of the other groups; both are nil if there is one group.
 	groupFor   func(*Request) *fleetSimulation
 	otherUsage func(f *fleetSimulation, router int, customer string) OtherGroupUsage
-	// fleet are the simulations of all groups.
-	fleet []*fleetSimulation
 	// silent are the routers that fell silent. Their callers come to the next router.
 	silent map[int]bool
 	// lostFraction is the fraction of the answers that are lost before they begin.
--- a/pkg/dispatch/unequal_customers_test.go
+++ b/pkg/dispatch/unequal_customers_test.go
@@ -80,56 +80,66 @@
 	return kinds
 }
 
-// play runs the fleet for a time and returns the first group, which has the usage over all groups.
-func (u *unequalFleet) play(length time.Duration) *fleetSimulation {
-	fleet := make([]*fleetSimulation, u.groups)
+// newGroups returns a simulation for each group of engines. They share the usage of customers, and
+// learn of each other what routers report with their requests.
+func (u *unequalFleet) newGroups() []*fleetSimulation {
+	groups := make([]*fleetSimulation, u.groups)
 	weights := make([]int, u.groups)
-	for i := range fleet {
+	for i := range groups {
 		f := newFleetSimulation(fleetRouters, u.engines, statedRate*float64(u.engines), readRate)
 		f.tokenInterval, f.pool.Groups, weights[i] = 12*time.Millisecond, u.groups, u.engines
-		f.seconds = map[string][]secondUsage{}
-		if i > 0 {
-			f.seconds = fleet[0].seconds
+		groups[i] = f
+	}
+	if u.groups == 1 {
+		return groups
+	}
+	otherUsage := func(own *fleetSimulation, router int, customer string) (usage OtherGroupUsage) {
+		for _, other := range groups {
+			if other != own {
+				usage.Requested += other.requested[router].RecentTotal(customer, own.now)
+				usage.Granted += other.histories[router].RecentTotal(customer, own.now)
+			}
 		}
-		fleet[i] = f
+		return usage
 	}
-	fleet[0].fleet = fleet
-	first, end := fleet[0], start.Add(length)
-	if u.groups > 1 {
-		first.groupFor = func(req *Request) *fleetSimulation {
-			return fleet[partition.GroupOf(req.PlacementKey(), weights)]
+	for _, f := range groups {
+		f.seconds, f.otherUsage = groups[0].seconds, otherUsage
+		f.groupFor = func(req *Request) *fleetSimulation {
+			return groups[partition.GroupOf(req.PlacementKey(), weights)]
 		}
 	}
-	for _, f := range fleet {
-		if u.groups > 1 {
-			f.otherUsage = func(own *fleetSimulation, router int, customer string) (usage OtherGroupUsage) {
-				for _, other := range fleet {
-					if other != own {
-						usage.Requested += other.requested[router].RecentTotal(customer, own.now)
-						usage.Granted += other.histories[router].RecentTotal(customer, own.now)
-					}
-				}
-				return usage
+	return groups
+}
+
+// scheduleFailures makes a group lose answers and routers.
+func (u *unequalFleet) scheduleFailures(f *fleetSimulation) {
+	const lossLength = 2 * time.Second
+	if u.lostFraction > 0 {
+		f.at(start.Add(u.lostAt), func() { f.lostFraction = u.lostFraction })
+		f.at(start.Add(u.lostAt+lossLength), func() { f.lostFraction = 0 })
+	}
+	if u.silentAt > 0 {
+		f.at(start.Add(u.silentAt), func() {
+			for router := range fleetRouters / 2 {
+				f.silence(router)
 			}
-		}
+		})
+	}
+}
+
+// play runs the fleet for a time and returns the first group, which has the usage over all groups.
+func (u *unequalFleet) play(length time.Duration) *fleetSimulation {
+	groups, end := u.newGroups(), start.Add(length)
+	first := groups[0]
+	for _, f := range groups {
 		if f != first {
 			f.scheduleDecisions(end)
 		}
-		if u.lostFraction > 0 {
-			f.at(start.Add(u.lostAt), func() { f.lostFraction = u.lostFraction })
-			f.at(start.Add(u.lostAt+2*time.Second), func() { f.lostFraction = 0 })
-		}
-		if u.silentAt > 0 {
-			f.at(start.Add(u.silentAt), func() {
-				for router := range fleetRouters / 2 {
-					f.silence(router)
-				}
-			})
-		}
+		u.scheduleFailures(f)
 	}
 	first.schedule(length, u.takeOver, u.callers...)
 	for at := start; at.Before(end); at = at.Add(time.Millisecond) {
-		for _, f := range fleet {
+		for _, f := range groups {
 			f.until(at)
 		}
 	}
