--- a/review/stand/recover.go
+++ b/review/stand/recover.go
@@ -183,7 +183,7 @@
 
 // runRecover plays the end of all processes during an outage of the store.
 func runRecover(dir string, rec *record, trouble bool) (broken bool) {
-	replaced := envInt("REPLACED", 90)
+	replaced := envInt("REPLACED", 75)
 	judged := time.Duration(envInt("JUDGED_S", 12)) * time.Second
 	outage := time.Duration(envInt("OUTAGE_MS", 4500)) * time.Millisecond
 	killAfter := time.Duration(envInt("KILL_MS", 1000)) * time.Millisecond
