pkg/gateway: logs tell silent endpoints, refused continuations and the phases of a stop

What the hypotheses on the users' LOST predict could not be told from logs: how long an endpoint had been silent when its attempt was ended, why a broken stream was not continued (the refusal was dropped without a line), whether the box was stopping, and which phase of the stop requests had outlived. "attempt failed" and "stream cut" have Silence and Stopping, "stream not continued" has the refusal, and each phase of the planned stop logs how many requests are in flight. No decision changes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -153,6 +153,8 @@
 		zap.String("Run", string(c.lifecycle.RunStatus())),
 		zap.Duration("Age", time.Since(c.arrived)),
 		zap.Bool("Again", retry),
+		zap.Bool("Stopping", c.gateway.stopping.Load()),
+		zap.Duration("Silence", time.Since(c.progressAt)),
 		zap.Error(err))
 	if c.ctx.Err() != nil {
 		return c.endedRefusal()
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -67,6 +67,8 @@
 	originKnownBy string
 	// attemptBegan is set once the endpoint of the current attempt has sent an event.
 	attemptBegan bool
+	// progressAt is when the current attempt began or, if later, its endpoint last sent an event.
+	progressAt time.Time
 	// excluded are the IDs of the endpoints that failed this request.
 	excluded []string
 	// unreachable counts the endpoints that accepted no connection.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -350,9 +350,12 @@
 	g.log.Info("planned stop began", zap.Int64("InFlight", g.inFlight.Load()))
 	_ = interval.Wait(context.Background(), min(balancerDelay, g.Settings.StopTimeout/2))
 	g.refusingStreams.Store(true)
+	g.logStopPhase("planned stop refuses new streams", began)
 	g.awaitNoArrivals(began.Add(g.Settings.StopTimeout / 2))
 	g.refusing.Store(true)
+	g.logStopPhase("planned stop refuses all new requests", began)
 	g.awaitNoArrivals(began.Add(g.Settings.StopTimeout - 2*stopReserve))
+	g.logStopPhase("planned stop closes connections that have no request", began)
 	remaining := g.Settings.StopTimeout - stopReserve - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
@@ -361,11 +364,17 @@
 	shutdownContext, cancelShutdown := context.WithTimeout(context.Background(), remaining+stopReserve/2)
 	defer cancelShutdown()
 	err := callers.ShutdownWithContext(shutdownContext)
-	g.log.Info("planned stop ended", zap.Int64("InFlight", g.inFlight.Load()), zap.Error(err))
+	g.log.Info("planned stop ended", zap.Duration("After", time.Since(began)), zap.Int64("InFlight", g.inFlight.Load()), zap.Error(err))
 	g.cancelWork(errStopTimeout)
 	return nil
 }
 
+// logStopPhase logs the beginning of a phase of the planned stop. Requests in flight that end later
+// were not ended by an earlier phase.
+func (g *Gateway) logStopPhase(phase string, began time.Time) {
+	g.log.Info(phase, zap.Duration("After", time.Since(began)), zap.Int64("InFlight", g.inFlight.Load()))
+}
+
 const (
 	// noArrivalsTime is how long no request must have arrived before a stopping box assumes that
 	// the balancer sends no more: the interval of the balancer's checks.
--- a/pkg/gateway/guard.go
+++ b/pkg/gateway/guard.go
@@ -44,6 +44,7 @@
 // none.
 func (c *call) startGuard(to destination) context.Context {
 	c.guard.stop()
+	c.progressAt = time.Now()
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.guard = &guard{attempts: &c.gateway.attempts, endpoint: to.Endpoint, fingerprint: c.fingerprint, cancel: cancel}
 	last := c.lifecycle.Attempts()+1 >= c.route.MaxAttempts
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -288,11 +288,13 @@
 			return broken
 		}
 		if refusal := c.handleFailure(s.to, broken); refusal != nil {
+			s.logNotContinued(refusal)
 			return broken
 		}
 		s.settled = true
 		to, refusal := c.acquire()
 		if refusal != nil {
+			s.logNotContinued(refusal)
 			return broken
 		}
 		s.settled = false
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -132,6 +132,7 @@
 		s.maxGap = max(s.maxGap, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	s.call.progressAt = now
 	if !s.call.attemptBegan {
 		s.call.attemptBegan = true
 		s.call.clearParts(&s.to)
@@ -170,6 +171,18 @@
 		zap.Duration("Age", time.Since(c.arrived)))
 }
 
+// logNotContinued logs why a broken stream does not go on at another engine.
+func (s *stream) logNotContinued(refusal *request.Refusal) {
+	c := s.call
+	c.log().Info("stream not continued",
+		zap.String("Request", c.ID),
+		zap.String("Endpoint", s.to.ID),
+		zap.String("Code", string(refusal.Code)),
+		zap.String("Reason", refusal.Message),
+		zap.Int("Attempts", c.lifecycle.Attempts()),
+		zap.Bool("Stopping", c.gateway.stopping.Load()))
+}
+
 // scan advances ready past the complete events.
 func (s *stream) scan() {
 	for {
@@ -239,6 +252,8 @@
 		zap.String("Framing", string(s.response.Framing())),
 		zap.Int("Unfinished", len(s.buffer)-s.ready),
 		zap.Bool("CallerGone", callerGone),
+		zap.Bool("Stopping", c.gateway.stopping.Load()),
+		zap.Duration("Silence", time.Since(c.progressAt)),
 		zap.Duration("Age", time.Since(c.arrived)),
 		zap.NamedError("Cause", contextCause(c)),
 		zap.Error(s.err))
