pkg/gateway: a silent endpoint is left only once another one has answered

Cause: an attempt at a silent endpoint was ended by a timer, before it was known whether any other endpoint takes the request. With none granted, refused by the budget or failing, the caller was left with nothing. The class: giving up what is held before what replaces it is held; it stood in streams that have begun, in streams before their first event and in repeatable plain requests.

Now a second attempt begins beside the first one, with its own grant, retry and connection. Whichever sends an event (or a whole plain answer) first is used and the other one is ended; a second attempt that is refused or fails changes nothing for the first one, and another one is tried after the same time. The timeout stands still while the caller does not read. No request is sent to more endpoints than before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -62,7 +62,11 @@
 				return errNotAdmitted
 			}
 			c.reserved = reservation{}
-			return c.lifecycle.Advance(request.Sending)
+			if err := c.lifecycle.Advance(request.Sending); err != nil {
+				return err
+			}
+			c.hedger.arm(c.firstStallTimeout(to), lastEvent)
+			return nil
 		},
 		Matches: func(head *fasthttp.ResponseHeader) bool {
 			id := c.gateway.Translator.ParseResponse(head).ID
@@ -135,31 +139,11 @@
 // handleFailure records the outcome of a failed attempt. It returns nil if another attempt
 // follows, and otherwise the refusal for the caller.
 func (c *call) handleFailure(to destination, err error) *request.Refusal {
-	result, retry := c.classifyFailure(to, err)
-	to.finish(result)
-	if result.isFailure() {
-		c.gateway.rollouts.recordResponse(&to.Endpoint, c.route.Name, true, 0)
-	}
-	c.excluded = append(c.excluded, to.ID)
-	if errors.Is(err, errNotAdmitted) {
-		c.gateway.Metrics.HandedBack()
-	}
-	c.log().Info("attempt failed",
-		zap.String("Request", c.ID),
-		zap.Stringer("Fingerprint", c.fingerprint),
-		zap.String("Endpoint", to.ID),
-		zap.String("Address", to.Address),
-		zap.Int("Attempts", c.lifecycle.Attempts()),
-		zap.String("Run", string(c.lifecycle.RunStatus())),
-		zap.Duration("Age", time.Since(c.arrived)),
-		zap.Bool("Again", retry),
-		zap.Bool("Stopping", c.gateway.stopping.Load()),
-		zap.Duration("Silence", time.Since(c.progressAt)),
-		zap.Error(err))
+	again := c.failAttempt(to, err)
 	if c.ctx.Err() != nil {
 		return c.endedRefusal()
 	}
-	if retry {
+	if again {
 		return nil
 	}
 	if refusal := c.refuseQuarantined(); refusal != nil && c.lifecycle.RunStatus() == request.NotRun {
@@ -175,32 +159,78 @@
 	}
 }
 
+// failAttempt records the outcome of a failed attempt, and reports whether another one follows.
+func (c *call) failAttempt(to destination, err error) (again bool) {
+	c.settleAttempt(to, err)
+	again = c.mayRetry(err)
+	if c.isWithdrawn() {
+		return again
+	}
+	c.log().Info("attempt failed",
+		zap.String("Request", c.ID),
+		zap.Stringer("Fingerprint", c.fingerprint),
+		zap.String("Endpoint", to.ID),
+		zap.String("Address", to.Address),
+		zap.Int("Attempts", c.lifecycle.Attempts()),
+		zap.String("Run", string(c.lifecycle.RunStatus())),
+		zap.Duration("Age", time.Since(c.arrived)),
+		zap.Bool("Again", again),
+		zap.Bool("Stopping", c.gateway.stopping.Load()),
+		zap.Duration("Silence", time.Since(c.progressAt)),
+		zap.Error(err))
+	return again
+}
+
 // maxUnreachable bounds the endpoints of one request that could not be connected to, or that no
 // longer admitted requests once the connection was open.
 const maxUnreachable = 3
 
-// classifyFailure returns what a failure says about the endpoint, and whether the request may
-// be sent to another one.
-func (c *call) classifyFailure(to destination, err error) (result outcome, retry bool) {
+// settleAttempt records the outcome of a failed attempt.
+func (c *call) settleAttempt(to destination, err error) {
+	result := c.classifyFailure(to, err)
+	to.finish(result)
+	if result.isFailure() {
+		c.gateway.rollouts.recordResponse(&to.Endpoint, c.route.Name, true, 0)
+	}
+	c.excluded = append(c.excluded, to.ID)
+	if errors.Is(err, errNotAdmitted) {
+		c.gateway.Metrics.HandedBack()
+	}
+}
+
+// classifyFailure returns what a failure says about the endpoint, and records its end.
+func (c *call) classifyFailure(to destination, err error) outcome {
 	var unreached *endpoint.DialError
 	var declined *declinedError
 	switch {
 	case c.ctx.Err() != nil:
-		return outcomeUnknown, false
-	case errors.Is(err, errQuarantined):
-		return outcomeUnused, false
-	case errors.Is(err, errNotAdmitted):
-		c.unreachable++
-		return outcomeUnused, c.unreachable < maxUnreachable
+		return outcomeUnknown
+	case errors.Is(err, errQuarantined), errors.Is(err, errNotAdmitted):
+		return outcomeUnused
 	case errors.As(err, &unreached):
+		return outcomeUnreachable
+	case errors.As(err, &declined):
+		return outcomeDeclined
+	default:
+		return c.recordBroken(to, err)
+	}
+}
+
+// mayRetry reports whether the request may be sent to another endpoint after a failure that is recorded: its
+// record may have put the request under quarantine.
+func (c *call) mayRetry(err error) bool {
+	var unreached *endpoint.DialError
+	var declined *declinedError
+	switch {
+	case c.ctx.Err() != nil, errors.Is(err, errQuarantined):
+		return false
+	case errors.Is(err, errNotAdmitted), errors.As(err, &unreached):
 		c.unreachable++
-		return outcomeUnreachable, c.unreachable < maxUnreachable
+		return c.unreachable < maxUnreachable
 	case errors.As(err, &declined):
-		return outcomeDeclined, c.reserveRetry()
+		return c.reserveRetry()
 	default:
-		// The end is recorded first, because it may put the request under quarantine.
-		result = c.recordBroken(to, err)
-		return result, c.route.Repeatable && c.reserveRetry()
+		return c.route.Repeatable && c.reserveRetry()
 	}
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -29,8 +29,8 @@
 	errRouteTimeout = errors.New("the route's time limit passed")
 )
 
-// call is one caller's request on its way through the gateway.
-type call struct {
+// requestFacts are what is known of a caller's request. They do not change once it was identified.
+type requestFacts struct {
 	gateway *Gateway
 	http    *fasthttp.RequestCtx
 	RequestInfo
@@ -47,13 +47,33 @@
 	// queuesPlain is set if requests to the service, a plain one, are queued for its slots.
 	queuesPlain bool
 	customer    string
-	// fingerprint identifies repeats of the request, and lastEnd records the last endpoint that
-	// ended while it ran the request.
+	// fingerprint identifies repeats of the request.
 	fingerprint quarantine.Fingerprint
-	lastEnd     quarantine.End
 	// zones are the availability zones in which the request may be served; empty means any.
-	zones     []string
+	zones []string
+	// originKnownBy is the box that knew which release began a stream that the request takes up.
+	originKnownBy string
+}
+
+// attemptRecord is what the attempts of a request have come to.
+type attemptRecord struct {
 	lifecycle request.Lifecycle
+	// lastEnd records the last endpoint that ended while it ran the request.
+	lastEnd quarantine.End
+	// excluded are the IDs of the endpoints that failed this request.
+	excluded []string
+	// unreachable counts the endpoints that accepted no connection.
+	unreachable int
+	// reserved is a retry that was reserved and not yet sent, if any.
+	reserved reservation
+}
+
+// call is one caller's request on its way through the gateway, or a second attempt of it beside the first.
+type call struct {
+	requestFacts
+	attemptRecord
+	// isHedge is set for a second attempt.
+	isHedge bool
 
 	// ctx ends with the deadline, or when the caller disconnects.
 	ctx    context.Context
@@ -63,20 +83,13 @@
 	// begunAt selects the release that sent the first event which the caller received; the zero
 	// value while it received none. Events of different releases do not fit together.
 	begunAt rollout.VersionFilter
-	// originKnownBy is the box that knew which release began a stream that the request takes up.
-	originKnownBy string
 	// attemptBegan is set once the endpoint of the current attempt has sent an event.
 	attemptBegan bool
 	// progressAt is when the current attempt began or, if later, its endpoint last sent an event.
 	progressAt time.Time
-	// excluded are the IDs of the endpoints that failed this request.
-	excluded []string
-	// unreachable counts the endpoints that accepted no connection.
-	unreachable int
-	// reserved is a retry that was reserved and not yet sent, if any.
-	reserved reservation
-	// guard ends the current attempt if it stalls.
-	guard *guard
+	// guard ends the current attempt, and hedger begins another one beside it.
+	guard  *guard
+	hedger *hedger
 	// streaming is set once the response's stream owns the call; the stream then finishes it.
 	streaming bool
 }
@@ -84,7 +97,7 @@
 // serve handles one request.
 func (g *Gateway) serve(http *fasthttp.RequestCtx) {
 	g.inFlight.Add(1)
-	c := &call{gateway: g, http: http, arrived: time.Now()}
+	c := &call{requestFacts: requestFacts{gateway: g, http: http, arrived: time.Now()}}
 	g.lastArrival.Store(int64(c.arrived.Sub(g.startedAt)))
 	refusal := c.claimMemory()
 	if refusal == nil {
@@ -120,6 +133,7 @@
 	if c.cancel == nil {
 		return
 	}
+	c.hedger.close()
 	c.guard.stop()
 	c.gateway.continuations.end(c)
 	c.gateway.suspensions.remove(c)
@@ -169,10 +183,7 @@
 	if refusal := c.takeUp(); refusal != nil {
 		return refusal
 	}
-	if c.service.Engine != nil && c.Prompt != nil {
-		return c.serveModel()
-	}
-	return c.servePlain()
+	return c.serveEndpoints()
 }
 
 func notRun(code request.Code, message string, retryAfter time.Duration) *request.Refusal {
@@ -335,24 +346,12 @@
 		zap.Duration("Age", time.Since(c.arrived)))
 }
 
-// forwardBuffered forwards a response that is read completely before any of it is sent, so that
-// a truncated one can still be reported as failed.
-func (c *call) forwardBuffered(to *destination, response *endpoint.Response) error {
-	body, err := c.readAnswer(response)
-	if err == nil && c.endedWithEndpoint(to, response) {
-		err = response.CutError()
-	}
-	c.recordUnframedEnd(to, response, err)
-	if err != nil {
-		response.Close()
-		return &endpoint.NoResponseError{Address: c.route.Name, Err: err}
-	}
-	response.Close()
-	c.forwardHead(response)
-	if !response.IsFramed() {
-		c.forwardUnframed(body)
-		return nil
+// forwardBody forwards a body that was read completely.
+func (c *call) forwardBody(got *answer) {
+	c.forwardHead(got.response)
+	if !got.response.IsFramed() {
+		c.forwardUnframed(got.body)
+		return
 	}
-	c.http.Response.SetBodyRaw(body)
-	return nil
+	c.http.Response.SetBodyRaw(got.body)
 }
--- /dev/null
+++ b/pkg/gateway/hedge.go
@@ -0,0 +1,409 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/request"
+	"github.com/quaylead/quaylead/pkg/rollout"
+)
+
+// errStalled ends an attempt whose endpoint sent nothing for too long, once another endpoint has answered.
+var errStalled = errors.New("the endpoint sent nothing for too long, and another one answered")
+
+// errWithdrawn ends a second attempt because the first one goes on.
+var errWithdrawn = errors.New("the first endpoint goes on")
+
+// errNotContinued reports an answer that is no stream, where one is to go on.
+var errNotContinued = &unusableError{reason: "the stream was not continued"}
+
+// Timeouts after which a repeatable request is sent to a second endpoint. They have to be far longer than a
+// busy endpoint takes, because the work of one of the two is wasted.
+const (
+	// plainStallFactor times the route's latency target is the timeout of a plain request,
+	// and minPlainStallTimeout its minimum.
+	plainStallFactor     = 3
+	minPlainStallTimeout = 300 * time.Millisecond
+	// firstEventMargin is added to the predicted time of a stream's first event.
+	firstEventMargin = 1500 * time.Millisecond
+	// gapStallFactor times the route's gap target is the timeout between two events, and
+	// minGapStallTimeout its minimum.
+	gapStallFactor     = 3
+	minGapStallTimeout = time.Second
+)
+
+func (c *call) firstStallTimeout(to destination) time.Duration {
+	if c.route.Streaming {
+		return firstEventMargin + to.granted.wait + to.granted.readTime
+	}
+	return max(plainStallFactor*c.route.LatencyTarget, minPlainStallTimeout)
+}
+
+func (c *call) gapStallTimeout() time.Duration {
+	return max(gapStallFactor*c.route.GapTarget, minGapStallTimeout)
+}
+
+// hedger begins a second attempt of a repeatable request whose endpoint is silent. The first attempt goes
+// on, and the one that answers first is used: sound endpoints may be silent for a while, and when many are,
+// no other one has room. A nil hedger does nothing.
+type hedger struct {
+	call *call
+	// first is the guard of the first attempt.
+	first *guard
+	// group runs the second attempts.
+	group errgroup.Group
+
+	mu sync.Mutex
+	// timer is nil until the first attempt is sent. timeout is how long its endpoint may be silent.
+	timer   *time.Timer
+	timeout time.Duration
+	// attempts, begunAt and lastEvent are those of the request, with which a second attempt begins.
+	attempts  attemptRecord
+	begunAt   rollout.VersionFilter
+	lastEvent string
+	// isContinuation is set if the caller had got events before the first attempt.
+	isContinuation bool
+	// hasBegun is set once the first endpoint has sent an event.
+	hasBegun bool
+	// isPaused is set from an event until the next one is waited for: an endpoint is not silent while the
+	// caller does not read.
+	isPaused bool
+	// current is the second attempt that may answer; nil if there is none. running counts it and those
+	// that were withdrawn and have not ended yet.
+	current *hedge
+	running int
+	// closed is set once no other attempt may begin.
+	closed bool
+}
+
+// hedge is one second attempt.
+type hedge struct {
+	// call has the facts of the request, and its own attempts and context.
+	call   *call
+	cancel context.CancelCauseFunc
+	// lastEvent is the last event that the caller has got; empty before the first one.
+	lastEvent string
+	// isContinuation is set if the caller has got events.
+	isContinuation bool
+	// answer is set once the hedge has answered before the first attempt.
+	answer *answer
+}
+
+// newHedger returns the hedger of the attempt with a number, from 1; nil if no other attempt may follow it.
+func (c *call) newHedger(attempt int) *hedger {
+	if !c.route.Repeatable || c.isHedge || attempt >= c.route.MaxAttempts {
+		return nil
+	}
+	return &hedger{call: c, first: c.guard}
+}
+
+// use makes the answer of a second attempt that of the request.
+func (c *call) use(second *answer) {
+	c.guard.stop()
+	c.guard = second.guard
+	c.progressAt = time.Now()
+	c.hedger = nil
+	if second.stream == nil {
+		return
+	}
+	second.stream.call, c.attemptBegan = c, true
+	if c.hedger = c.newHedger(c.lifecycle.Attempts()); c.hedger != nil {
+		c.hedger.arm(c.gapStallTimeout(), second.stream.lastEvent)
+		c.hedger.heard(second.stream.lastEvent, c.gapStallTimeout())
+	}
+}
+
+// arm starts the timeout of the first attempt, of which the first byte is about to be sent.
+func (h *hedger) arm(timeout time.Duration, lastEvent string) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.attempts, h.begunAt = h.call.attemptRecord, h.call.begunAt
+	h.attempts.excluded = slices.Clone(h.attempts.excluded)
+	h.lastEvent, h.isContinuation = lastEvent, h.call.streaming
+	h.timeout = timeout
+	h.timer = time.AfterFunc(timeout, h.begin)
+}
+
+// begin begins a second attempt, if the request may be sent again.
+func (h *hedger) begin() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := h.call
+	canContinue := !h.hasBegun || (first.route.Resumable && h.lastEvent != "")
+	if h.closed || h.isPaused || h.current != nil || !canContinue || h.attempts.lifecycle.Attempts() >= first.route.MaxAttempts {
+		return
+	}
+	if h.running > 0 || !first.gateway.budget.canTake(first.service.Name) {
+		h.timer.Reset(h.timeout)
+		return
+	}
+	second := &call{requestFacts: first.requestFacts, attemptRecord: h.attempts, begunAt: h.begunAt, isHedge: true}
+	second.excluded = append(slices.Clone(h.attempts.excluded), h.first.endpoint.ID)
+	if !second.reserveRetry() {
+		return
+	}
+	h.current = &hedge{call: second, lastEvent: h.lastEvent, isContinuation: h.isContinuation || h.hasBegun}
+	second.ctx, h.current.cancel = context.WithCancelCause(first.ctx)
+	h.running++
+	one := h.current
+	h.group.Go(func() error {
+		h.run(one)
+		return nil
+	})
+	first.log().Info("endpoint silent, second attempt begun",
+		zap.String("Request", first.ID),
+		zap.String("Endpoint", h.first.endpoint.ID),
+		zap.Duration("Silence", h.timeout),
+		zap.String("After", h.lastEvent),
+		zap.Bool("Stopping", first.gateway.stopping.Load()))
+}
+
+// run obtains the answer of a second attempt.
+func (h *hedger) run(one *hedge) {
+	c := one.call
+	got, err := one.fetch()
+	c.releaseRetry()
+	if err == nil && !h.win(one, got) {
+		got.discard(c)
+		err = errWithdrawn
+	}
+	if err != nil {
+		c.guard.stop()
+	}
+	result := one.resultOf(err)
+	h.end(one, result)
+	c.gateway.Metrics.Hedged(result)
+	c.log().Info("second attempt ended",
+		zap.String("Request", c.ID),
+		zap.String("Result", string(result)),
+		zap.Int("Attempts", c.lifecycle.Attempts()),
+		zap.Error(err))
+}
+
+// hedgeResult is how a second attempt ended.
+type hedgeResult string
+
+const (
+	// hedgeAnswered: it answered first.
+	hedgeAnswered hedgeResult = "Answered"
+	// hedgeWithdrawn: the first attempt went on, or the request ended, before.
+	hedgeWithdrawn hedgeResult = "Withdrawn"
+	// hedgeRefused: no other endpoint took the request.
+	hedgeRefused hedgeResult = "Refused"
+	// hedgeFailed: the other endpoint failed.
+	hedgeFailed hedgeResult = "Failed"
+)
+
+// resultOf returns the result of a second attempt that ended with an error, or with nil if it answered first.
+func (o *hedge) resultOf(err error) hedgeResult {
+	var refusal *request.Refusal
+	switch {
+	case err == nil:
+		return hedgeAnswered
+	case o.call.ctx.Err() != nil || errors.Is(err, errWithdrawn):
+		return hedgeWithdrawn
+	case errors.As(err, &refusal):
+		return hedgeRefused
+	default:
+		return hedgeFailed
+	}
+}
+
+// isWithdrawn reports whether the call is a second attempt that was withdrawn.
+func (c *call) isWithdrawn() bool { return errors.Is(context.Cause(c.ctx), errWithdrawn) }
+
+// fetch obtains the answer of another endpoint. Its errors are refusals, if no endpoint takes the
+// request, or those of the last endpoint.
+func (o *hedge) fetch() (*answer, error) {
+	c := o.call
+	for {
+		to, refusal := c.acquireEndpoint()
+		if refusal != nil {
+			return nil, refusal
+		}
+		got, err := c.fetch(to, o.lastEvent)
+		if err == nil && o.isContinuation && got.stream == nil {
+			got.drop(c)
+			err = errNotContinued
+		}
+		if err == nil {
+			return got, nil
+		}
+		if !c.failAttempt(to, err) {
+			return nil, err
+		}
+	}
+}
+
+// win makes a second attempt that has answered the one that is used, and ends the first attempt. It
+// reports false if the second attempt was withdrawn before.
+func (h *hedger) win(one *hedge, got *answer) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current != one {
+		return false
+	}
+	one.answer = got
+	h.first.cancel(errStalled)
+	return true
+}
+
+// end records that a second attempt has ended. If it has no answer, another one may follow.
+func (h *hedger) end(one *hedge, result hedgeResult) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.running--
+	if one.call.lifecycle.Attempts() > h.attempts.lifecycle.Attempts() {
+		h.attempts = one.call.attemptRecord
+	}
+	if h.current == one && result != hedgeAnswered {
+		h.current = nil
+		if !h.closed && !h.isPaused {
+			h.timer.Reset(h.timeout)
+		}
+	}
+}
+
+// heard records that the first endpoint has sent an event, and withdraws the second attempt. It reports
+// false if the second attempt has answered before; the event is then not used.
+func (h *hedger) heard(lastEvent string, timeout time.Duration) bool {
+	if h == nil {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.withdraw() {
+		return false
+	}
+	h.hasBegun, h.isPaused, h.lastEvent, h.timeout = true, true, lastEvent, timeout
+	h.timer.Stop()
+	return true
+}
+
+// expect restarts the timeout when the next event is waited for.
+func (h *hedger) expect() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isPaused && !h.closed {
+		h.isPaused = false
+		h.timer.Reset(h.timeout)
+	}
+}
+
+// setBegun records which release has begun the stream.
+func (h *hedger) setBegun(begunAt rollout.VersionFilter) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.begunAt = begunAt
+}
+
+// delay restarts the timeout, because the endpoint is not at fault for its silence.
+func (h *hedger) delay(timeout time.Duration) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.closed && h.timer != nil {
+		h.timer.Reset(timeout)
+	}
+}
+
+// withdraw ends the second attempt, if there is one. It reports false if it has answered. The caller holds
+// the lock.
+func (h *hedger) withdraw() bool {
+	switch {
+	case h.current == nil:
+		return true
+	case h.current.answer != nil:
+		return false
+	}
+	h.current.cancel(errWithdrawn)
+	h.current = nil
+	return true
+}
+
+// stop prevents other attempts.
+func (h *hedger) stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+}
+
+// finish ends hedging because the first attempt has answered completely. It reports false if the second
+// attempt has answered before.
+func (h *hedger) finish() bool {
+	if h == nil {
+		return true
+	}
+	h.stop()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.withdraw()
+}
+
+// await ends hedging because the first attempt has failed. It waits for the second attempt, if there is
+// one, and returns its answer.
+func (h *hedger) await() *answer {
+	if h == nil {
+		return nil
+	}
+	h.stop()
+	_ = h.group.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.attempts.lifecycle.Attempts() > h.call.lifecycle.Attempts() {
+		h.call.attemptRecord = h.attempts
+	}
+	if h.current == nil {
+		return nil
+	}
+	got := h.current.answer
+	h.current = nil
+	return got
+}
+
+// close ends hedging with the request. An answer that was not used is dropped.
+func (h *hedger) close() {
+	if h == nil {
+		return
+	}
+	h.stop()
+	h.mu.Lock()
+	if h.current != nil {
+		h.current.cancel(errWithdrawn)
+	}
+	h.mu.Unlock()
+	_ = h.group.Wait()
+	if got := h.await(); got != nil {
+		got.discard(h.call)
+	}
+}
+
+// logOvertaken logs that an attempt was ended because another endpoint answered first.
+func (c *call) logOvertaken(silent, by *destination) {
+	c.log().Info("silent endpoint left",
+		zap.String("Request", c.ID),
+		zap.String("Endpoint", silent.ID),
+		zap.String("For", by.ID),
+		zap.Duration("Silence", time.Since(c.progressAt)),
+		zap.Duration("Age", time.Since(c.arrived)))
+}
--- a/pkg/gateway/incoming_body.go
+++ b/pkg/gateway/incoming_body.go
@@ -150,7 +150,7 @@
 		g.memory.budget.Release(body.customer, body.reserved)
 		return false
 	}
-	c := &call{gateway: g, http: http, arrived: time.Now()}
+	c := &call{requestFacts: requestFacts{gateway: g, http: http, arrived: time.Now()}}
 	c.refuse(c.memoryRefusal(body))
 	conn.draining.Store(true)
 	return true
--- a/pkg/gateway/kept_answer.go
+++ b/pkg/gateway/kept_answer.go
@@ -97,7 +97,7 @@
 		return &endpoint.TooLargeError{Limit: int(conn.memory.budget.Size / 2)}
 	}
 	// The endpoint is not at fault for the wait.
-	c.guard.reset(c.remaining())
+	c.hedger.delay(c.remaining())
 	for !conn.keep(int64(bytes)) {
 		if interval.Wait(c.ctx, roomCheckInterval) != nil {
 			return context.Cause(c.ctx)
--- a/pkg/gateway/kept_answer_test.go
+++ b/pkg/gateway/kept_answer_test.go
@@ -23,7 +23,7 @@
 			return err
 		},
 		"a stream before its first event": func(c *call, response *endpoint.Response) error {
-			return c.forwardStream(destination{}, response)
+			return c.newStream(destination{}, response, "").awaitEvent()
 		},
 	} {
 		Convey("The buffer of "+name+" that was cut is released before the next attempt", t, func() {
@@ -77,7 +77,7 @@
 	defer response.Close()
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer cancel(nil)
-	c := &call{gateway: m.gateway, http: http, ctx: ctx, cancel: cancel}
+	c := &call{requestFacts: requestFacts{gateway: m.gateway, http: http}, ctx: ctx, cancel: cancel}
 	err = read(c, response)
 	So(err, ShouldNotBeNil)
 	So(errors.Is(err, context.Canceled), ShouldBeFalse)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -62,6 +62,8 @@
 	// unframed counts the responses of endpoints with neither a length nor chunks, by how they
 	// ended.
 	unframed expvar.Map
+	// hedges counts the second attempts of requests whose endpoint was silent, by result.
+	hedges expvar.Map
 }
 
 // Publish registers the metrics under their expvar names. It may be called only once in a
@@ -93,6 +95,7 @@
 	expvar.Publish("OriginsTold", &m.originsNotified)
 	expvar.Publish("OriginsAsked", &m.originsAsked)
 	expvar.Publish("Unframed", &m.unframed)
+	expvar.Publish("Hedges", &m.hedges)
 }
 
 // FirstEvent records the time to a stream's first event.
@@ -115,6 +118,9 @@
 // Cut counts, by service, a response that the caller received truncated.
 func (m *Metrics) Cut(service string) { m.cuts.Add(service, 1) }
 
+// Hedged counts a second attempt that ended.
+func (m *Metrics) Hedged(result hedgeResult) { m.hedges.Add(string(result), 1) }
+
 // Granted counts a grant.
 func (m *Metrics) Granted(v verdict) {
 	m.granted.Add(1)
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -1,15 +1,13 @@
 package gateway
 
 import (
-	"bytes"
-	"context"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"github.com/quaylead/quaylead/pkg/dispatch"
-	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/rollout"
 )
@@ -17,29 +15,15 @@
 // defaultLatencyTarget applies to routes without a latency target.
 const defaultLatencyTarget = time.Second
 
-// serveModel serves a request to a service of model engines: it waits for a grant and withholds
-// the head of the response until the first event has arrived. Until then nothing has been
-// delivered to the caller, so the request can be retried at another engine.
-func (c *call) serveModel() *request.Refusal {
-	for {
-		to, refusal := c.acquire()
-		if refusal != nil {
-			return refusal
-		}
-		response, err := c.attempt(to, c.LastEvent)
-		if err == nil && c.canRetryElsewhere(response) {
-			response.Close()
-			err = errEndpointError
-		} else if err == nil {
-			err = c.forwardResponse(to, response)
-		}
-		if err == nil {
-			return nil
-		}
-		if refusal := c.handleFailure(to, err); refusal != nil {
-			return refusal
-		}
+// isModel reports whether the request is one to a model engine.
+func (c *call) isModel() bool { return c.service.Engine != nil && c.Prompt != nil }
+
+// acquireEndpoint returns the endpoint for the next attempt.
+func (c *call) acquireEndpoint() (to destination, refusal *request.Refusal) {
+	if c.isModel() {
+		return c.acquire()
 	}
+	return c.acquirePlain()
 }
 
 // acquire waits until the request is granted an engine that this box can use, or refused.
@@ -66,7 +50,7 @@
 			c.gateway.Metrics.RefusedByDispatcher(c.customer)
 			return to, c.dispatchRefusal(v)
 		}
-		if to, usable := c.checkGrant(s, v); usable {
+		if to, usable := c.checkGrant(s, req.ID, v); usable {
 			to.suspendedTotal = suspended
 			return to, nil
 		}
@@ -83,15 +67,15 @@
 
 // checkGrant returns the granted engine. If that engine is absent here or rests from this box,
 // it hands the grant back and reports that it is not usable.
-func (c *call) checkGrant(s *scheduler, v verdict) (to destination, usable bool) {
+func (c *call) checkGrant(s *scheduler, id string, v verdict) (to destination, usable bool) {
 	found, known := c.gateway.registry.Directory().Find(v.endpoint)
 	switch {
 	case !known || !found.Admits():
-		s.returnAbsentGrant(c.ID, v)
+		s.returnAbsentGrant(id, v)
 	case c.gateway.rests.isResting(&found, time.Now()) || !c.begunAt.Admits(found.Release):
 		// The grant is no sign that the dispatcher's view is outdated: only this box was asked for
 		// rest, and boxes of earlier builds do not know exact releases.
-		s.end(c.ID, dispatch.Unused{})
+		s.end(id, dispatch.Unused{})
 	default:
 		c.log().Debug("engine granted", zap.String("Request", c.ID), zap.String("Endpoint", found.ID), zap.String("By", v.decidedBy), zap.Duration("Wait", v.wait), zap.String("FetchFrom", v.fetchFrom))
 		if !c.isQueuedPlain() {
@@ -100,8 +84,8 @@
 		}
 		return destination{
 			Endpoint:  found,
-			begin:     func() { s.begin(c.ID) },
-			finish:    func(result outcome) { s.end(c.ID, c.dispatchOutcome(result)) },
+			begin:     func() { s.begin(id) },
+			finish:    func(result outcome) { s.end(id, c.dispatchOutcome(result)) },
 			granted:   v,
 			group:     s,
 			grantedAt: time.Now(),
@@ -140,7 +124,7 @@
 		prompt = *c.Prompt
 	}
 	return &dispatch.Request{
-		ID:            c.ID,
+		ID:            c.grantID(),
 		Customer:      c.customer,
 		Route:         c.route.Name,
 		Prompt:        prompt,
@@ -158,6 +142,15 @@
 	}
 }
 
+// grantID returns the ID of the next attempt's grant. An attempt may begin while an earlier one holds its
+// own grant.
+func (c *call) grantID() string {
+	if attempt := c.lifecycle.Attempts() + 1; attempt > 1 {
+		return c.ID + "#" + strconv.Itoa(attempt)
+	}
+	return c.ID
+}
+
 // admittedReleases returns the releases at which the next attempt may run: the one that began the
 // stream or, for a request of which the caller has received nothing, those that a roll-out selects.
 func (c *call) admittedReleases() rollout.VersionFilter {
@@ -204,64 +197,53 @@
 	}
 }
 
-var eventStreamType = []byte("text/event-stream")
-
-// forwardResponse forwards the response of an engine: a stream event by event, anything else
-// after it has been read completely.
-func (c *call) forwardResponse(to destination, response *endpoint.Response) error {
-	status := response.Head.StatusCode()
-	if status == fasthttp.StatusOK && bytes.HasPrefix(response.Head.ContentType(), eventStreamType) {
-		return c.forwardStream(to, response)
-	}
-	if err := c.forwardBuffered(&to, response); err != nil {
-		return err
+// deliver sends an answer to the caller: a stream event by event, anything else at once.
+func (c *call) deliver(got *answer) {
+	switch {
+	case got.stream != nil:
+		c.deliverStream(got)
+	case c.isModel():
+		c.deliverBuffered(got)
+	default:
+		c.deliverPlain(got)
 	}
-	c.logEndpointError(to, status)
+}
+
+// deliverBuffered sends the complete answer of an engine that is no stream.
+func (c *call) deliverBuffered(got *answer) {
+	c.forwardBody(got)
+	status := got.response.Head.StatusCode()
+	c.logEndpointError(got.to, status)
 	result := outcomeUnknown
 	failed := status >= fasthttp.StatusInternalServerError
-	c.gateway.rollouts.recordResponse(&to.Endpoint, c.route.Name, failed, 0)
+	c.gateway.rollouts.recordResponse(&got.to.Endpoint, c.route.Name, failed, 0)
 	if failed {
 		result = outcomeFailed
-	} else if response.IsFramed() {
-		c.clearFingerprint(response)
+	} else if got.response.IsFramed() {
+		c.clearFingerprint(got.response)
 		if status < fasthttp.StatusMultipleChoices {
-			c.clearParts(&to)
+			c.clearParts(&got.to)
 		}
 	}
-	to.finish(result)
-	return nil
+	got.to.finish(result)
 }
 
-// forwardStream gives the stream to the HTTP server, which reads it event by event.
-func (c *call) forwardStream(to destination, response *endpoint.Response) error {
-	s := &stream{
-		call:      c,
-		to:        to,
-		response:  response,
-		lastEvent: c.LastEvent,
-		grantedAt: to.grantedAt,
-		grant:     to.granted,
-	}
-	if err := s.awaitEvent(); err != nil {
-		c.recordUnframedEnd(&to, response, err)
-		c.release(s.buffer)
-		response.Close()
-		return err
-	}
-	to.begin()
-	c.recordBegun(&to)
+// deliverStream gives a stream to the HTTP server, which reads it event by event.
+func (c *call) deliverStream(got *answer) {
+	got.to.begin()
+	c.recordBegun(&got.to)
 	c.gateway.Metrics.FirstEvent(c.customer, c.route.Name, time.Since(c.arrived))
-	c.forwardHead(response)
+	c.forwardHead(got.response)
 	c.streaming = true
 	c.http.Response.ImmediateHeaderFlush = true
-	c.http.Response.SetBodyStream(s, -1)
-	return nil
+	c.http.Response.SetBodyStream(got.stream, -1)
 }
 
 // recordBegun records that the first events of a stream have arrived and can be delivered to the
 // caller.
 func (c *call) recordBegun(to *destination) {
 	c.begunAt = rollout.VersionFilter{Version: to.Release, Exact: true}
+	c.hedger.setBegun(c.begunAt)
 	if c.route.Resumable && c.streamID() != "" {
 		c.gateway.continuations.begin(c, to)
 	}
@@ -283,7 +265,18 @@
 func (s *stream) resume(broken error) error {
 	c := s.call
 	for {
-		if !c.route.Resumable || s.lastEvent == "" || context.Cause(c.ctx) != nil {
+		if second := c.hedger.await(); second != nil && c.ctx.Err() == nil {
+			c.settleAttempt(s.to, broken)
+			c.logOvertaken(&s.to, &second.to)
+			brokenAt, after := s.to, s.lastEvent
+			c.use(second)
+			s.goOnWith(second)
+			s.logContinued(&brokenAt, after)
+			return nil
+		} else if second != nil {
+			second.discard(c)
+		}
+		if !c.route.Resumable || s.lastEvent == "" || c.ctx.Err() != nil {
 			s.to.finish(c.recordBroken(s.to, broken))
 			return broken
 		}
@@ -298,24 +291,31 @@
 			return broken
 		}
 		s.settled = false
-		brokenAt := s.to
+		brokenAt, after := s.to, s.lastEvent
 		s.to = to
-		response, err := c.attempt(to, s.lastEvent)
-		if err == nil && response.Head.StatusCode() != fasthttp.StatusOK {
-			response.Close()
-			err = &unusableError{reason: "the stream was not continued"}
+		got, err := c.fetch(to, s.lastEvent)
+		if err == nil && got.stream == nil {
+			got.drop(c)
+			err = errNotContinued
 		}
 		if err == nil {
-			c.log().Info("stream continued",
-				zap.String("Request", c.ID),
-				zap.String("Endpoint", to.ID),
-				zap.String("Release", to.Release),
-				zap.String("From", brokenAt.ID),
-				zap.String("FromRelease", brokenAt.Release),
-				zap.String("After", s.lastEvent))
-			s.response, s.eventsBefore = response, s.events
+			s.goOnWith(got)
+			s.logContinued(&brokenAt, after)
 			return nil
 		}
 		broken = err
 	}
 }
+
+// goOnWith continues the stream with the answer of another engine.
+func (s *stream) goOnWith(got *answer) {
+	next := got.stream
+	s.call.release(s.buffer)
+	s.to, s.response = got.to, got.response
+	s.buffer, s.ready, s.err = next.buffer, next.ready, next.err
+	s.eventsBefore = s.events
+	s.events += next.events
+	s.lastEvent = next.lastEvent
+	s.recordGap(next.lastEventAt)
+	s.to.begin()
+}
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -12,40 +12,6 @@
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
-// servePlain serves a request to a plain service. If the service is queued, the request waits for
-// a grant; otherwise this box selects an endpoint by its own measurements.
-func (c *call) servePlain() *request.Refusal {
-	for {
-		to, refusal := c.acquirePlain()
-		if refusal != nil {
-			return refusal
-		}
-		began := time.Now()
-		response, err := c.attempt(to, c.LastEvent)
-		if err == nil && c.canRetryElsewhere(response) {
-			response.Close()
-			err = errEndpointError
-		} else if err == nil {
-			status := response.Head.StatusCode()
-			good := status < fasthttp.StatusInternalServerError
-			if err = c.forwardBuffered(&to, response); err == nil {
-				if good && c.route.Streaming {
-					c.recordBegun(&to)
-				}
-				c.logEndpointError(to, status)
-				if good {
-					c.clearFingerprint(response)
-				}
-				c.settlePlain(to, good, time.Since(began))
-				return nil
-			}
-		}
-		if refusal := c.handleFailure(to, err); refusal != nil {
-			return refusal
-		}
-	}
-}
-
 // errEndpointError reports an error status of the endpoint that is not forwarded.
 var errEndpointError = &unusableError{reason: "the endpoint answered with an error of its own"}
 
@@ -56,6 +22,21 @@
 		c.lifecycle.Attempts() < c.route.MaxAttempts && c.ctx.Err() == nil && c.gateway.budget.canTake(c.service.Name)
 }
 
+// deliverPlain sends the complete answer of a plain endpoint to the caller.
+func (c *call) deliverPlain(got *answer) {
+	status := got.response.Head.StatusCode()
+	good := status < fasthttp.StatusInternalServerError
+	c.forwardBody(got)
+	if good && c.route.Streaming {
+		c.recordBegun(&got.to)
+	}
+	c.logEndpointError(got.to, status)
+	if good {
+		c.clearFingerprint(got.response)
+	}
+	c.settlePlain(got.to, good, time.Since(got.began))
+}
+
 // settlePlain records a complete response of a plain endpoint.
 func (c *call) settlePlain(to destination, good bool, took time.Duration) {
 	result := outcomeFailed
@@ -67,7 +48,8 @@
 	to.finishTimed(result, took)
 }
 
-// acquirePlain returns the endpoint for the next attempt.
+// acquirePlain returns the endpoint for the next attempt. If the service is queued, the request waits for a
+// grant; otherwise this box selects an endpoint by its own measurements.
 func (c *call) acquirePlain() (to destination, refusal *request.Refusal) {
 	if c.isQueuedPlain() {
 		return c.acquireSlot()
--- a/pkg/gateway/plain_queue_test.go
+++ b/pkg/gateway/plain_queue_test.go
@@ -42,7 +42,7 @@
 func TestPlainQueueSwitch(t *testing.T) {
 	newCall := func(g *Gateway) *call {
 		catalog := g.registry.Catalog()
-		return &call{gateway: g, route: &catalog.Routes[0], service: catalog.Services["api"], queuesPlain: catalog.QueuesPlain("api")}
+		return &call{requestFacts: requestFacts{gateway: g, route: &catalog.Routes[0], service: catalog.Services["api"], queuesPlain: catalog.QueuesPlain("api")}}
 	}
 	Convey("Without a route that allows it, nothing is queued: the box chooses as before", t, func() {
 		g := newQueueingBox(t, "2")
--- a/pkg/gateway/rests_test.go
+++ b/pkg/gateway/rests_test.go
@@ -88,7 +88,7 @@
 	Convey("A retry is returned to the budget only once", t, func() {
 		b := &retryBudget{settings: Settings{RetryRatio: 0.2, RetryExtra: 2, RetryWindow: time.Hour}, peers: func() int { return 0 }}
 		taken, _ := b.take("api")
-		c := &call{gateway: &Gateway{budget: b}, reserved: taken}
+		c := &call{requestFacts: requestFacts{gateway: &Gateway{budget: b}}, attemptRecord: attemptRecord{reserved: taken}}
 		c.service.Name = "api"
 		c.releaseRetry()
 		c.releaseRetry()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -44,15 +44,31 @@
 	closed  bool
 }
 
+// newStream returns the stream of an engine's response, which goes on after an event of an earlier one.
+func (c *call) newStream(to destination, response *endpoint.Response, lastEvent string) *stream {
+	return &stream{
+		call:      c,
+		to:        to,
+		response:  response,
+		lastEvent: lastEvent,
+		grantedAt: to.grantedAt,
+		grant:     to.granted,
+	}
+}
+
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
-// awaitEvent waits until there is something to forward. If it fails, nothing has been delivered.
+// awaitEvent waits until there is something to forward. If it fails, nothing has been delivered, and the
+// response is closed.
 func (s *stream) awaitEvent() error {
 	for s.ready == 0 && s.err == nil {
 		s.fill()
 	}
 	if s.ready == 0 && !errors.Is(s.err, io.EOF) {
+		s.call.recordUnframedEnd(&s.to, s.response, s.err)
+		s.call.release(s.buffer)
+		s.response.Close()
 		return s.err
 	}
 	return nil
@@ -77,8 +93,6 @@
 			s.settled = true
 			return 0, broken
 		}
-		s.buffer, s.err = s.buffer[:0], nil
-		s.to.begin()
 	}
 	n := copy(p, s.buffer[:s.ready])
 	rest := copy(s.buffer, s.buffer[n:])
@@ -99,10 +113,18 @@
 			return
 		}
 	}
+	s.call.hedger.expect()
 	n, err := s.response.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	before := s.events
+	before, lastBefore := s.events, s.lastEvent
 	s.scan()
+	if s.events > before && !s.call.hedger.heard(s.lastEvent, s.call.gapStallTimeout()) {
+		// Another engine goes on after the event that was last forwarded.
+		s.buffer, s.ready = s.buffer[:0], 0
+		s.events, s.lastEvent = before, lastBefore
+		s.err = errStalled
+		return
+	}
 	if s.events > before {
 		s.recordEventTime(time.Now())
 	}
@@ -110,6 +132,9 @@
 	if errors.Is(err, io.EOF) {
 		s.err = s.checkEnd()
 	}
+	if errors.Is(s.err, io.EOF) && !s.call.hedger.finish() {
+		s.err = errStalled
+	}
 }
 
 // checkEnd returns io.EOF if the stream is complete where its response ended. Without framing the
@@ -124,8 +149,8 @@
 	return io.EOF
 }
 
-// recordEventTime records when an event arrived.
-func (s *stream) recordEventTime(now time.Time) {
+// recordGap records when an event arrived, for the times of the stream.
+func (s *stream) recordGap(now time.Time) {
 	if s.lastEventAt.IsZero() {
 		s.firstAfter = now.Sub(s.call.arrived)
 	} else {
@@ -133,11 +158,15 @@
 	}
 	s.lastEventAt = now
 	s.call.progressAt = now
+}
+
+// recordEventTime records when an event of the current engine arrived.
+func (s *stream) recordEventTime(now time.Time) {
+	s.recordGap(now)
 	if !s.call.attemptBegan {
 		s.call.attemptBegan = true
 		s.call.clearParts(&s.to)
 	}
-	s.call.guard.reset(s.call.gapStallTimeout())
 }
 
 // isLate reports whether the stream missed the latency target or the gap target of its route.
@@ -171,6 +200,17 @@
 		zap.Duration("Age", time.Since(c.arrived)))
 }
 
+// logContinued logs that the stream goes on at another engine.
+func (s *stream) logContinued(brokenAt *destination, after string) {
+	s.call.log().Info("stream continued",
+		zap.String("Request", s.call.ID),
+		zap.String("Endpoint", s.to.ID),
+		zap.String("Release", s.to.Release),
+		zap.String("From", brokenAt.ID),
+		zap.String("FromRelease", brokenAt.Release),
+		zap.String("After", after))
+}
+
 // logNotContinued logs why a broken stream does not go on at another engine.
 func (s *stream) logNotContinued(refusal *request.Refusal) {
 	c := s.call
--- a/pkg/gateway/take_up_test.go
+++ b/pkg/gateway/take_up_test.go
@@ -17,8 +17,8 @@
 		drawn, moved := map[string]int{}, 0
 		const streams = 4000
 		for i := range streams {
-			began := &call{route: split, RequestInfo: RequestInfo{ID: fmt.Sprintf("%016x", i)}}
-			taken := &call{route: split, RequestInfo: RequestInfo{ID: fmt.Sprintf("%016x", i+streams), LastEvent: "3", Resumes: began.ID}}
+			began := &call{requestFacts: requestFacts{route: split, RequestInfo: RequestInfo{ID: fmt.Sprintf("%016x", i)}}}
+			taken := &call{requestFacts: requestFacts{route: split, RequestInfo: RequestInfo{ID: fmt.Sprintf("%016x", i+streams), LastEvent: "3", Resumes: began.ID}}}
 			service := began.drawService()
 			drawn[service]++
 			if taken.drawService() != service {
