pkg/dispatch: drawn fleets of deadly requests exchange all ends

Traced: box 5 still knew one end of the request 1.5 s after the second one. The simulation read the ends of a box with one call from mark 0, which returns the 256 oldest; with eight requests a second and engine more requests break than that, and newer ends were never exchanged, also not at a change of the dispatcher. Boxes send the rest with their next messages (pkg/peer keeps the mark). The simulation reads all messages now; the check and its bound are unchanged.

--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -267,7 +267,7 @@
 		if s.dead[from] {
 			continue
 		}
-		ends, _ := l.EndsSince(0, "", s.now)
+		ends := allEnds(l, s.now)
 		for to, other := range s.ledgers {
 			if to != from && !s.dead[to] {
 				other.Merge(ends, "", s.now)
@@ -276,6 +276,17 @@
 	}
 }
 
+// allEnds returns all ends that a box knows. Boxes send them in messages of bounded size, one after another.
+func allEnds(l *quarantine.Ledger, now time.Time) (all []quarantine.End) {
+	for mark := uint64(0); ; {
+		ends, next := l.EndsSince(mark, "", now)
+		if len(ends) == 0 {
+			return all
+		}
+		all, mark = append(all, ends...), next
+	}
+}
+
 // failBoxes kills the dispatcher and some other boxes. The first box left takes over. It receives
 // the running requests, and the ends that each router recorded, which boxes may not share.
 func (s *crashSimulation) failBoxes(count int) {
@@ -295,7 +306,7 @@
 	s.pool.SetEndpoints(before.Endpoints(), s.now)
 	for box, l := range s.ledgers {
 		if !s.dead[box] {
-			ends, _ := l.EndsSince(0, "", s.now)
+			ends := allEnds(l, s.now)
 			s.pool.Ledger.Merge(ends, "", s.now)
 		}
 	}
--- a/pkg/dispatch/handover_test.go
+++ b/pkg/dispatch/handover_test.go
@@ -287,7 +287,7 @@
 
 // shareEnds sends the ends in one box's ledger to the others.
 func (s *handoverSimulation) shareEnds(from *handoverBox) {
-	ends, _ := from.ledger.EndsSince(0, "", s.now)
+	ends := allEnds(from.ledger, s.now)
 	for _, other := range s.boxes {
 		if other != from {
 			s.message(from, other, func() { other.ledger.Merge(ends, "", s.now) })
