pkg/gateway: an error of the second endpoint does not replace the first attempt

A second attempt that was answered with a status of 500 or above ended the first one, and the caller got the error although its first endpoint was sound and only silent: the route's attempts were used up, so the status counted as an answer. Such an answer is now a failed second attempt.

TestErrorOfSecondEndpointIsNotUsed failed before (status 500 in place of 200) and passes in 3 of 3 runs with -race.

--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -235,6 +236,11 @@
 			got.drop(c)
 			err = errNotContinued
 		}
+		if err == nil && got.response.Head.StatusCode() >= fasthttp.StatusInternalServerError {
+			// The first attempt may still succeed.
+			got.drop(c)
+			err = errEndpointError
+		}
 		if err == nil {
 			return got, nil
 		}
