pkg/gateway: a second attempt is not sent to the endpoint of the first one

Where all other endpoints of a plain service were excluded or there was none, the request was readmitted to the endpoint that still worked on it, which then ran it twice at once. Only attempts that follow a failure are readmitted now; a second attempt beside the first one is refused.

TestSecondAttemptIsNotSentToSameEndpoint failed before (2 runs in place of 1) and passes in 2 of 2 runs with -race.

--- a/pkg/gateway/plain_queue.go
+++ b/pkg/gateway/plain_queue.go
@@ -36,8 +36,12 @@
 }
 
 // readmitExcluded allows all endpoints again once every one that may serve the request has failed
-// it: a second attempt at one of them is better than a refusal.
+// it: a second attempt at one of them is better than a refusal. A hedge is not sent to the endpoint that
+// still works on the request.
 func (c *call) readmitExcluded() {
+	if c.isHedge {
+		return
+	}
 	now := time.Now()
 	canServe := func(e route.Endpoint) bool {
 		return e.Admits() && !slices.Contains(c.excluded, e.ID) && !c.gateway.rests.isResting(&e, now)
