pkg/gateway: two engines work on one request for a short time only

A second attempt that continues a stream ran beside the first one until it sent an event, for as long as its engine took to read the prompt. Now the first attempt at an engine is ended 150 ms after the second one was sent, unless the second one was refused or failed by then. Plain requests are not affected.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -72,8 +72,8 @@
 type call struct {
 	requestFacts
 	attemptRecord
-	// isHedge is set for a second attempt.
-	isHedge bool
+	// hedge is the second attempt that the call makes; nil for the first one.
+	hedge *hedge
 
 	// ctx ends with the deadline, or when the caller disconnects.
 	ctx    context.Context
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -15,8 +15,9 @@
 	"github.com/quaylead/quaylead/pkg/rollout"
 )
 
-// errStalled ends an attempt whose endpoint sent nothing for too long, once another endpoint has answered.
-var errStalled = errors.New("the endpoint sent nothing for too long, and another one answered")
+// errStalled ends an attempt whose endpoint sent nothing for too long, once another endpoint has answered or,
+// for an engine, runs the request.
+var errStalled = errors.New("the endpoint sent nothing for too long, and another one runs the request")
 
 // errWithdrawn ends a second attempt because the first one goes on.
 var errWithdrawn = errors.New("the first endpoint goes on")
@@ -39,6 +40,10 @@
 	minGapStallTimeout = time.Second
 )
 
+// maxOverlap is how long two engines may work on one request: long enough for a refusal of the second one to
+// arrive. The first one has to stop within 400 ms, and the close may be late on a busy box.
+const maxOverlap = 150 * time.Millisecond
+
 func (c *call) firstStallTimeout(to destination) time.Duration {
 	if c.route.Streaming {
 		return firstEventMargin + to.granted.wait + to.granted.readTime
@@ -52,7 +57,8 @@
 
 // hedger begins a second attempt of a repeatable request whose endpoint is silent. The first attempt goes
 // on, and the one that answers first is used: sound endpoints may be silent for a while, and when many are,
-// no other one has room. A nil hedger does nothing.
+// no other one has room. An engine is left maxOverlap after another one was sent the request. A nil hedger
+// does nothing.
 type hedger struct {
 	call *call
 	// first is the guard of the first attempt.
@@ -85,6 +91,7 @@
 
 // hedge is one second attempt.
 type hedge struct {
+	hedger *hedger
 	// call has the facts of the request, and its own attempts and context.
 	call   *call
 	cancel context.CancelCauseFunc
@@ -94,11 +101,15 @@
 	isContinuation bool
 	// answer is set once the hedge has answered before the first attempt.
 	answer *answer
+	// overlap leaves the first attempt; it is set while another engine is sent the request or runs it.
+	overlap *time.Timer
+	// hasLeft is set once the first attempt was ended before the hedge has answered.
+	hasLeft bool
 }
 
 // newHedger returns the hedger of the attempt with a number, from 1; nil if no other attempt may follow it.
 func (c *call) newHedger(attempt int) *hedger {
-	if !c.route.Repeatable || c.isHedge || attempt >= c.route.MaxAttempts {
+	if !c.route.Repeatable || c.hedge != nil || attempt >= c.route.MaxAttempts {
 		return nil
 	}
 	return &hedger{call: c, first: c.guard}
@@ -147,12 +158,13 @@
 		h.timer.Reset(h.timeout)
 		return
 	}
-	second := &call{requestFacts: first.requestFacts, attemptRecord: h.attempts, begunAt: h.begunAt, isHedge: true}
+	second := &call{requestFacts: first.requestFacts, attemptRecord: h.attempts, begunAt: h.begunAt}
 	second.excluded = append(slices.Clone(h.attempts.excluded), h.first.endpoint.ID)
 	if !second.reserveRetry() {
 		return
 	}
-	h.current = &hedge{call: second, lastEvent: h.lastEvent, isContinuation: h.isContinuation || h.hasBegun}
+	h.current = &hedge{hedger: h, call: second, lastEvent: h.lastEvent, isContinuation: h.isContinuation || h.hasBegun}
+	second.hedge = h.current
 	second.ctx, h.current.cancel = context.WithCancelCause(first.ctx)
 	h.running++
 	one := h.current
@@ -244,12 +256,44 @@
 		if err == nil {
 			return got, nil
 		}
+		o.stopOverlap()
 		if !c.failAttempt(to, err) {
 			return nil, err
 		}
 	}
 }
 
+// startOverlap ends the first attempt after maxOverlap if it is at an engine: another one is sent the request.
+func (o *hedge) startOverlap() {
+	if o == nil || !o.call.isModel() {
+		return
+	}
+	o.hedger.mu.Lock()
+	defer o.hedger.mu.Unlock()
+	o.overlap = time.AfterFunc(maxOverlap, o.leaveFirst)
+}
+
+// stopOverlap keeps the first attempt, because the other engine has failed.
+func (o *hedge) stopOverlap() {
+	o.hedger.mu.Lock()
+	defer o.hedger.mu.Unlock()
+	if o.overlap != nil {
+		o.overlap.Stop()
+		o.overlap = nil
+	}
+}
+
+// leaveFirst ends the first attempt, although the second one has not answered yet.
+func (o *hedge) leaveFirst() {
+	h := o.hedger
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current == o && o.overlap != nil && o.answer == nil {
+		o.hasLeft = true
+		h.first.cancel(errStalled)
+	}
+}
+
 // win makes a second attempt that has answered the one that is used, and ends the first attempt. It
 // reports false if the second attempt was withdrawn before.
 func (h *hedger) win(one *hedge, got *answer) bool {
@@ -280,7 +324,7 @@
 }
 
 // heard records that the first endpoint has sent an event, and withdraws the second attempt. It reports
-// false if the second attempt has answered before; the event is then not used.
+// false if the first attempt was ended for the second one; the event is then not used.
 func (h *hedger) heard(lastEvent string, timeout time.Duration) bool {
 	if h == nil {
 		return true
@@ -330,13 +374,13 @@
 	}
 }
 
-// withdraw ends the second attempt, if there is one. It reports false if it has answered. The caller holds
-// the lock.
+// withdraw ends the second attempt, if there is one. It reports false if it has answered, or if the first
+// attempt was ended for it. The caller holds the lock.
 func (h *hedger) withdraw() bool {
 	switch {
 	case h.current == nil:
 		return true
-	case h.current.answer != nil:
+	case h.current.answer != nil || h.current.hasLeft:
 		return false
 	}
 	h.current.cancel(errWithdrawn)
@@ -354,8 +398,8 @@
 	}
 }
 
-// finish ends hedging because the first attempt has answered completely. It reports false if the second
-// attempt has answered before.
+// finish ends hedging because the first attempt has answered completely. It reports false if that attempt
+// was ended for the second one.
 func (h *hedger) finish() bool {
 	if h == nil {
 		return true
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -74,7 +74,7 @@
 func (c *call) choosePlain() (to destination, refusal *request.Refusal) {
 	endpoints := c.plainEndpoints()
 	chosen, state := c.gateway.health.choose(endpoints, c.excluded, c.gateway.Settings.Zone)
-	if state == nil && len(c.excluded) > 0 && !c.isHedge {
+	if state == nil && len(c.excluded) > 0 && c.hedge == nil {
 		// Every endpoint has failed this request once; a second attempt at one of them is better
 		// than a refusal. A hedge is not sent to the endpoint that still works on the request.
 		c.excluded = nil
--- a/pkg/gateway/plain_queue.go
+++ b/pkg/gateway/plain_queue.go
@@ -39,7 +39,7 @@
 // it: a second attempt at one of them is better than a refusal. A hedge is not sent to the endpoint that
 // still works on the request.
 func (c *call) readmitExcluded() {
-	if c.isHedge {
+	if c.hedge != nil {
 		return
 	}
 	now := time.Now()
