pkg/gateway: an unused answer leaves no attempt in progress

A second answer that came as its request ended was dropped, but its guard stayed among the active attempts for ever. The attempt then counted as one at its release, for which a roll-out waits, and as one that runs the request's fingerprint. Dropping such an answer ends its guard.

TestUnusedAnswerEndsItsAttempt failed before (one attempt left) and passes in 5 of 5 runs with -race.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -87,6 +87,7 @@
 // discard drops an answer that is not used, through no fault of its endpoint.
 func (a *answer) discard(c *call) {
 	a.drop(c)
+	a.guard.stop()
 	a.to.finish(outcomeUnknown)
 }
 
