pkg/gateway: a continuation without events keeps the time of the last one

A stream that went on at an engine with no event left took over a zero time as that of its last event. The roll-out then counted a negative time between two events, and logs told a silence of centuries.

--- a/pkg/gateway/hedge_test.go
+++ b/pkg/gateway/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -71,3 +72,21 @@
 		So(ctx.Err(), ShouldNotBeNil)
 	})
 }
+
+// TestEmptyContinuationKeepsTimes guards against the time of the last event being lost when a stream goes on
+// at an engine that has no event left: the roll-out then counted a negative time between two events.
+func TestEmptyContinuationKeepsTimes(t *testing.T) {
+	Convey("A continuation without events does not change when the last event arrived", t, func() {
+		c := newTestCall(t, newTestBox(t, 0))
+		last := time.Now()
+		c.progressAt = last
+		s := &stream{call: c, events: 4, lastEvent: "4", lastEventAt: last}
+		s.goOnWith(&answer{
+			to:     destination{begin: func() {}},
+			stream: &stream{call: c, lastEvent: "4", err: io.EOF},
+		})
+		So(s.lastEventAt, ShouldEqual, last)
+		So(c.progressAt, ShouldEqual, last)
+		So(s.lastEvent, ShouldEqual, "4")
+	})
+}
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -316,6 +316,8 @@
 	s.eventsBefore = s.events
 	s.events += next.events
 	s.lastEvent = next.lastEvent
-	s.recordGap(next.lastEventAt)
+	if next.events > 0 {
+		s.recordGap(next.lastEventAt)
+	}
 	s.to.begin()
 }
