pkg/gateway: the end of an endpoint is reported by whichever call notices it

The outcome of an attempt took the record of its endpoint's end from the call that had obtained the grant. A stream that a second attempt had begun is read by the first call, whose record was not the one sent: the dispatcher was told that the answer broke off, not that its engine ended under the request. The record now belongs to the destination.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/route"
 )
@@ -20,6 +21,9 @@
 	route.Endpoint
 	// finish records the outcome of the attempt.
 	finish func(outcome)
+	// end is the record of the endpoint's end under the request, for finish; nil for plain endpoints that
+	// are not queued.
+	end *quarantine.End
 	// finishTimed also records how long the response took; it is set only for plain endpoints.
 	finishTimed func(how outcome, took time.Duration)
 	// begin records the first event; it is set only for engines.
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -58,8 +58,6 @@
 // attemptRecord is what the attempts of a request have come to.
 type attemptRecord struct {
 	lifecycle request.Lifecycle
-	// lastEnd records the last endpoint that ended while it ran the request.
-	lastEnd quarantine.End
 	// excluded are the IDs of the endpoints that failed this request.
 	excluded []string
 	// unreachable counts the endpoints that accepted no connection.
--- a/pkg/gateway/hedge_test.go
+++ b/pkg/gateway/hedge_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -10,8 +11,13 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/quaylead/quaylead/pkg/dispatch"
 	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/peer"
+	"github.com/quaylead/quaylead/pkg/peer/peerpb"
+	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -90,3 +96,37 @@
 		So(s.lastEvent, ShouldEqual, "4")
 	})
 }
+
+// TestEndOfSecondEndpointIsReported guards against the dispatcher not being told under which request the
+// endpoint ended that had answered beside a silent one.
+func TestEndOfSecondEndpointIsReported(t *testing.T) {
+	Convey("The end of an endpoint is reported whichever call made its attempt", t, func() {
+		g := newTestBox(t, 64)
+		s := g.pool("llm").groups[0]
+		s.granted.Window, s.poolHistories = time.Second, newHistories(time.Second)
+		found := g.registry.Directory().EndpointsOf("llm")[0]
+		first, second := newTestCall(t, g), newTestCall(t, g)
+		second.ID = "q"
+		first.fingerprint = quarantine.FingerprintOf([]byte("POST"), []byte("/"), nil, []byte("body"))
+		req := &dispatch.Request{ID: "q", Fingerprint: first.fingerprint}
+		s.running["q"] = &grantedRequest{req: req, endpoint: found.ID}
+		to, usable := second.checkGrant(s, "q", verdict{endpoint: found.ID})
+		So(usable, ShouldBeTrue)
+
+		here, there := net.Pipe()
+		defer here.Close()
+		defer there.Close()
+		s.remote = &remote{box: "box-2", stream: peer.NewDispatchStream(here, time.Second), ended: make(chan struct{})}
+		to.finish(first.recordBroken(to, io.ErrUnexpectedEOF))
+		writing := errgroup.Group{}
+		ctx, cancel := context.WithCancel(t.Context())
+		writing.Go(func() error { return s.remote.stream.Write(ctx) })
+		So(there.SetReadDeadline(time.Now().Add(5*time.Second)), ShouldBeNil)
+		message := &peerpb.Call{}
+		So(protodelim.UnmarshalFrom(bufio.NewReader(there), message), ShouldBeNil)
+		cancel()
+		ended, isEnd := decodeOutcome(message.GetEnd()).(dispatch.Ended)
+		So(isEnd, ShouldBeTrue)
+		So(ended.End.Fingerprint, ShouldEqual, first.fingerprint)
+	})
+}
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/quaylead/quaylead/pkg/dispatch"
+	"github.com/quaylead/quaylead/pkg/quarantine"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/rollout"
 )
@@ -82,10 +83,12 @@
 			c.gateway.Metrics.Granted(v)
 			c.countCrossing(&found)
 		}
+		end := &quarantine.End{}
 		return destination{
 			Endpoint:  found,
 			begin:     func() { s.begin(id) },
-			finish:    func(result outcome) { s.end(id, c.dispatchOutcome(result)) },
+			finish:    func(result outcome) { s.end(id, dispatchOutcome(result, end)) },
+			end:       end,
 			granted:   v,
 			group:     s,
 			grantedAt: time.Now(),
@@ -180,7 +183,7 @@
 }
 
 // dispatchOutcome converts the outcome of an attempt to the form that the pool takes.
-func (c *call) dispatchOutcome(result outcome) dispatch.Outcome {
+func dispatchOutcome(result outcome, end *quarantine.End) dispatch.Outcome {
 	switch result {
 	case outcomeUnused:
 		return dispatch.Unused{}
@@ -191,7 +194,7 @@
 	case outcomeFailed:
 		return dispatch.Broken{}
 	case outcomeEnded:
-		return dispatch.Ended{End: c.lastEnd}
+		return dispatch.Ended{End: *end}
 	default:
 		return dispatch.Done{}
 	}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -85,7 +85,10 @@
 	}
 	now := time.Now()
 	instance := quarantine.InstanceOf(to.Service, to.ID, to.Born)
-	c.lastEnd = c.gateway.ledger.RecordEnd(c.fingerprint, instance, now)
+	end := c.gateway.ledger.RecordEnd(c.fingerprint, instance, now)
+	if to.end != nil {
+		*to.end = end
+	}
 	c.recordPartEnds(&to, instance, now)
 	c.gateway.unconfirmed.add(instance, to.Endpoint, c.gateway.registry.Knowledge().Polls, now)
 	c.gateway.publishEnds()
