--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -58,8 +58,6 @@
 // attemptRecord is what the attempts of a request have come to.
 type attemptRecord struct {
 	lifecycle request.Lifecycle
-	// lastEnd records the last endpoint that ended while it ran the request.
-	lastEnd quarantine.End
 	// excluded are the IDs of the endpoints that failed this request.
 	excluded []string
 	// unreachable counts the endpoints that accepted no connection.
@@ -72,8 +70,8 @@
 type call struct {
 	requestFacts
 	attemptRecord
-	// isHedge is set for a second attempt.
-	isHedge bool
+	// hedge is the second attempt that the call makes; nil for the first one.
+	hedge *hedge
 
 	// ctx ends with the deadline, or when the caller disconnects.
 	ctx    context.Context
