cmd/quaybench/soak: the server that began a stream is read from its response

Cause: the check took the last run without a last event for the one that began the stream.

The check now reads the server from the stamp of the response. It is as strict: a response with status 200 that has no stamp, for which the check would be blind, is a violation of its own.

--- a/cmd/quaybench/soak/caller.go
+++ b/cmd/quaybench/soak/caller.go
@@ -25,7 +25,9 @@
 	status      int
 	// responseID is the request ID in the response; empty if it has none.
 	responseID string
-	body       string
+	// server is the server that began the response; empty if none did.
+	server string
+	body   string
 	// err is set if the response was cut or none was received.
 	err error
 	// probedVersion is the configuration version whose own route was requested; 0 for
@@ -188,7 +190,7 @@
 	response := &fasthttp.Response{}
 	err := response.Read(c.reader)
 	got.status = response.StatusCode()
-	got.responseID = standin.RequestIDOf(response)
+	got.responseID, got.server = standin.RequestIDOf(response), standin.ServerOf(response)
 	got.body = string(response.Body())
 	if err == nil && response.ConnectionClose() {
 		c.disconnect()
--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -48,7 +48,7 @@
 		}
 	}
 	violations = append(violations, w.checkReleases(runs)...)
-	violations = append(violations, w.countTakeUps(runs).check()...)
+	violations = append(violations, w.countTakeUps().check()...)
 	violations = append(violations, w.checkLeaving(runs)...)
 	violations = append(violations, w.checkConfigurations()...)
 	violations = append(violations, w.checkCrashes()...)
@@ -82,6 +82,9 @@
 	if o.err == nil && o.status == fasthttp.StatusOK && o.body != o.expectedBody() {
 		violations = append(violations, fmt.Sprintf("its response is not the complete one: %d bytes of %d, %q at the end", len(o.body), len(o.expectedBody()), tail(o.body)))
 	}
+	if o.status == fasthttp.StatusOK && o.server == "" {
+		violations = append(violations, "its response names no server")
+	}
 	if o.responseID != "" && o.responseID != o.id {
 		violations = append(violations, "it got the response of "+o.responseID)
 	}
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -23,7 +23,7 @@
 	return outcome{
 		id: "1", path: "/look/1", kind: standin.Lookup, box: b, incarnation: 1,
 		sent: start, ended: start.Add(time.Second),
-		status: 200, responseID: "1", body: "answer to 1",
+		status: 200, responseID: "1", server: "api-1", body: "answer to 1",
 	}
 }
 
@@ -39,6 +39,7 @@
 	for name, spoil := range map[string]func(*outcome){
 		"an incomplete response":          func(o *outcome) { o.body = "answer" },
 		"the response of another request": func(o *outcome) { o.responseID = "2" },
+		"a response that names no server": func(o *outcome) { o.server = "" },
 		"a false report of not run":       func(o *outcome) { o.status = 503 },
 		"a stream without its last part":  func(o *outcome) { o.kind, o.body = standin.Stream, standin.Event("1", 1) },
 	} {
@@ -80,14 +81,14 @@
 		w := &world{servers: []*server{
 			{Server: &standin.Server{ID: "llm-1", Release: "v1"}}, {Server: &standin.Server{ID: "llm-2", Release: "v1"}}, {Server: &standin.Server{ID: "llm-3", Release: "v2"}},
 		}}
-		w.outcomes = []outcome{{id: "1", kind: standin.ResumableStream, box: &box{}}, {id: "2", resumes: "1", kind: standin.ResumableStream, box: &box{}}}
-		// The first attempt sent no event, so that the stream began with the second one.
-		begun := []standin.Run{{ID: "1", Server: "llm-3"}, {ID: "1", Server: "llm-1"}}
+		w.outcomes = []outcome{{id: "1", server: "llm-1", kind: standin.ResumableStream, box: &box{}}, {id: "2", resumes: "1", kind: standin.ResumableStream, box: &box{}}}
+		// Of three attempts side by side, the second one began the stream.
+		begun := []standin.Run{{ID: "1", Server: "llm-3"}, {ID: "1", Server: "llm-1"}, {ID: "1", Server: "llm-3"}}
 		runs := map[string][]standin.Run{"1": append(begun, standin.Run{ID: "1", Server: "llm-2", After: "3"}), "2": {{ID: "2", Server: "llm-1", After: "5"}}}
 		So(w.checkReleases(runs), ShouldBeEmpty)
 		runs["2"][0].Server = "llm-3"
 		So(w.checkReleases(runs), ShouldHaveLength, 1)
-		runs["1"][2].Server = "llm-3"
+		runs["1"][3].Server = "llm-3"
 		So(w.checkReleases(runs), ShouldHaveLength, 2)
 	})
 	Convey("Streams that are seldom taken up are found, while servers of their release serve", t, func() {
@@ -103,17 +104,17 @@
 			}
 			w.outcomes = append(w.outcomes, o)
 		}
-		runs := map[string][]standin.Run{"0": {{ID: "0", Server: "llm-1"}}}
-		So(w.countTakeUps(runs), ShouldResemble, takeUps{begun: 20, beginsServed: 20, taken: 20, takenServed: 9})
-		So(w.countTakeUps(runs).check(), ShouldHaveLength, 1)
+		w.outcomes[0].server = "llm-1"
+		So(w.countTakeUps(), ShouldResemble, takeUps{begun: 20, beginsServed: 20, taken: 20, takenServed: 9})
+		So(w.countTakeUps().check(), ShouldHaveLength, 1)
 		w.outcomes[29].status = 200
-		So(w.countTakeUps(runs).check(), ShouldBeEmpty)
+		So(w.countTakeUps().check(), ShouldBeEmpty)
 		w.outcomes[29].status = 503
 		b.faultTimes = spans{{from: at(0), to: at(3)}}
-		So(w.countTakeUps(runs).check(), ShouldBeEmpty)
+		So(w.countTakeUps().check(), ShouldBeEmpty)
 		b.faultTimes = nil
 		w.servers[0].leftAt = at(0)
-		So(w.countTakeUps(runs).check(), ShouldBeEmpty)
+		So(w.countTakeUps().check(), ShouldBeEmpty)
 	})
 	Convey("A return to an older configuration, and a late configuration, are found", t, func() {
 		b := &box{starts: 1}
--- a/cmd/quaybench/soak/takeup.go
+++ b/cmd/quaybench/soak/takeup.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	got.status = response.StatusCode()
-	got.responseID = standin.RequestIDOf(response)
+	got.responseID, got.server = standin.RequestIDOf(response), standin.ServerOf(response)
 	stream := response.BodyStream()
 	if stream == nil {
 		got.body = string(response.Body())
@@ -105,19 +105,21 @@
 	return ""
 }
 
-// beginningRelease returns the release that sent the first event of a stream that was delivered
-// in part: that of the last run from the start, as later ones continue it.
-func (w *world) beginningRelease(runs []standin.Run) (release string, known bool) {
-	for _, run := range runs {
-		if run.After == "" {
-			release, known = w.releaseOf(run.Server), true
+// beginningServers returns the servers that began streams, by the ID of the request, as the responses
+// name them. What ran does not tell: two attempts may have run side by side, one of them unused.
+func (w *world) beginningServers() map[string]string {
+	servers := map[string]string{}
+	for i := range w.outcomes {
+		if o := &w.outcomes[i]; o.server != "" {
+			servers[o.id] = o.server
 		}
 	}
-	return release, known
+	return servers
 }
 
 // checkReleases looks for streams that went on at another release than the one that began them.
 func (w *world) checkReleases(runs map[string][]standin.Run) (violations []string) {
+	servers := w.beginningServers()
 	for i := range w.outcomes {
 		o := &w.outcomes[i]
 		if o.kind != standin.ResumableStream {
@@ -127,9 +129,9 @@
 		if o.resumes != "" {
 			began = o.resumes
 		}
-		release, known := w.beginningRelease(runs[began])
+		release := w.releaseOf(servers[began])
 		for _, run := range runs[o.id] {
-			if run.After != "" && known && w.releaseOf(run.Server) != release {
+			if run.After != "" && release != "" && w.releaseOf(run.Server) != release {
 				violations = append(violations, o.describe(fmt.Sprintf("it began at %s as %s and went on at %s, %s", release, began, run.Server, w.releaseOf(run.Server))))
 			}
 		}
@@ -162,13 +164,14 @@
 func (w *world) summarizeTakeUps() (taken, continued int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	count := w.countTakeUps(w.runsByRequest())
+	count := w.countTakeUps()
 	return count.taken, count.takenServed
 }
 
 // countTakeUps counts the resumable streams requested of boxes in touch. Those taken up count if
 // enough servers of their release serve.
-func (w *world) countTakeUps(runs map[string][]standin.Run) (count takeUps) {
+func (w *world) countTakeUps() (count takeUps) {
+	servers := w.beginningServers()
 	for i := range w.outcomes {
 		o := &w.outcomes[i]
 		if o.kind != standin.ResumableStream || errors.Is(o.err, errHungUp) || w.sharedFaultTimes.overlaps(o.sent, o.ended) ||
@@ -184,7 +187,7 @@
 			count.beginsServed += served
 			continue
 		}
-		if release, known := w.beginningRelease(runs[o.resumes]); known && w.countServing(release, o.sent, o.ended) >= minReleaseServers {
+		if release := w.releaseOf(servers[o.resumes]); release != "" && w.countServing(release, o.sent, o.ended) >= minReleaseServers {
 			count.taken++
 			count.takenServed += served
 		}
