cmd/quaybench/soak: a response without a head has no status

Cause: StatusCode of a response that was not read returns 200, so the soak could not tell an answer that was cut from one that never began. The status is now 0 unless a head was received.

--- a/cmd/quaybench/soak/caller.go
+++ b/cmd/quaybench/soak/caller.go
@@ -22,7 +22,8 @@
 	// incarnation is that of the box when the request was sent.
 	incarnation int
 	sent, ended time.Time
-	status      int
+	// status is 0 if no head was received.
+	status int
 	// responseID is the request ID in the response; empty if it has none.
 	responseID string
 	// server is the server that began the response; empty if none did.
@@ -189,8 +190,11 @@
 	}
 	response := &fasthttp.Response{}
 	err := response.Read(c.reader)
-	got.status = response.StatusCode()
 	got.responseID, got.server = standin.RequestIDOf(response), standin.ServerOf(response)
+	if err == nil || got.responseID != "" {
+		// Without a head, StatusCode returns 200.
+		got.status = response.StatusCode()
+	}
 	got.body = string(response.Body())
 	if err == nil && response.ConnectionClose() {
 		c.disconnect()
