cmd/quaybench/soak, platform/standin: servers that are silent, and servers without end

The soak passed routers that end answers of servers which are only silent, as it drew no such servers and checked cuts around planned stops alone, of which most fell into the time of some other fault.

Servers are now silent for 0.8 to 2 s, before a head or in the middle, one or all of a service at once, and then complete their answers; others send heads or bodies without end. Planned stops, a reload and new configurations come together. A request that ran only at sound servers must not be cut, left without an answer or given up before five sixths of its time, and one that was read and ran nowhere must be answered; only faults of its own box and servers are excuses.

--- a/cmd/quaybench/soak/caller.go
+++ b/cmd/quaybench/soak/caller.go
@@ -22,6 +22,8 @@
 	// incarnation is that of the box when the request was sent.
 	incarnation int
 	sent, ended time.Time
+	// notRead is for how long the caller did not read the response at first.
+	notRead time.Duration
 	// status is 0 if no head was received.
 	status int
 	// responseID is the request ID in the response; empty if it has none.
@@ -180,7 +182,8 @@
 	if _, err := request.WriteTo(c.conn); err != nil {
 		return err
 	}
-	time.Sleep(c.drawNotReading())
+	got.notRead = c.drawNotReading()
+	time.Sleep(got.notRead)
 	if got.kind == standin.ResumableStream {
 		maxEvents := 0
 		if c.rng.Float64() < hangUpFraction {
--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -46,6 +46,9 @@
 		if violation := w.checkCutByStop(got, runs[got.id]); violation != "" {
 			violations = append(violations, got.describe(violation))
 		}
+		if violation := w.checkLost(got, runs[got.id]); violation != "" {
+			violations = append(violations, got.describe(violation))
+		}
 	}
 	violations = append(violations, w.checkReleases(runs)...)
 	violations = append(violations, w.countTakeUps().check()...)
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -66,6 +66,49 @@
 		b.faultTimes = spans{{from: at(0.2), to: at(4)}}
 		So(w.checkCutByStop(&o, ran), ShouldBeEmpty)
 	})
+	Convey("A request that a box gave up, cut or left without an answer, while its server was sound, is found", t, func() {
+		b := &box{starts: 1}
+		sound := &server{Server: &standin.Server{ID: "api-1"}}
+		w := &world{servers: []*server{sound}}
+		o := completedLookup(b)
+		o.kind, o.ended = standin.Stream, at(6)
+		So(w.checkLost(&o, ran), ShouldBeEmpty)
+		o.status = 502
+		So(w.checkLost(&o, ran), ShouldContainSubstring, "given up")
+		So(w.checkLost(&o, nil), ShouldBeEmpty)
+		o.status, o.err = 200, errCut
+		So(w.checkLost(&o, ran), ShouldContainSubstring, "cut")
+		o.status = 0
+		So(w.checkLost(&o, ran), ShouldContainSubstring, "neither")
+		So(w.checkLost(&o, nil), ShouldContainSubstring, "neither")
+		Convey("unless the request and the close of its connection may have crossed", func() {
+			o.notRead = 5500 * time.Millisecond
+			So(w.checkLost(&o, nil), ShouldBeEmpty)
+			So(w.checkLost(&o, ran), ShouldNotBeEmpty)
+		})
+		Convey("also beside a planned stop, until shortly before its end", func() {
+			b.stops = []stop{{incarnation: 1, began: at(2)}}
+			So(w.checkLost(&o, ran), ShouldNotBeEmpty)
+			b.stops[0].began = at(0.9)
+			So(w.checkLost(&o, ran), ShouldBeEmpty)
+		})
+		Convey("unless its limit was near, its caller ended it, or its box or server had a fault", func() {
+			o.kind = standin.Booking
+			So(w.checkLost(&o, ran), ShouldBeEmpty)
+			o.kind, o.err = standin.Stream, errHungUp
+			So(w.checkLost(&o, ran), ShouldBeEmpty)
+			o.err, b.faultTimes = errCut, spans{{from: at(1), to: at(2)}}
+			So(w.checkLost(&o, ran), ShouldBeEmpty)
+			b.faultTimes, sound.endedAt = nil, at(6.5)
+			So(w.checkLost(&o, ran), ShouldBeEmpty)
+			sound.endedAt, w.servers = time.Time{}, nil
+			So(w.checkLost(&o, ran), ShouldBeEmpty)
+			w.servers = []*server{sound}
+			w.recordServerFault("api-1", 0)
+			sound.faultTimes[0].from = at(3)
+			So(w.checkLost(&o, ran), ShouldBeEmpty)
+		})
+	})
 	Convey("Work sent to a server long after it left is found, unless the box may not have been informed", t, func() {
 		b := &box{starts: 1}
 		left := &server{Server: &standin.Server{ID: "api-1"}, leftAt: at(-10)}
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -66,6 +66,24 @@
 	fault       standin.ServerFault
 }
 
+// silenced makes sound servers silent for a while, in the middle of answers too, which they complete
+// then. With allFor set all servers of a service are silent at once for that time.
+type silenced struct {
+	server  *server
+	fault   standin.ServerFault
+	service string
+	allFor  time.Duration
+}
+
+// plannedWork stops boxes, has another one reload its settings and writes configurations, all within
+// the time of the fault.
+type plannedWork struct {
+	stops   []*box
+	reloads *box
+	// configurations is the number of configurations.
+	configurations int
+}
+
 // serverLeaves makes a server leave as planned, after another one was added.
 type serverLeaves struct{ server *server }
 
@@ -119,6 +137,8 @@
 func (historyLost) injection()             {}
 func (storeRestored) injection()           {}
 func (serverFault) injection()             {}
+func (silenced) injection()                {}
+func (plannedWork) injection()             {}
 func (serverLeaves) injection()            {}
 func (serverLeavesByResponses) injection() {}
 func (entryRemoved) injection()            {}
@@ -140,7 +160,16 @@
 func (f storeRestored) String() string {
 	return fmt.Sprintf("store restored from a snapshot after an outage of %s, lost writes repeated after %s", f.outage, f.rewriteDelay)
 }
-func (f serverFault) String() string  { return f.server.ID + " " + f.description }
+func (f serverFault) String() string { return f.server.ID + " " + f.description }
+func (f silenced) String() string {
+	if f.allFor > 0 {
+		return fmt.Sprintf("all servers of %s silent once for %s", f.service, f.allFor)
+	}
+	return fmt.Sprintf("%s silent for %s in %.2f of its answers", f.server.ID, f.fault.Silence, f.fault.Silent)
+}
+func (f plannedWork) String() string {
+	return fmt.Sprintf("%d boxes stopped as planned, %s first, %s reloads its settings, %d configurations", len(f.stops), f.stops[0].Name, f.reloads.Name, f.configurations)
+}
 func (f serverLeaves) String() string { return f.server.ID + " leaves" }
 func (f serverLeavesByResponses) String() string {
 	return f.server.ID + " announces in its responses that it leaves"
@@ -161,7 +190,7 @@
 func drawFault(rng *rand.Rand, w *world) injection {
 	b := w.boxes[rng.IntN(len(w.boxes))]
 	s := w.drawServer(rng)
-	switch rng.IntN(24) {
+	switch rng.IntN(32) {
 	case 0:
 		return killed{boxes: []*box{b}}
 	case 1:
@@ -203,11 +232,29 @@
 		}
 	case 19, 20:
 		return crashingPart{crashingSends: drawCrashingSends(rng)}
+	case 24, 25, 26:
+		return silenced{server: s, fault: standin.ServerFault{Silent: 0.05 + 0.9*rng.Float64(), Silence: drawSilence(rng)}}
+	case 27, 28:
+		return silenced{service: s.Service, allFor: drawSilence(rng)}
+	case 29, 30:
+		return drawPlannedWork(rng, w)
 	default:
 		return drawServerFault(rng, s)
 	}
 }
 
+// drawSilence draws for how long a sound server is silent.
+func drawSilence(rng *rand.Rand) time.Duration {
+	return time.Duration(800+rng.IntN(1200)) * time.Millisecond
+}
+
+func drawPlannedWork(rng *rand.Rand, w *world) injection {
+	shuffled := slices.Clone(w.boxes)
+	rng.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	stops := 1 + rng.IntN(max(1, len(shuffled)/2))
+	return plannedWork{stops: shuffled[:stops], reloads: shuffled[len(shuffled)-1], configurations: 1 + rng.IntN(3)}
+}
+
 func drawCrashingSends(rng *rand.Rand) crashingSends {
 	return crashingSends{
 		number:   rng.IntN(1 << 30),
@@ -249,12 +296,14 @@
 
 func drawServerFault(rng *rand.Rand, s *server) injection {
 	probability := 0.05 + 0.9*rng.Float64()
-	switch rng.IntN(11) {
+	switch rng.IntN(13) {
 	case 7, 8:
 		rest := fmt.Sprintf("%.1f", 0.5+3.5*rng.Float64())
 		return serverFault{server: s, description: "asks for " + rest + " s of rest", fault: standin.ServerFault{Full: true, RetryAfter: rest}}
 	case 9, 10:
 		return serverFault{server: s, description: "sends answers without framing", fault: standin.ServerFault{Unframed: 1, Cut: probability}}
+	case 11, 12:
+		return serverFault{server: s, description: "sends answers without end", fault: standin.ServerFault{Endless: probability}}
 	case 0:
 		return serverFault{server: s, description: "full", fault: standin.ServerFault{Full: true}}
 	case 1:
@@ -298,15 +347,14 @@
 	case stopped:
 		return f.box.stopAsPlanned()
 	case reloaded:
-		f.box.processMu.Lock()
-		defer f.box.processMu.Unlock()
-		return f.box.Signal(syscall.SIGHUP)
+		return f.box.reload()
 	case linkFault:
 		if f.box != nil {
 			f.box.recordFault(length)
 		} else {
 			w.recordSharedFault(length)
 			w.recordLinkFault(length)
+			w.recordServerFault(f.link, length)
 		}
 		return w.breakLink(ctx, f, length)
 	case storeFault:
@@ -320,9 +368,15 @@
 		w.restore(ctx, f, length)
 	case serverFault:
 		w.recordSharedFault(length)
+		w.recordServerFault(f.server.ID, length)
 		f.server.SetFault(f.fault)
 		_ = interval.Wait(ctx, length)
 		f.server.SetFault(standin.ServerFault{})
+	case silenced:
+		// The servers are sound, so this is no fault for the checks.
+		w.silence(ctx, f, length)
+	case plannedWork:
+		return w.doPlannedWork(ctx, f, length)
 	case serverLeaves:
 		return w.leaveAsPlanned(ctx, f.server)
 	case serverLeavesByResponses:
@@ -344,6 +398,41 @@
 	return nil
 }
 
+func (w *world) silence(ctx context.Context, f silenced, length time.Duration) {
+	if f.allFor == 0 {
+		f.server.SetFault(f.fault)
+		_ = interval.Wait(ctx, length)
+		f.server.SetFault(standin.ServerFault{})
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	until := time.Now().Add(f.allFor)
+	for _, s := range w.servers {
+		if s.Service == f.service {
+			s.SetFault(standin.ServerFault{SilentUntil: until})
+		}
+	}
+}
+
+func (w *world) doPlannedWork(ctx context.Context, f plannedWork, length time.Duration) error {
+	group := errgroup.Group{}
+	for i, b := range f.stops {
+		group.Go(func() error {
+			_ = interval.Wait(ctx, length*time.Duration(i)/time.Duration(len(f.stops)))
+			return b.stopAsPlanned()
+		})
+	}
+	group.Go(f.reloads.reload)
+	for range f.configurations {
+		if err := w.writeConfiguration(); err != nil {
+			return errors.Join(err, group.Wait())
+		}
+		_ = interval.Wait(ctx, length/time.Duration(f.configurations))
+	}
+	return group.Wait()
+}
+
 // restore makes the store unavailable, restores it from a snapshot and later repeats the lost
 // writes.
 func (w *world) restore(ctx context.Context, f storeRestored, age time.Duration) {
@@ -400,6 +489,13 @@
 	return b.Continue()
 }
 
+// reload has a process read its settings again.
+func (b *box) reload() error {
+	b.processMu.Lock()
+	defer b.processMu.Unlock()
+	return b.Signal(syscall.SIGHUP)
+}
+
 // stopAsPlanned terminates a process, waits for it to finish its requests, and starts it again.
 func (b *box) stopAsPlanned() error {
 	b.processMu.Lock()
@@ -446,6 +542,8 @@
 	defer w.mu.Unlock()
 	if s.leftAt.IsZero() {
 		s.leftAt = time.Now()
+		// Boxes may take it for gone from now on.
+		s.faultTimes = append(s.faultTimes, span{from: s.leftAt, to: s.leftAt.Add(time.Hour)})
 		w.store.Unregister(s.ID)
 	}
 	return nil
--- a/cmd/quaybench/soak/world.go
+++ b/cmd/quaybench/soak/world.go
@@ -29,6 +29,8 @@
 	proxies *fault.ProxySet
 	boxes   []*box
 	group   errgroup.Group
+	// engineSlots and plainSlots are the slots of one server.
+	engineSlots, plainSlots int
 
 	mu      sync.Mutex
 	servers []*server
@@ -73,14 +75,18 @@
 	leftAt time.Time
 	// startedAt is when it started, and endedAt when it crashed; zero before.
 	startedAt, endedAt time.Time
+	// faultTimes are the times of its faults and of those of the connections to it. Silence is no fault.
+	faultTimes spans
 }
 
 const (
 	engines      = 6
 	plainServers = 3
 	// releases is the number of releases that engines run side by side.
-	releases    = 3
-	engineSlots = 32
+	releases = 3
+	// The servers of every other seed have few slots: then no other server has room while some are silent.
+	manyEngineSlots, fewEngineSlots = 32, 3
+	manyPlainSlots, fewPlainSlots   = 8, 4
 	// Each version of the configuration turns the queue of the plain service on or off, which
 	// follows from how much longer than its latency target a route's time limit is.
 	plainLatencyTarget             = 150 * time.Millisecond
@@ -103,6 +109,10 @@
 	defer func() { err = trace.Wrap(err, "setting up the fleet") }()
 	w = newEmptyWorld()
 	w.soak, w.proxies = s, fault.NewProxySet()
+	w.engineSlots, w.plainSlots = manyEngineSlots, manyPlainSlots
+	if s.Seed%2 == 1 {
+		w.engineSlots, w.plainSlots = fewEngineSlots, fewPlainSlots
+	}
 	w.store, err = standin.NewStore("127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -143,10 +153,10 @@
 		_ = w.proxies.Refuse(id)
 		w.group.Go(func() error { return w.replaceServer(s) })
 	}
-	s.Slots, s.RunDuration = 8, 5*time.Millisecond
+	s.Slots, s.RunDuration = w.plainSlots, 5*time.Millisecond
 	if service == "llm" {
 		s.Release = release
-		s.Slots, s.RunDuration, s.Events, s.EventInterval = engineSlots, 20*time.Millisecond, streamEvents, 25*time.Millisecond
+		s.Slots, s.RunDuration, s.Events, s.EventInterval = w.engineSlots, 20*time.Millisecond, streamEvents, 25*time.Millisecond
 	}
 	if err := s.Open("127.0.0.1:0"); err != nil {
 		return err
@@ -195,7 +205,7 @@
 	err := w.store.WriteConfiguration(standin.Configuration{
 		Version:         version * 3,
 		Routes:          routes,
-		Pools:           []standin.Pool{{Name: "llm", Slots: engineSlots}, {Name: "api"}},
+		Pools:           []standin.Pool{{Name: "llm", Slots: w.engineSlots}, {Name: "api"}},
 		Customers:       map[string][]string{"ward": {"key-0"}, "camp": {"key-1"}},
 		TokensPerSecond: 400000,
 	})
@@ -316,6 +326,24 @@
 	w.linkFaultTimes = append(w.linkFaultTimes, span{from: now, to: now.Add(length)})
 }
 
+// recordServerFault records a fault of a server that begins now, together with the settleDelay after it.
+func (w *world) recordServerFault(id string, length time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if s := w.serverWithID(id); s != nil {
+		s.faultTimes = append(s.faultTimes, span{from: now, to: now.Add(length + settleDelay)})
+	}
+}
+
+// serverWithID returns a server; nil if there is none. The caller holds the lock.
+func (w *world) serverWithID(id string) *server {
+	if i := slices.IndexFunc(w.servers, func(s *server) bool { return s.ID == id }); i >= 0 {
+		return w.servers[i]
+	}
+	return nil
+}
+
 func (w *world) awaitReady(ctx context.Context) error {
 	for _, b := range w.boxes {
 		err := fleet.Poll(ctx, func() (bool, error) { return b.isReady(), nil })
