--- a/cmd/quaybench/soak/caller.go
+++ b/cmd/quaybench/soak/caller.go
@@ -22,10 +22,15 @@
 	// incarnation is that of the box when the request was sent.
 	incarnation int
 	sent, ended time.Time
-	status      int
+	// notRead is for how long the caller did not read the response at first.
+	notRead time.Duration
+	// status is 0 if no head was received.
+	status int
 	// responseID is the request ID in the response; empty if it has none.
 	responseID string
-	body       string
+	// server is the server that began the response; empty if none did.
+	server string
+	body   string
 	// err is set if the response was cut or none was received.
 	err error
 	// probedVersion is the configuration version whose own route was requested; 0 for
@@ -177,7 +182,8 @@
 	if _, err := request.WriteTo(c.conn); err != nil {
 		return err
 	}
-	time.Sleep(c.drawNotReading())
+	got.notRead = c.drawNotReading()
+	time.Sleep(got.notRead)
 	if got.kind == standin.ResumableStream {
 		maxEvents := 0
 		if c.rng.Float64() < hangUpFraction {
@@ -187,8 +193,11 @@
 	}
 	response := &fasthttp.Response{}
 	err := response.Read(c.reader)
-	got.status = response.StatusCode()
-	got.responseID = standin.RequestIDOf(response)
+	got.responseID, got.server = standin.RequestIDOf(response), standin.ServerOf(response)
+	if err == nil || got.responseID != "" {
+		// Without a head, StatusCode returns 200.
+		got.status = response.StatusCode()
+	}
 	got.body = string(response.Body())
 	if err == nil && response.ConnectionClose() {
 		c.disconnect()
--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -46,9 +46,12 @@
 		if violation := w.checkCutByStop(got, runs[got.id]); violation != "" {
 			violations = append(violations, got.describe(violation))
 		}
+		if violation := w.checkLost(got, runs[got.id]); violation != "" {
+			violations = append(violations, got.describe(violation))
+		}
 	}
 	violations = append(violations, w.checkReleases(runs)...)
-	violations = append(violations, w.countTakeUps(runs).check()...)
+	violations = append(violations, w.countTakeUps().check()...)
 	violations = append(violations, w.checkLeaving(runs)...)
 	violations = append(violations, w.checkConfigurations()...)
 	violations = append(violations, w.checkCrashes()...)
@@ -82,6 +85,9 @@
 	if o.err == nil && o.status == fasthttp.StatusOK && o.body != o.expectedBody() {
 		violations = append(violations, fmt.Sprintf("its response is not the complete one: %d bytes of %d, %q at the end", len(o.body), len(o.expectedBody()), tail(o.body)))
 	}
+	if o.status == fasthttp.StatusOK && o.server == "" {
+		violations = append(violations, "its response names no server")
+	}
 	if o.responseID != "" && o.responseID != o.id {
 		violations = append(violations, "it got the response of "+o.responseID)
 	}
