pkg/gateway: comments and other blocks without events are no progress of a stream

Callers got comments, and blocks of bytes that are no event, as the first part of an answer and in its middle, until the deadline of their stream: a resumable stream did not go on at another engine, and one whose engine had sent no event was answered with 200 in place of a refusal.

Now a block is an event only if it has data or an ID. Comments and fields that cause no event wait for the next event or the end of the stream; they neither begin the stream nor restart the timeout of a silent engine, and fail it when they exceed the limit of an event. Any other block fails the attempt at once, and the failure is recorded against the engine. Fields of any name may accompany data or an ID.

--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -1,15 +1,18 @@
 package endpoint
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+)
 
 // lineEnds are the bytes that end a line of an event stream: CR, LF, or both in this order.
 const lineEnds = "\r\n"
 
 var blankLine = []byte("\n\n")
 
-// EventLength returns the length of the first event of a stream of server-sent events, up to and
-// including the blank line that ends it, or -1 if the data holds no whole event. Blank lines before
-// an event belong to it.
+// EventLength returns the length of the first block of a stream of server-sent events, up to and
+// including the blank line that ends it, or -1 if the data holds no whole block. Blank lines before
+// a block belong to it.
 func EventLength(data []byte) int {
 	start := len(data) - len(bytes.TrimLeft(data, lineEnds))
 	// Most streams use LF alone, which is found several times faster.
@@ -47,6 +50,39 @@
 // IsInsideEvent reports whether the data after the last event of a stream is part of another one.
 func IsInsideEvent(rest []byte) bool { return len(bytes.TrimLeft(rest, lineEnds)) > 0 }
 
+// BlockKind is what a block of a stream of server-sent events is: the lines up to a blank one.
+type BlockKind int
+
+const (
+	// BlockEvent is an event: it has data or an ID.
+	BlockEvent BlockKind = iota
+	// BlockFiller holds comments and other fields that cause no event.
+	BlockFiller
+	// BlockGarbage is no part of a stream of events.
+	BlockGarbage
+)
+
+var (
+	eventFields  = [][]byte{[]byte("data"), []byte("id")}
+	fillerFields = [][]byte{[]byte("event"), []byte("retry"), nil}
+)
+
+// KindOf returns the kind of a block. Events may have fields of any name.
+func KindOf(block []byte) BlockKind {
+	kind := BlockFiller
+	for line := range bytes.FieldsFuncSeq(block, func(r rune) bool { return r == '\r' || r == '\n' }) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		isField := func(field []byte) bool { return bytes.Equal(name, field) }
+		switch {
+		case slices.ContainsFunc(eventFields, isField):
+			return BlockEvent
+		case !slices.ContainsFunc(fillerFields, isField):
+			kind = BlockGarbage
+		}
+	}
+	return kind
+}
+
 var eventIDField = []byte("id:")
 
 // EventID returns the ID of an event.
--- a/pkg/endpoint/event_test.go
+++ b/pkg/endpoint/event_test.go
@@ -60,6 +60,30 @@
 	})
 }
 
+// TestKindOf guards against comments that count as events of an endpoint.
+func TestKindOf(t *testing.T) {
+	Convey("Only a block with data or an ID is an event", t, func() {
+		for block, kind := range map[string]endpoint.BlockKind{
+			"data: aX":           endpoint.BlockEvent,
+			"dataX":              endpoint.BlockEvent,
+			"id:7X":              endpoint.BlockEvent,
+			": aXevent: bXid:7X": endpoint.BlockEvent,
+			"version: 3Xid: 7X":  endpoint.BlockEvent,
+			":X":                 endpoint.BlockFiller,
+			"X: data: aX: bX":    endpoint.BlockFiller,
+			"event: aXretry:5X":  endpoint.BlockFiller,
+			"aX":                 endpoint.BlockGarbage,
+			"version: 3X":        endpoint.BlockGarbage,
+			": aXdatabase: bX":   endpoint.BlockGarbage,
+			"\x00data: aX":       endpoint.BlockGarbage,
+		} {
+			for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+				So(endpoint.KindOf([]byte(strings.ReplaceAll(block+"X", "X", lineEnd))), ShouldEqual, kind)
+			}
+		}
+	})
+}
+
 func TestEventID(t *testing.T) {
 	Convey("The ID of an event is found, however lines end", t, func() {
 		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -312,7 +312,7 @@
 	next := got.stream
 	s.call.release(s.buffer)
 	s.to, s.response = got.to, got.response
-	s.buffer, s.ready, s.err = next.buffer, next.ready, next.err
+	s.buffer, s.ready, s.scanned, s.err = next.buffer, next.ready, next.scanned, next.err
 	s.eventsBefore = s.events
 	s.events += next.events
 	s.lastEvent = next.lastEvent
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -19,10 +19,12 @@
 	to       destination
 	response *endpoint.Response
 
-	// buffer holds what was read: buffer[:ready] can be forwarded, the rest is an incomplete
-	// event.
-	buffer []byte
-	ready  int
+	// buffer holds what was read: buffer[:ready] can be forwarded. buffer[ready:scanned] are comments and
+	// the like, which wait for the next event, since they may come without end from an endpoint that
+	// fails. The rest is incomplete.
+	buffer  []byte
+	ready   int
+	scanned int
 	// lastEvent is the ID of the last event up to buffer[:ready].
 	lastEvent string
 	events    int
@@ -98,6 +100,7 @@
 	rest := copy(s.buffer, s.buffer[n:])
 	s.buffer = s.buffer[:rest]
 	s.ready -= n
+	s.scanned -= n
 	return n, s.call.http.Conn().SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
@@ -117,10 +120,10 @@
 	n, err := s.response.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	before, lastBefore := s.events, s.lastEvent
-	s.scan()
+	garbage := s.scan()
 	if s.events > before && !s.call.hedger.heard(s.lastEvent, s.call.gapStallTimeout()) {
 		// Another engine goes on after the event that was last forwarded.
-		s.buffer, s.ready = s.buffer[:0], 0
+		s.buffer, s.ready, s.scanned = s.buffer[:0], 0, 0
 		s.events, s.lastEvent = before, lastBefore
 		s.err = errStalled
 		return
@@ -128,9 +131,13 @@
 	if s.events > before {
 		s.recordEventTime(time.Now())
 	}
-	s.err = err
-	if errors.Is(err, io.EOF) {
+	switch {
+	case garbage != nil:
+		s.err = garbage
+	case errors.Is(err, io.EOF):
 		s.err = s.checkEnd()
+	default:
+		s.err = err
 	}
 	if errors.Is(s.err, io.EOF) && !s.call.hedger.finish() {
 		s.err = errStalled
@@ -141,11 +148,11 @@
 // response of an engine that crashed ends like any other; its events may show that it is cut, or else
 // that the engine is gone.
 func (s *stream) checkEnd() error {
-	insideEvent := endpoint.IsInsideEvent(s.buffer[s.ready:])
+	insideEvent := endpoint.IsInsideEvent(s.buffer[s.scanned:])
 	if insideEvent || (!s.response.IsFramed() && s.events == s.eventsBefore) || s.call.endedWithEndpoint(&s.to, s.response) {
 		return s.response.CutError()
 	}
-	s.ready = len(s.buffer)
+	s.ready, s.scanned = len(s.buffer), len(s.buffer)
 	return io.EOF
 }
 
@@ -223,15 +230,25 @@
 		zap.Bool("Stopping", c.gateway.stopping.Load()))
 }
 
-// scan advances ready past the complete events.
-func (s *stream) scan() {
+// errNoEvent reports bytes of a stream that are no event.
+var errNoEvent = &unusableError{reason: "the endpoint sent bytes that are no event"}
+
+// scan advances scanned past the complete blocks, and ready past the events.
+func (s *stream) scan() error {
 	for {
-		length := endpoint.EventLength(s.buffer[s.ready:])
+		length := endpoint.EventLength(s.buffer[s.scanned:])
 		if length < 0 {
-			return
+			return nil
+		}
+		block := s.buffer[s.scanned : s.scanned+length]
+		switch endpoint.KindOf(block) {
+		case endpoint.BlockGarbage:
+			return errNoEvent
+		case endpoint.BlockEvent:
+			s.recordEvent(block)
+			s.ready = s.scanned + length
 		}
-		s.recordEvent(s.buffer[s.ready : s.ready+length])
-		s.ready += length
+		s.scanned += length
 	}
 }
 
