pkg/endpoint: surplus answers without end fail the attempt

Callers of requests that may not be repeated waited until their deadline (1.5 s; 504) when an endpoint sent the answer to another request first and that answer did not end; the box read the bytes all the time, and nothing was recorded against the endpoint, since a deadline says nothing about it. Cause: the body of a surplus answer was dropped without a limit.

Now it is dropped up to the size of the longest answer that the gateway accepts. A stated length above it, and a body that ends with its connection, fail at once: no answer to the request can follow.

--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -73,6 +73,10 @@
 // connection.
 const maxSurplusResponses = 3
 
+// maxSurplusBytes bounds the body of such a response. It is the size of the longest answer that the gateway
+// accepts.
+const maxSurplusBytes = 8 << 20
+
 // Do sends a request and waits for the header of its response. When the context ends, the
 // connection is closed, which also cancels the request at the endpoint.
 func (c *Client) Do(ctx context.Context, call *Call) (response *Response, err error) {
@@ -221,13 +225,33 @@
 		if call.Matches == nil || call.Matches(&response.Head) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response); err != nil {
+		if err := response.drop(); err != nil {
 			return nil, err
 		}
 	}
 	return nil, trace.BadParameter("the answers on this connection belong to other requests")
 }
 
+// drop reads a response to another request. It fails if no other response can follow, or only after a body
+// that is too long.
+func (r *Response) drop() error {
+	if !r.IsFramed() {
+		return trace.BadParameter("the answer belongs to another request and ends with its connection")
+	}
+	if r.remaining > maxSurplusBytes {
+		return &TooLargeError{Limit: maxSurplusBytes}
+	}
+	_, err := io.CopyN(io.Discard, r, maxSurplusBytes+1)
+	switch {
+	case err == nil:
+		return &TooLargeError{Limit: maxSurplusBytes}
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
+}
+
 // checkStatusLine checks that the data begins like a response, so that garbage fails at once.
 func checkStatusLine(reader *bufio.Reader) error {
 	const prefix = "HTTP/1."
