pkg/endpoint: trailers without end fail the attempt

Callers of requests that may not be repeated waited until their deadline (1.5 s; 504) when an endpoint sent trailer fields without end after the last chunk of an answer or of a surplus answer; the box read them all the time. Cause: each line of a trailer was bounded, but not their number.

Now a trailer may be as long as a header. A longer one breaks the body off, which closes the connection and counts as a failure of the endpoint.

--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -333,17 +334,19 @@
 	return &BodyError{Framing: r.framing, Bytes: r.bytesRead, Err: err}
 }
 
-// readTrailer reads the lines after the last chunk, up to the empty one.
+// readTrailer reads the lines after the last chunk, up to the empty one. They may be as long as a header.
 func readTrailer(reader *bufio.Reader) error {
-	for {
+	for left := reader.Size(); left > 0; {
 		line, err := reader.ReadSlice('\n')
 		if err != nil {
 			return err
 		}
-		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
+		left -= len(line)
 	}
+	return trace.LimitExceeded("the trailer is too long")
 }
 
 // Framing returns how the end of the body is found.
