pkg/gateway: the body of a refusal does not hold the next attempt

Callers whose request an endpoint had refused without running it were refused too, at their deadline (1.5 s; 503, not in time), if the body of that refusal came slowly and had no end: the request could have been sent to another endpoint at once. Cause: the rest of a refusal is read so that its connection can be used again, with a limit for its bytes and none for its time, and the next attempt waits for it.

Now the rest of a refusal has 20 ms, after which its connection is closed.

--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -363,6 +363,18 @@
 	return readAll(r, nil, limit)
 }
 
+// Discard reads the rest of a short body within a time, so that Close can keep the connection. Whatever does
+// not end by then closes it.
+func (r *Response) Discard(limit int, within time.Duration) error {
+	if err := r.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return err
+	}
+	if _, err := r.ReadAll(limit); err != nil {
+		return err
+	}
+	return r.conn.SetReadDeadline(time.Time{})
+}
+
 // Close returns the connection to the idle ones if the body was read to its end. Otherwise it
 // closes the connection, which also cancels the work at the endpoint.
 func (r *Response) Close() {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -92,10 +92,14 @@
 	return response, nil
 }
 
+// discardTimeout bounds the time for the rest of a short response, which usually comes with its head. The
+// next attempt waits for it.
+const discardTimeout = 20 * time.Millisecond
+
 // discard reads the rest of a short response, so that its connection can be reused.
 func (c *call) discard(response *endpoint.Response) {
-	if _, err := response.ReadAll(maxHeadBytes); err != nil {
-		c.log().Debug("response of an endpoint that declined was truncated", zap.String("Request", c.ID), zap.Error(err))
+	if err := response.Discard(maxHeadBytes, discardTimeout); err != nil {
+		c.log().Debug("response of an endpoint that declined was not read to its end", zap.String("Request", c.ID), zap.Error(err))
 	}
 	response.Close()
 }
