--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -73,6 +74,10 @@
 // connection.
 const maxSurplusResponses = 3
 
+// maxSurplusBytes bounds the body of such a response. It is the size of the longest answer that the gateway
+// accepts.
+const maxSurplusBytes = 8 << 20
+
 // Do sends a request and waits for the header of its response. When the context ends, the
 // connection is closed, which also cancels the request at the endpoint.
 func (c *Client) Do(ctx context.Context, call *Call) (response *Response, err error) {
@@ -221,13 +226,33 @@
 		if call.Matches == nil || call.Matches(&response.Head) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response); err != nil {
+		if err := response.drop(); err != nil {
 			return nil, err
 		}
 	}
 	return nil, trace.BadParameter("the answers on this connection belong to other requests")
 }
 
+// drop reads a response to another request. It fails if no other response can follow, or only after a body
+// that is too long.
+func (r *Response) drop() error {
+	if !r.IsFramed() {
+		return trace.BadParameter("the answer belongs to another request and ends with its connection")
+	}
+	if r.remaining > maxSurplusBytes {
+		return &TooLargeError{Limit: maxSurplusBytes}
+	}
+	_, err := io.CopyN(io.Discard, r, maxSurplusBytes+1)
+	switch {
+	case err == nil:
+		return &TooLargeError{Limit: maxSurplusBytes}
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
+}
+
 // checkStatusLine checks that the data begins like a response, so that garbage fails at once.
 func checkStatusLine(reader *bufio.Reader) error {
 	const prefix = "HTTP/1."
@@ -309,17 +334,19 @@
 	return &BodyError{Framing: r.framing, Bytes: r.bytesRead, Err: err}
 }
 
-// readTrailer reads the lines after the last chunk, up to the empty one.
+// readTrailer reads the lines after the last chunk, up to the empty one. They may be as long as a header.
 func readTrailer(reader *bufio.Reader) error {
-	for {
+	for left := reader.Size(); left > 0; {
 		line, err := reader.ReadSlice('\n')
 		if err != nil {
 			return err
 		}
-		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
+		left -= len(line)
 	}
+	return trace.LimitExceeded("the trailer is too long")
 }
 
 // Framing returns how the end of the body is found.
@@ -336,6 +363,18 @@
 	return readAll(r, nil, limit)
 }
 
+// Discard reads the rest of a short body within a time, so that Close can keep the connection. Whatever does
+// not end by then closes it.
+func (r *Response) Discard(limit int, within time.Duration) error {
+	if err := r.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return err
+	}
+	if _, err := r.ReadAll(limit); err != nil {
+		return err
+	}
+	return r.conn.SetReadDeadline(time.Time{})
+}
+
 // Close returns the connection to the idle ones if the body was read to its end. Otherwise it
 // closes the connection, which also cancels the work at the endpoint.
 func (r *Response) Close() {
