pkg/gateway: an endpoint that is silent until the deadline has failed the request

While no other endpoint takes a request, its silent attempt goes on until the request ends. That outcome was unknown, which a dispatcher counts as completed: an endpoint that is dead but keeps its connections got further requests. An attempt whose endpoint was silent for its timeout, and has sent no event since, has failed now also if its request ends first.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -208,6 +208,9 @@
 	var unreached *endpoint.DialError
 	var declined *declinedError
 	switch {
+	case c.ctx.Err() != nil && c.hedger.foundSilent():
+		// No other endpoint has answered, but this one has not either.
+		return c.recordBroken(to, errStalled)
 	case c.ctx.Err() != nil:
 		return outcomeUnknown
 	case errors.Is(err, errQuarantined), errors.Is(err, errNotAdmitted):
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -81,6 +81,8 @@
 	// isPaused is set from an event until the next one is waited for: an endpoint is not silent while the
 	// caller does not read.
 	isPaused bool
+	// isSilent is set once the first endpoint has been silent for its timeout, until it sends an event.
+	isSilent bool
 	// current is the second attempt that may answer; nil if there is none. running counts it and those
 	// that were withdrawn and have not ended yet.
 	current *hedge
@@ -158,6 +160,7 @@
 		h.timer.Reset(h.timeout)
 		return
 	}
+	h.isSilent = true
 	second := &call{requestFacts: first.requestFacts, attemptRecord: h.attempts, begunAt: h.begunAt}
 	second.excluded = append(slices.Clone(h.attempts.excluded), h.first.endpoint.ID)
 	if !second.reserveRetry() {
@@ -334,7 +337,7 @@
 	if !h.withdraw() {
 		return false
 	}
-	h.hasBegun, h.isPaused, h.lastEvent, h.timeout = true, true, lastEvent, timeout
+	h.hasBegun, h.isPaused, h.isSilent, h.lastEvent, h.timeout = true, true, false, lastEvent, timeout
 	h.timer.Stop()
 	return true
 }
@@ -369,11 +372,22 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.isSilent = false
 	if !h.closed && h.timer != nil {
 		h.timer.Reset(timeout)
 	}
 }
 
+// foundSilent reports whether the first endpoint was silent for its timeout and has sent no event since.
+func (h *hedger) foundSilent() bool {
+	if h == nil {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isSilent
+}
+
 // withdraw ends the second attempt, if there is one. It reports false if it has answered, or if the first
 // attempt was ended for it. The caller holds the lock.
 func (h *hedger) withdraw() bool {
--- a/pkg/gateway/hedge_test.go
+++ b/pkg/gateway/hedge_test.go
@@ -18,6 +18,7 @@
 	"github.com/quaylead/quaylead/pkg/peer"
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 	"github.com/quaylead/quaylead/pkg/quarantine"
+	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/route"
 )
 
@@ -130,3 +131,43 @@
 		So(ended.End.Fingerprint, ShouldEqual, first.fingerprint)
 	})
 }
+
+// TestSilentEndpointIsNotedAtTheDeadline guards against silent endpoints that seem sound: while no other
+// endpoint takes their requests, these end by their deadline, which says nothing about an endpoint.
+func TestSilentEndpointIsNotedAtTheDeadline(t *testing.T) {
+	Convey("An endpoint that is silent until the request ends has failed it", t, func() {
+		g := newTestBox(t, 64)
+		g.budget.settings = Settings{RetryRatio: 1, RetryExtra: 10, RetryWindow: time.Minute}
+		to := destination{Endpoint: g.registry.Directory().EndpointsOf("llm")[0]}
+		c := newTestCall(t, g)
+		c.service.Name, c.deadline = "without-endpoints", time.Now().Add(time.Minute)
+		c.route = &route.Route{Repeatable: true, MaxAttempts: 2}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		c.ctx = ctx
+		c.startGuard(to)
+		So(c.lifecycle.Advance(request.Queued), ShouldBeNil)
+		So(c.lifecycle.Advance(request.Sending), ShouldBeNil)
+		c.hedger.arm(time.Hour, "")
+		refuse := func() {
+			c.hedger.begin()
+			So(c.hedger.group.Wait(), ShouldBeNil)
+			So(c.hedger.current, ShouldBeNil)
+		}
+		Convey("if no other endpoint takes it", func() {
+			refuse()
+			cancel(errDeadline)
+			So(c.classifyFailure(to, errDeadline), ShouldEqual, outcomeFailed)
+		})
+		Convey("but not if it has sent an event since", func() {
+			refuse()
+			So(c.hedger.heard("1", time.Hour), ShouldBeTrue)
+			cancel(errDeadline)
+			So(c.classifyFailure(to, errDeadline), ShouldEqual, outcomeUnknown)
+		})
+		Convey("and not if the request ends sooner", func() {
+			cancel(errDeadline)
+			So(c.classifyFailure(to, errDeadline), ShouldEqual, outcomeUnknown)
+		})
+		c.hedger.close()
+	})
+}
