pkg/endpoint: a withdrawn request keeps the other idle connections

When a request ended before a byte of its response had come, all idle connections to its endpoint were closed, as they may be dead too. A second attempt that is withdrawn because the first one goes on says nothing about its endpoint, and cost it all of its open connections. Such an end now has a cause of its own.

TestWithdrawnRequestKeepsConnections failed before (0 connections kept in place of 2) and passes in 5 of 5 runs with -race.

--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -46,6 +46,9 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Err }
 
+// ErrWithdrawn ends a request that is not needed any more. It says nothing about the endpoint.
+var ErrWithdrawn = errors.New("the request is not needed any more")
+
 // Response is an endpoint's response whose header was read. Read or ReadAll reads its body;
 // Close must always be called.
 type Response struct {
@@ -103,7 +106,7 @@
 	write = open.startWrite(call)
 	response, err = c.readResponse(open, call, isHead)
 	if err != nil {
-		if ctx.Err() != nil && reused {
+		if ctx.Err() != nil && reused && !errors.Is(context.Cause(ctx), ErrWithdrawn) {
 			// No byte was received: other idle connections may be dead as well.
 			c.Close()
 		}
--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/rollout"
 )
@@ -20,7 +22,7 @@
 var errStalled = errors.New("the endpoint sent nothing for too long, and another one runs the request")
 
 // errWithdrawn ends a second attempt because the first one goes on.
-var errWithdrawn = errors.New("the first endpoint goes on")
+var errWithdrawn = fmt.Errorf("the first endpoint goes on: %w", endpoint.ErrWithdrawn)
 
 // errNotContinued reports an answer that is no stream, where one is to go on.
 var errNotContinued = &unusableError{reason: "the stream was not continued"}
