--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/quaylead/quaylead/pkg/endpoint"
 	"github.com/quaylead/quaylead/pkg/request"
 	"github.com/quaylead/quaylead/pkg/rollout"
 )
@@ -20,7 +22,7 @@
 var errStalled = errors.New("the endpoint sent nothing for too long, and another one runs the request")
 
 // errWithdrawn ends a second attempt because the first one goes on.
-var errWithdrawn = errors.New("the first endpoint goes on")
+var errWithdrawn = fmt.Errorf("the first endpoint goes on: %w", endpoint.ErrWithdrawn)
 
 // errNotContinued reports an answer that is no stream, where one is to go on.
 var errNotContinued = &unusableError{reason: "the stream was not continued"}
@@ -81,6 +83,8 @@
 	// isPaused is set from an event until the next one is waited for: an endpoint is not silent while the
 	// caller does not read.
 	isPaused bool
+	// isSilent is set once the first endpoint has been silent for its timeout, until it sends an event.
+	isSilent bool
 	// current is the second attempt that may answer; nil if there is none. running counts it and those
 	// that were withdrawn and have not ended yet.
 	current *hedge
@@ -158,6 +162,7 @@
 		h.timer.Reset(h.timeout)
 		return
 	}
+	h.isSilent = true
 	second := &call{requestFacts: first.requestFacts, attemptRecord: h.attempts, begunAt: h.begunAt}
 	second.excluded = append(slices.Clone(h.attempts.excluded), h.first.endpoint.ID)
 	if !second.reserveRetry() {
@@ -334,7 +339,7 @@
 	if !h.withdraw() {
 		return false
 	}
-	h.hasBegun, h.isPaused, h.lastEvent, h.timeout = true, true, lastEvent, timeout
+	h.hasBegun, h.isPaused, h.isSilent, h.lastEvent, h.timeout = true, true, false, lastEvent, timeout
 	h.timer.Stop()
 	return true
 }
@@ -369,11 +374,22 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.isSilent = false
 	if !h.closed && h.timer != nil {
 		h.timer.Reset(timeout)
 	}
 }
 
+// foundSilent reports whether the first endpoint was silent for its timeout and has sent no event since.
+func (h *hedger) foundSilent() bool {
+	if h == nil {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isSilent
+}
+
 // withdraw ends the second attempt, if there is one. It reports false if it has answered, or if the first
 // attempt was ended for it. The caller holds the lock.
 func (h *hedger) withdraw() bool {
