pkg/gateway: a planned stop ends once the connections of callers are closed

A request whose customer has no memory left is refused before its body is read, and its connection is closed up to a second later, once the body has arrived. The HTTP server's shutdown does not wait for that: it counts a connection as closed once its last answer is written. A box whose stop ended in that second reset the connection, and its caller got an error while it sent its body in place of the refusal.

The stop now waits for these connections too, within the time that it has.

--- a/pkg/gateway/caller_memory.go
+++ b/pkg/gateway/caller_memory.go
@@ -39,6 +39,8 @@
 	requestBytes = 4 << 10
 	// unreadCheckInterval is the time between two checks for answers that are not read.
 	unreadCheckInterval = 250 * time.Millisecond
+	// closedCheckInterval is the time between two checks of whether connections are left.
+	closedCheckInterval = 20 * time.Millisecond
 	// minUnreadTime is how long a caller must have read nothing before its answer may be cut. It
 	// is far longer than a round trip, a lost packet included.
 	minUnreadTime = time.Second
@@ -119,6 +121,17 @@
 	conn.reset()
 }
 
+// awaitClosed waits until all connections are closed, or the context ends. The server does not wait for
+// those of which it has written the last answer, but one on which a refused body still arrives is closed
+// later: the end of the process would reset it, and its caller may lose the refusal.
+func (m *callerMemory) awaitClosed(ctx context.Context) {
+	if m == nil {
+		return
+	}
+	for len(m.openConns()) > 0 && interval.Wait(ctx, closedCheckInterval) == nil {
+	}
+}
+
 func (m *callerMemory) openConns() (conns []*callerConn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -364,6 +364,7 @@
 	shutdownContext, cancelShutdown := context.WithTimeout(context.Background(), remaining+stopReserve/2)
 	defer cancelShutdown()
 	err := callers.ShutdownWithContext(shutdownContext)
+	g.memory.awaitClosed(shutdownContext)
 	g.log.Info("planned stop ended", zap.Duration("After", time.Since(began)), zap.Int64("InFlight", g.inFlight.Load()), zap.Error(err))
 	g.cancelWork(errStopTimeout)
 	return nil
