--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -113,7 +113,7 @@
 
 // newHedger returns the hedger of the attempt with a number, from 1; nil if no other attempt may follow it.
 func (c *call) newHedger(attempt int) *hedger {
-	if !c.route.Repeatable || c.hedge != nil || attempt >= c.route.MaxAttempts {
+	if !c.route.Repeatable || attempt >= c.route.MaxAttempts {
 		return nil
 	}
 	return &hedger{call: c, first: c.guard}
@@ -144,7 +144,7 @@
 	defer h.mu.Unlock()
 	h.attempts, h.begunAt = h.call.attemptRecord, h.call.begunAt
 	h.attempts.excluded = slices.Clone(h.attempts.excluded)
-	h.lastEvent, h.isContinuation = lastEvent, h.call.streaming
+	h.lastEvent, h.isContinuation = lastEvent, h.call.isContinuation()
 	h.timeout = timeout
 	h.timer = time.AfterFunc(timeout, h.begin)
 }
@@ -239,16 +239,30 @@
 // isWithdrawn reports whether the call is a second attempt that was withdrawn.
 func (c *call) isWithdrawn() bool { return errors.Is(context.Cause(c.ctx), errWithdrawn) }
 
-// fetch obtains the answer of another endpoint. Its errors are refusals, if no endpoint takes the
+// isContinuation reports whether the caller has got events of the stream.
+func (c *call) isContinuation() bool {
+	return c.streaming || (c.hedge != nil && c.hedge.isContinuation)
+}
+
+// fetch obtains the answer of another endpoint, beside which a further one may be tried. Its errors are refusals, if no endpoint takes the
 // request, or those of the last endpoint.
 func (o *hedge) fetch() (*answer, error) {
 	c := o.call
+	defer func() { c.hedger.close() }()
 	for {
 		to, refusal := c.acquireEndpoint()
 		if refusal != nil {
 			return nil, refusal
 		}
 		got, err := c.fetch(to, o.lastEvent)
+		if err != nil {
+			if further := c.hedger.await(); further != nil {
+				c.settleAttempt(to, err)
+				c.logOvertaken(&to, &further.to)
+				c.use(further)
+				to, got, err = further.to, further, nil
+			}
+		}
 		if err == nil && o.isContinuation && got.stream == nil {
 			got.drop(c)
 			err = errNotContinued
