--- a/pkg/gateway/hedge.go
+++ b/pkg/gateway/hedge.go
@@ -244,8 +244,8 @@
 	return c.streaming || (c.hedge != nil && c.hedge.isContinuation)
 }
 
-// fetch obtains the answer of another endpoint, beside which a further one may be tried. Its errors are refusals, if no endpoint takes the
-// request, or those of the last endpoint.
+// fetch obtains the answer of another endpoint, beside which a further one may be tried. Its errors are refusals,
+// if no endpoint takes the request, or those of the last endpoint.
 func (o *hedge) fetch() (*answer, error) {
 	c := o.call
 	defer func() { c.hedger.close() }()
