pkg/loss, pkg/dispatch: what the order counts, and how far customers are from the bound

Logs could not tell the hypotheses on unequal shares apart: Begun left out requests that began after a change of the box that dispatches, which overloaded boxes cause several times a second, and what the order of customers counts was not logged. Now requests that another box granted are tallied where they begin, lines have Counted, and quayctl shares closes with the customers that got least of what was due to them over six seconds. Twelve customers are logged in place of six, as floods of up to 28 customers at once are common on large pools.

No decision changes.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -112,6 +112,9 @@
 	// they are no samples for its prefillEstimate. Neither are those with a transfer, of which the
 	// time is only predicted.
 	adopted bool
+	// shadow grants are adopted ones that the box which made them still tallies: those of this box's
+	// own requests, while another box dispatches.
+	shadow bool
 }
 
 const (
--- a/pkg/dispatch/pool.go
+++ b/pkg/dispatch/pool.go
@@ -269,7 +269,7 @@
 	a := p.account(req.Customer)
 	a.addRequested(req, now, p.Rules.Window)
 	g := p.addGrant(req, e, now)
-	g.adopted = true
+	g.adopted, g.shadow = true, req.Stream == OwnStream
 	e.takeSlot(g, now)
 	if begun {
 		g.begun = true
@@ -279,6 +279,14 @@
 	}
 }
 
+// TakeOver makes this pool tally a granted request that another box granted, whose tally it leaves
+// with the stream between the two.
+func (p *Pool) TakeOver(id string) {
+	if g := p.grants[id]; g != nil {
+		g.shadow = false
+	}
+}
+
 // Withdraw removes a request from its queue. It reports whether it still waited.
 func (p *Pool) Withdraw(id string) bool {
 	req := p.waiting[id]
@@ -304,7 +312,7 @@
 	if g == nil {
 		return
 	}
-	if !g.begun && !g.adopted {
+	if !g.begun && !g.shadow {
 		p.tallyFor(g.req.Customer).Begun += g.req.cost
 	}
 	p.judgeSource(g, true, now)
@@ -339,8 +347,10 @@
 		}
 	case Done:
 		p.completePlain(g)
-		if g.begun && !g.adopted {
+		if g.begun && !g.shadow {
 			p.tallyFor(g.req.Customer).Completed += g.req.cost
+		}
+		if g.begun && !g.adopted {
 			p.recordStream(g, now)
 		}
 	}
@@ -348,7 +358,7 @@
 
 // refund subtracts a grant from the usage of its customer, who got nothing for it.
 func (p *Pool) refund(g *grant, now time.Time) {
-	if !g.adopted {
+	if !g.shadow {
 		p.tallyFor(g.req.Customer).Refunded += g.req.cost
 	}
 	p.account(g.req.Customer).addGranted(g.req, -1, now, p.Rules.Window)
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -125,6 +125,9 @@
 	triedRound uint64
 }
 
+// OwnStream is the number of the stream of this box's own requests.
+const OwnStream = 0
+
 // Decision is either a Grant or a Refusal.
 type Decision interface {
 	decision()
--- a/pkg/dispatch/tally.go
+++ b/pkg/dispatch/tally.go
@@ -35,6 +35,9 @@
 type CustomerTally struct {
 	Customer string
 	Tally
+	// Counted is what the order of customers counts for it: what it was recently granted over all
+	// groups of engines, extrapolated to a window.
+	Counted float64
 	// OtherGroups is what the pool knows of the customer's usage of other groups of engines.
 	OtherGroups OtherGroupUsage
 }
@@ -56,7 +59,7 @@
 	for customer, t := range p.tallies {
 		one := CustomerTally{Customer: customer, Tally: *t}
 		if a := p.accounts[customer]; a != nil {
-			one.OtherGroups = a.otherGroups.sum
+			one.Counted, one.OtherGroups = a.recentlyGranted(), a.otherGroups.sum
 		}
 		tallies = append(tallies, one)
 	}
--- a/pkg/dispatch/tally_test.go
+++ b/pkg/dispatch/tally_test.go
@@ -25,7 +25,7 @@
 		p.End("b", Unused{}, start)
 		So(p.TakeTallies(), ShouldResemble, []CustomerTally{{Customer: "ward", Tally: Tally{
 			Requested: 2 * cost, Granted: 2 * cost, Begun: cost, Completed: cost, Refunded: cost,
-		}}})
+		}, Counted: 2 * cost}})
 		So(p.TakeTallies(), ShouldBeEmpty)
 	})
 	Convey("Requests that are not granted are counted by how they left the queue", t, func() {
@@ -59,4 +59,20 @@
 		p.End("a", Done{}, start)
 		So(p.TakeTallies(), ShouldBeEmpty)
 	})
+	Convey("What was granted before a change of the dispatcher and begins after it is counted once", t, func() {
+		reported := req("a", "ward")
+		reported.Stream = 1
+		begun := Tally{Begun: cost, Completed: cost}
+		next := newTestPool(1, 0)
+		next.Adopt(reported, "e0", false, start)
+		next.Begin("a", start)
+		next.End("a", Done{}, start)
+		So(next.TakeTallies()[0].Tally, ShouldResemble, begun)
+		alone := newTestPool(1, 0)
+		alone.Adopt(req("a", "ward"), "e0", false, start)
+		alone.TakeOver("a")
+		alone.Begin("a", start)
+		alone.End("a", Done{}, start)
+		So(alone.TakeTallies()[0].Tally, ShouldResemble, begun)
+	})
 }
--- a/pkg/gateway/customer_reports.go
+++ b/pkg/gateway/customer_reports.go
@@ -14,7 +14,7 @@
 
 // maxReportedCustomers bounds the customers that a box logs each second for each group of
 // engines: a pool has a few large ones, and the log has to stay small with hundreds of boxes.
-const maxReportedCustomers = 6
+const maxReportedCustomers = 12
 
 // localRefusals counts the tokens that a box refused one customer without asking the dispatcher.
 type localRefusals struct {
@@ -110,5 +110,6 @@
 		zap.Int64("GivenBack", int64(one.Refunded)),
 		zap.Int64("Begun", int64(one.Begun)),
 		zap.Int64("Answered", int64(one.Completed)),
-		zap.Int64("GrantedElsewhere", int64(one.OtherGroups.Granted)))
+		zap.Int64("GrantedElsewhere", int64(one.OtherGroups.Granted)),
+		zap.Int64("Counted", int64(one.Counted)))
 }
--- a/pkg/gateway/granted.go
+++ b/pkg/gateway/granted.go
@@ -47,6 +47,9 @@
 	if s.remote != nil {
 		s.remote.absentGrants = absentGrants{}
 	}
+	if s.remote == nil {
+		s.pool.TakeOver(id)
+	}
 	s.pool.Begin(id, time.Now())
 	if s.remote != nil {
 		s.remote.stream.Send(encodeBegin(id))
--- a/pkg/gateway/scheduler.go
+++ b/pkg/gateway/scheduler.go
@@ -391,7 +391,7 @@
 }
 
 // ownStream is the stream number of this box's own requests.
-const ownStream = 0
+const ownStream = dispatch.OwnStream
 
 // acquire waits until a request is granted an engine or refused. If local is set, this box
 // decides without asking the dispatcher.
--- a/pkg/loss/shares.go
+++ b/pkg/loss/shares.go
@@ -17,7 +17,7 @@
 // sharesColumns are the amounts of that line in the order in which they apply to a
 // request. All are tokens, and sums over the boxes that report.
 var sharesColumns = []string{
-	"Asked", "TurnedShare", "TurnedBusy", "Hopeless", "Turned", "Unplaced", "Withdrawn", "Granted", "GivenBack", "Begun", "Answered", "GrantedElsewhere",
+	"Asked", "TurnedShare", "TurnedBusy", "Hopeless", "Turned", "Unplaced", "Withdrawn", "Granted", "GivenBack", "Begun", "Answered", "GrantedElsewhere", "Counted",
 }
 
 // Shares collects what customers requested and were granted, by second.
@@ -116,7 +116,11 @@
 		}
 		fmt.Fprintf(table, "\t%s\t%s\n", formatBoxes(row.grantedBy), formatBoxes(row.refusedBy))
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	s.writeMargins(out)
+	return nil
 }
 
 // formatBoxes names a few boxes and counts many.
