--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -88,6 +88,8 @@
 	// guard ends the current attempt, and hedger begins another one beside it.
 	guard  *guard
 	hedger *hedger
+	// starting is set while the request counts towards Gateway.starting.
+	starting bool
 	// streaming is set once the response's stream owns the call; the stream then finishes it.
 	streaming bool
 }
@@ -128,6 +130,7 @@
 // finish stops watching the caller's connection and releases what the request holds.
 func (c *call) finish() {
 	defer c.gateway.inFlight.Add(-1)
+	c.finishStart()
 	if c.cancel == nil {
 		return
 	}
@@ -168,6 +171,9 @@
 	if refusal := c.refuseEarly(); refusal != nil {
 		return refusal
 	}
+	if refusal := c.startModel(); refusal != nil {
+		return refusal
+	}
 	header := &c.http.Request.Header
 	c.fingerprint = quarantine.FingerprintOf(header.Method(), header.RequestURI(), []byte(c.customer), c.http.Request.Body())
 	if refusal := c.refuseQuarantined(); refusal != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,6 +69,8 @@
 	// catalog is the last one applied to the pools.
 	catalog *route.Catalog
 	load    load
+	// starting are the model requests that have not begun.
+	starting startingRequests
 	// memory accounts for what is kept for callers; nil if the memory is not bounded.
 	memory *callerMemory
 	// callers serves the connections of callers.
@@ -182,6 +184,7 @@
 	}
 	g.continuations.gateway, g.continuations.log = g, g.Logs.For(logflags.Peer)
 	g.continuations.maxAge.Store(int64(maxRequestTimeout))
+	g.starting.configure(g.Settings.Cores)
 	g.rollouts.gateway, g.rollouts.log = g, g.Logs.For(logflags.Rollout)
 	g.suspensions.Total = g.Suspended
 	g.checkSuspension()
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -234,6 +234,7 @@
 // deliverStream gives a stream to the HTTP server, which reads it event by event.
 func (c *call) deliverStream(got *answer) {
 	got.to.begin()
+	c.finishStart()
 	c.recordBegun(&got.to)
 	c.gateway.Metrics.FirstEvent(c.customer, c.route.Name, time.Since(c.arrived))
 	c.forwardHead(got.response)
