pkg/registry, pkg/continuation: a first start is believed of boxes that the store does not list

What callers saw, per a report of a system like this one: after all boxes were killed and came back, streams that were taken up went on at another release than the one that began them.

Cause: boxes whose settings still say that none ran before took for granted that they knew all releases of the last ten minutes.

Change: with FirstStart a box writes its row on the condition that there is none. Only then does it know that there were no other releases, and otherwise it reads the quarantined requests too, which it skipped.

--- a/pkg/continuation/continuation_test.go
+++ b/pkg/continuation/continuation_test.go
@@ -76,7 +76,7 @@
 	Convey("A release is the only one until another one appears, and again long after that has gone", t, func() {
 		r := Releases{}
 		r.Apply([]route.Change{added("llm", "v1"), added("llm", "v1"), added("api", "")}, now)
-		r.Start(true, now)
+		r.StartFirst(now)
 		release, isOnly, isComplete := r.Only("llm", period, now)
 		So([]any{release, isOnly, isComplete}, ShouldResemble, []any{"v1", true, true})
 		release, isOnly, _ = r.Only("api", period, now)
@@ -93,11 +93,11 @@
 	Convey("A box that starts later does not know of releases before, until another box notifies it", t, func() {
 		r, other := Releases{}, Releases{}
 		other.Apply([]route.Change{added("llm", "v1"), added("llm", "v2")}, now)
-		other.Start(true, now)
+		other.StartFirst(now)
 		other.Apply([]route.Change{removed("llm", "v1")}, now.Add(time.Second))
 		started := now.Add(2 * time.Second)
 		r.Apply([]route.Change{added("llm", "v2")}, started)
-		r.Start(false, started)
+		r.Start(started)
 		_, isOnly, isComplete := r.Only("llm", period, started)
 		So([]any{isOnly, isComplete}, ShouldResemble, []any{true, false})
 		So(r.Merge(other.Summary(started), started), ShouldBeTrue)
@@ -109,7 +109,7 @@
 	})
 	Convey("Without another box it knows once it has run for long enough", t, func() {
 		r := Releases{}
-		r.Start(false, now)
+		r.Start(now)
 		_, _, isComplete := r.Only("llm", period, now.Add(period-1))
 		So(isComplete, ShouldBeFalse)
 		_, _, isComplete = r.Only("llm", period, now.Add(period))
--- a/pkg/continuation/releases.go
+++ b/pkg/continuation/releases.go
@@ -36,18 +36,22 @@
 	minEarlier = time.Second
 )
 
-// Start records that the releases in use are known from now on and, for a fleet that did not run
-// before, that there were no others.
-func (r *Releases) Start(firstStart bool, now time.Time) {
+// Start records that the releases in use are known from now on.
+func (r *Releases) Start(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.knownSince.IsZero() {
-		return
-	}
-	r.knownSince = now
-	if firstStart {
-		r.knownSince = now.Add(-maxMemory)
+	if r.knownSince.IsZero() {
+		r.knownSince = now
+		r.version++
 	}
+}
+
+// StartFirst records that the fleet did not run before, so that there were no other releases than
+// those in use.
+func (r *Releases) StartFirst(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.knownSince = now.Add(-maxMemory)
 	r.version++
 }
 
--- a/pkg/gateway/continuations.go
+++ b/pkg/gateway/continuations.go
@@ -82,6 +82,12 @@
 	k.maxAge.Store(int64(longest))
 }
 
+// confirmFirstStart records that no box of the fleet ran before this one.
+func (g *Gateway) confirmFirstStart() {
+	g.continuations.releases.StartFirst(time.Now())
+	g.exchange.SendSoon()
+}
+
 // soleRelease returns the release of a service if every stream in progress must have begun at it.
 func (k *continuations) soleRelease(service string, now time.Time) (release string, isSole bool) {
 	release, isOnly, isComplete := k.releases.Only(service, time.Duration(k.maxAge.Load()), now)
--- a/pkg/gateway/endpoints.go
+++ b/pkg/gateway/endpoints.go
@@ -21,7 +21,7 @@
 	}
 	changes, directory := g.registry.TakeChanges()
 	g.continuations.releases.Apply(changes, time.Now())
-	g.continuations.releases.Start(g.Settings.FirstStart, time.Now())
+	g.continuations.releases.Start(time.Now())
 	configChanged := catalog != g.catalog
 	if configChanged {
 		g.continuations.configure(catalog)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -214,6 +214,7 @@
 		IsStoreLostElsewhere: g.fleet.AnyStoreLost,
 		MaxLeavingDelay:      g.Settings.MaxLeavingDelay,
 		FirstStart:           g.Settings.FirstStart,
+		FirstStartConfirmed:  g.confirmFirstStart,
 		Quarantine:           &g.ledger,
 	}
 	g.exchange = &peer.Exchange{
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -16,7 +16,8 @@
 	ReadyAddress string
 	// PeerAddress is the IP and port on which other boxes connect.
 	PeerAddress string
-	// FirstStart is set if no box of the fleet has run before.
+	// FirstStart is set if no box of the fleet has run before. It is not believed of a box that the
+	// store lists already.
 	FirstStart bool
 	// StopTimeout is how long the process may run after it was asked to stop.
 	StopTimeout time.Duration
--- a/pkg/registry/boxes.go
+++ b/pkg/registry/boxes.go
@@ -42,7 +42,7 @@
 // listed and need not write its row.
 func (r *Registry) pollBoxes(ctx context.Context, announced *bool) error {
 	if !*announced && r.FirstStart {
-		if err := r.Store.Announce(ctx, r.Self); err != nil {
+		if err := r.announceFirst(ctx); err != nil {
 			return err
 		}
 		*announced = true
@@ -78,6 +78,24 @@
 	return nil
 }
 
+// announceFirst writes this box's row where the settings say that no box ran before. If it is listed
+// already, they are those of an earlier start.
+func (r *Registry) announceFirst(ctx context.Context) error {
+	isNew, err := r.Store.AnnounceNew(ctx, r.Self)
+	if err != nil {
+		return err
+	}
+	if !isNew {
+		r.Log.Warn("first start not believed", zap.String("Box", r.Self.Name))
+		r.readQuarantineRepeatedly(ctx)
+		return nil
+	}
+	if r.FirstStartConfirmed != nil {
+		r.FirstStartConfirmed()
+	}
+	return nil
+}
+
 // maxInitialBoxes bounds the boxes that a starting box reads. It needs some to join the others and
 // receives the rest from them. Without the bound, a large fleet that starts at once would read the
 // whole list as often as it has rows.
--- a/pkg/registry/quarantine.go
+++ b/pkg/registry/quarantine.go
@@ -72,7 +72,13 @@
 // box with a configuration serves, and by then it has to know which requests it must not send.
 // After all boxes were killed at once, no other box knows them.
 func (r *Registry) loadQuarantine(ctx context.Context) {
-	if r.Quarantine == nil || r.FirstStart {
+	if !r.FirstStart {
+		r.readQuarantineRepeatedly(ctx)
+	}
+}
+
+func (r *Registry) readQuarantineRepeatedly(ctx context.Context) {
+	if r.Quarantine == nil {
 		return
 	}
 	retry := backoff{countOtherFollowers: r.CountOtherFollowers}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -64,8 +64,10 @@
 	// when they succeed again. IsStoreLostElsewhere reports whether those of another box fail.
 	StoreLost            func(lost bool)
 	IsStoreLostElsewhere func() bool
-	// FirstStart is set if no box of the fleet has run before.
+	// FirstStart is set if the settings say that no box of the fleet has run before.
 	FirstStart bool
+	// FirstStartConfirmed is called if so, and the store has no row of this box. It may be nil.
+	FirstStartConfirmed func()
 	// MaxLeavingDelay is the longest time for which an endpoint that leaves may still receive new
 	// work; 0 means defaultMaxLeavingDelay.
 	MaxLeavingDelay time.Duration
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -141,6 +141,11 @@
 	return nil
 }
 
+func (f *fakeStore) AnnounceNew(ctx context.Context, box Box) (isNew bool, err error) {
+	isNew = !slices.ContainsFunc(f.current().boxes, func(listed ListedBox) bool { return listed.Name == box.Name })
+	return isNew, f.Announce(ctx, box)
+}
+
 func (f *fakeStore) ReadQuarantine(context.Context) ([]QuarantinedRequest, error)      { return nil, nil }
 func (f *fakeStore) WriteQuarantine(context.Context, []quarantine.StoredRequest) error { return nil }
 func (f *fakeStore) Boxes(context.Context, string, int) ([]ListedBox, error) {
--- a/pkg/registry/store.go
+++ b/pkg/registry/store.go
@@ -102,6 +102,8 @@
 	EndpointsSince(ctx context.Context, since epoch.Version) (entries []Entry, version epoch.Version, err error)
 	// Announce writes the rows of boxes.
 	Announce(ctx context.Context, boxes ...Box) error
+	// AnnounceNew writes the row of a box, and reports whether it had none before.
+	AnnounceNew(ctx context.Context, box Box) (isNew bool, err error)
 	// Boxes reads the rows of all boxes. If limit is over 0, it reads at most that many, with few
 	// calls: the first ones, and those from the given name on.
 	Boxes(ctx context.Context, from string, limit int) ([]ListedBox, error)
