--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -171,9 +171,6 @@
 	if refusal := c.refuseEarly(); refusal != nil {
 		return refusal
 	}
-	if refusal := c.startModel(); refusal != nil {
-		return refusal
-	}
 	header := &c.http.Request.Header
 	c.fingerprint = quarantine.FingerprintOf(header.Method(), header.RequestURI(), []byte(c.customer), c.http.Request.Body())
 	if refusal := c.refuseQuarantined(); refusal != nil {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -98,8 +98,8 @@
 	return to, false
 }
 
-// refuseEarly refuses a request for which this box would not ask the dispatcher, because enough
-// requests of its customer already wait here.
+// refuseEarly refuses a request for which this box does not ask the dispatcher, because enough
+// requests of its customer already wait here, or this box has too many that have not begun.
 func (c *call) refuseEarly() *request.Refusal {
 	p := c.gateway.pool(c.service.Name)
 	if p == nil || !c.isDispatched() {
@@ -109,6 +109,9 @@
 	s := p.groupFor(req)
 	s.estimateSlotTime(req)
 	v, refused := s.refuseEarly(req)
+	if !refused && c.isModel() && !c.startModel() {
+		v, refused = s.refuseLocally(dispatch.RefusedBusy, req), true
+	}
 	if !refused {
 		return nil
 	}
--- a/pkg/gateway/starting.go
+++ b/pkg/gateway/starting.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"sync"
 
 	"github.com/quaylead/quaylead/pkg/dispatch"
-	"github.com/quaylead/quaylead/pkg/request"
 )
 
 const (
@@ -48,18 +46,11 @@
 	r.limiter.Finish(customer)
 }
 
-// startModel counts a model request until it begins, or refuses it: this box has as many in progress
-// as it may begin. It can be served at another box.
-func (c *call) startModel() *request.Refusal {
-	if !c.isModel() {
-		return nil
-	}
-	if c.gateway.starting.start(c.customer) {
-		c.starting = true
-		return nil
-	}
-	c.gateway.Metrics.RefusedByDispatcher(c.customer)
-	return notRun(request.Overloaded, "this box is overloaded", otherBoxRetryDelay+rand.N(otherBoxRetryDelay))
+// startModel counts a model request until it begins. It reports false if this box has as many in
+// progress as it may begin.
+func (c *call) startModel() (admitted bool) {
+	c.starting = c.gateway.starting.start(c.customer)
+	return c.starting
 }
 
 // finishStart records that the request has begun, or will not.
