pkg/partition: a failing test: small boxes rank before large ones as dispatchers

It sent no response in time 808 times in 17 s, 196 of them in these six seconds, so that two to three boxes dispatched for that group at once. By group, from 11 to 17 s, in millions of tokens:

dispatcher submitted granted begun refused by its own boxes seda402, group 0 small, several 6.2 4.2 3.9 12.5 lopu140, group 0 88.9 13.4 12.7 0.0 seda402, group 1 large, one 10.5 9.8 9.6 6.0 lopu140, group 1 86.6 17.8 17.7 0.0

seda402's callers are at two boxes, lopu140's at 294. What is submitted of seda402 in group 1 is granted; in group 0 its requests wait 250 ms for a verdict, which fills the bounds of its boxes.

--- a/pkg/partition/partition_test.go
+++ b/pkg/partition/partition_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/quaylead/quaylead/pkg/membership"
@@ -37,6 +39,52 @@
 	})
 }
 
+// drawMixedFleet draws a fleet with a few large boxes among small ones.
+func drawMixedFleet(draw *rand.Rand) (fleet []membership.Candidate, large int) {
+	boxes := 8 + draw.IntN(300)
+	large = 1 + draw.IntN(1+boxes/12)
+	smallCores := 0.1 + 0.2*draw.Float64()
+	largeCores := smallCores * (2.5 + 4*draw.Float64())
+	for i := range boxes {
+		cores := smallCores
+		if i < large {
+			cores = largeCores
+		}
+		name := fmt.Sprintf("box-%d", draw.Uint32())
+		fleet = append(fleet, membership.Candidate{Name: name, Hash: xxhash.Sum64String(name), Cores: cores, Alive: true})
+	}
+	return fleet, large
+}
+
+// TestSmallBoxDoesNotDispatchBesideLargeOnes guards against a dispatcher without processor time, whose
+// late verdicts hold the requests of a customer with callers at one box.
+func TestSmallBoxDoesNotDispatchBesideLargeOnes(t *testing.T) {
+	Convey("Large boxes rank first in drawn fleets", t, func() {
+		draw := rand.New(rand.NewPCG(1, 31))
+		smallFirst := 0
+		const fleets = 400
+		for range fleets {
+			fleet, large := drawMixedFleet(draw)
+			ranking := Rank(GroupName("llm", 0), fleet[0], fleet[1:])
+			largest := fleet[0].Cores
+			for i := range min(large, len(ranking)) {
+				if ranking[i].Cores < largest {
+					smallFirst++
+					break
+				}
+			}
+		}
+		So(smallFirst, ShouldEqual, 0)
+	})
+	Convey("All boxes still rank, so that small ones dispatch when no large one is left", t, func() {
+		fleet := candidatesOf(40)
+		ranking := Rank("llm/0", fleet[0], fleet[1:])
+		So(ranking, ShouldHaveLength, maxRanked)
+		So(ranking[1].Cores, ShouldEqual, fleet[0].Cores)
+		So(ranking[2].Cores, ShouldBeLessThan, fleet[0].Cores)
+	})
+}
+
 // TestAssignment checks that groups are distributed evenly, and that few of them move when a
 // box leaves.
 func TestAssignment(t *testing.T) {
