pkg/partition: large boxes rank before all small ones as dispatchers

Cause: boxes were ranked by a hash weighted by the third power of their cores. A box of 0.8 cores then weighs 72 times as much as one of 0.192, but there are 280 small ones for 15 large: a small box ranks first for one group of engines in five. Dispatching for 160 engines takes 0.2 to 0.4 cores under a flood, which it does not have. Its verdicts come late; requests fill the bounds of the box that their callers are connected to, which are the same for a customer at one box as for one at 294; boxes that get no response in time turn to the next one in the ranking and back, so that several dispatch for one group, each with a part of what customers got, and who comes to all boxes is granted by all of them.

Why this works: boxes with at least half of the most processor time of any box, those that the groups of large pools are already assigned to, precede all others; among them the weighted hash decides as before. Small boxes still rank, and dispatch when no large one is left.

--- a/pkg/partition/assignment.go
+++ b/pkg/partition/assignment.go
@@ -50,16 +50,22 @@
 
 func isSameBox(a, b membership.Candidate) bool { return a.Name == b.Name && a.Cores == b.Cores }
 
-func largeBoxes(own membership.Candidate, others []membership.Candidate) (large []membership.Candidate) {
+// minLargeCores returns the processor time from which on a box counts as large.
+func minLargeCores(own membership.Candidate, others []membership.Candidate) float64 {
 	maxCores := own.Cores
 	for i := range others {
 		maxCores = max(maxCores, others[i].Cores)
 	}
-	if own.Cores >= minLargeFraction*maxCores {
+	return minLargeFraction * maxCores
+}
+
+func largeBoxes(own membership.Candidate, others []membership.Candidate) (large []membership.Candidate) {
+	minCores := minLargeCores(own, others)
+	if own.Cores >= minCores {
 		large = append(large, own)
 	}
 	for i := range others {
-		if others[i].Cores >= minLargeFraction*maxCores {
+		if others[i].Cores >= minCores {
 			large = append(large, others[i])
 		}
 	}
--- a/pkg/partition/rank.go
+++ b/pkg/partition/rank.go
@@ -19,14 +19,16 @@
 	Cores float64
 	// Alive is set if the box is known to be alive, and not only listed.
 	Alive bool
+	// large is set if the box has at least minLargeFraction of the most processor time of any box.
+	large bool
 }
 
 // maxRanked bounds the ranking: if that many boxes are all suspect or unreachable, this box is
 // itself cut off and decides alone.
 const maxRanked = 16
 
-// coresExponent makes large boxes far more likely to dispatch than in proportion to their
-// cores: they have more capacity to spare, and a small dispatcher responds late.
+// coresExponent makes the largest boxes more likely to dispatch than in proportion to their cores:
+// they have more capacity to spare.
 const coresExponent = 3
 
 // minCores is the lower bound of the cores of a box; it also stands for boxes that do not
@@ -37,15 +39,25 @@
 	return math.Log(Uniform(Hash(group, box))) / math.Pow(max(cores, minCores), coresExponent)
 }
 
+// precedes reports whether a box ranks before another one. Large boxes precede all others, however
+// many those are: a dispatcher without enough processor time responds late, and the requests that wait
+// for its verdict fill the bounds of the boxes that sent them.
+func (r *Ranked) precedes(other *Ranked) bool {
+	if r.large != other.large {
+		return r.large
+	}
+	return r.Score > other.Score
+}
+
 // Rank returns the first boxes for a group of engines, best first, with this box among them if
-// it ranks high enough. It visits each box of the fleet once.
+// it ranks high enough. It visits each box of the fleet twice.
 func Rank(group string, own membership.Candidate, others []membership.Candidate) []Ranked {
-	key := xxhash.Sum64String(group)
+	key, minLarge := xxhash.Sum64String(group), minLargeCores(own, others)
 	ranking := make([]Ranked, 0, maxRanked+1)
 	insert := func(c *membership.Candidate) {
-		ranked := Ranked{Name: c.Name, Zone: c.Zone, Score: boxScore(key, c.Hash, c.Cores), Cores: c.Cores, Alive: c.Alive}
+		ranked := Ranked{Name: c.Name, Zone: c.Zone, Score: boxScore(key, c.Hash, c.Cores), Cores: c.Cores, Alive: c.Alive, large: c.Cores >= minLarge}
 		index := len(ranking)
-		for index > 0 && ranking[index-1].Score < ranked.Score {
+		for index > 0 && ranked.precedes(&ranking[index-1]) {
 			index--
 		}
 		if index == maxRanked {
