pkg/gateway: a caller's request ID that is no UTF-8 ends no stream to the dispatcher

What callers saw: after one request whose ID has a byte that is no UTF-8, the requests behind it at that box get no verdict of the dispatcher: each waits until that box is taken for silent, and the box decides alone.

The ID of a grant is the caller's ID, and boxes send it to each other as text of protobuf; the message fails to encode, and writing to the stream ends.

Evidence: `dispatcher not asked for a while` three times in the test's ten requests.

Change: the ID of a grant is the hexadecimal form of an ID that is no UTF-8. Endpoints and callers still see the ID as it was sent.

Test: TestRequestIDThatIsNoText (failed before with the three lines above).

--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"encoding/hex"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -149,12 +151,16 @@
 }
 
 // grantID returns the ID of the next attempt's grant. An attempt may begin while an earlier one holds its
-// own grant.
+// own grant. Boxes can send each other UTF-8 only, and a caller's ID may be any bytes.
 func (c *call) grantID() string {
+	id := c.ID
+	if !utf8.ValidString(id) {
+		id = hex.EncodeToString([]byte(id))
+	}
 	if attempt := c.lifecycle.Attempts() + 1; attempt > 1 {
-		return c.ID + "#" + strconv.Itoa(attempt)
+		return id + "#" + strconv.Itoa(attempt)
 	}
-	return c.ID
+	return id
 }
 
 // admittedReleases returns the releases at which the next attempt may run: the one that began the
