pkg/peer, pkg/gateway: a dispatch stream that cannot be written is closed

Cause: the error of the writer ended its goroutine only, without a log line.

Change: the writer closes the stream on an error, so that the box opens another one, and the error is logged.

Test: TestUnwritableDispatchStreamIsClosed (before: the reader waits for ever, which synctest reports as a deadlock).

--- a/pkg/gateway/remote.go
+++ b/pkg/gateway/remote.go
@@ -241,13 +241,24 @@
 		zap.String("Box", r.box),
 		zap.Float64("Cores", s.coresOf(r.box)),
 		zap.Int("Running", len(s.running)))
-	s.gateway.work.Go(func() error { return r.stream.Write(s.gateway.workContext) })
+	s.gateway.work.Go(func() error {
+		s.sendCalls(r)
+		return nil
+	})
 	s.gateway.work.Go(func() error {
 		s.receiveVerdicts(r)
 		return nil
 	})
 }
 
+// sendCalls sends what is queued for the dispatcher until the stream ends.
+func (s *scheduler) sendCalls(r *remote) {
+	err := r.stream.Write(s.gateway.workContext)
+	if err != nil && s.gateway.workContext.Err() == nil {
+		s.log.Warn("stream to the box that dispatches not written", zap.String("Box", r.box), zap.Error(err))
+	}
+}
+
 // receiveVerdicts handles verdicts until the stream ends.
 func (s *scheduler) receiveVerdicts(r *remote) {
 	var err error
--- a/pkg/peer/dispatch.go
+++ b/pkg/peer/dispatch.go
@@ -90,8 +90,14 @@
 	return s.stream.Close()
 }
 
-// Write sends the queued messages, several at a time, until the context ends or writing fails.
-func (s *DispatchStream) Write(ctx context.Context) error {
+// Write sends the queued messages, several at a time, until the context ends or writing fails. It then
+// closes the stream, so that nobody waits for an answer to what was not sent.
+func (s *DispatchStream) Write(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil && ctx.Err() == nil {
+			err = trace.NewAggregate(trace.Wrap(err, "writing to a dispatch stream"), s.Close())
+		}
+	}()
 	writer := bufio.NewWriter(s.stream)
 	for {
 		select {
--- a/pkg/peer/dispatch_test.go
+++ b/pkg/peer/dispatch_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/quaylead/quaylead/pkg/peer/peerpb"
 )
@@ -27,3 +28,20 @@
 		}
 	})
 }
+
+// TestUnwritableDispatchStreamIsClosed guards against a stream that sends nothing any more while both
+// boxes wait for answers on it.
+func TestUnwritableDispatchStreamIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local, remote := net.Pipe()
+		defer remote.Close()
+		stream := NewDispatchStream(local, time.Second)
+		stream.Send(&peerpb.Call{Kind: &peerpb.Call_Ask{Ask: &peerpb.Ask{ID: "\xff"}}})
+		if err := stream.Write(t.Context()); err == nil {
+			t.Error("a message that cannot be encoded was written")
+		}
+		if err := stream.Receive(&peerpb.Verdict{}); err == nil {
+			t.Error("the stream is still read")
+		}
+	})
+}
