pkg/endpoint: interim answers of an endpoint precede the answer and are not taken for it

What callers saw: 502 where an endpoint sent 102 or 103 before a whole answer (8 of 8 calls on the four routes of the tests); 100 was already passed over.

Cause: only 100 was known as an interim answer (RFC 9110, 15.2). Others carry no ID of the request, so that they counted as an answer to another request that ends with its connection.

Test: TestInterimAnswersPrecedeTheAnswer (102 and 103 failed before).

--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -222,7 +222,7 @@
 		if err := response.Head.Read(open.reader); err != nil {
 			return nil, asUnexpectedEOF(err)
 		}
-		if response.Head.StatusCode() == fasthttp.StatusContinue {
+		if isInterim(response.Head.StatusCode()) {
 			continue
 		}
 		response.setFraming(isHead)
@@ -236,6 +236,11 @@
 	return nil, trace.BadParameter("the answers on this connection belong to other requests")
 }
 
+// isInterim reports whether a response with this status precedes the one to the request.
+func isInterim(status int) bool {
+	return status >= fasthttp.StatusContinue && status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
+}
+
 // drop reads a response to another request. It fails if no other response can follow, or only after a body
 // that is too long.
 func (r *Response) drop() error {
