--- a/pkg/dispatch/fleet_simulation_test.go
+++ b/pkg/dispatch/fleet_simulation_test.go
@@ -23,8 +23,9 @@
 	silent map[int]bool
 	// lostFraction is the fraction of the answers that are lost before they begin.
 	lostFraction float64
-	// hop is the time of a message between a router and the pool.
-	hop time.Duration
+	// hop is the time of a message between a router and the pool, and verdictDelay the time that a
+	// verdict takes in addition to it.
+	hop, verdictDelay time.Duration
 	// seconds are the usage of each customer in each second of the run. A grant counts when the
 	// request begins.
 	seconds map[string][]secondUsage
@@ -203,17 +204,30 @@
 		case Grant:
 			req := f.waiting[d.Request.ID]
 			delete(f.waiting, req.ID)
-			f.routers[req.router].Leave(req.Customer, false, f.now)
-			f.run(req, d)
+			f.afterVerdict(func() {
+				f.routers[req.router].Leave(req.Customer, false, f.now)
+				f.run(req, d)
+			})
 		case Refusal:
 			req := f.waiting[d.Request.ID]
 			delete(f.waiting, req.ID)
-			f.routers[req.router].Leave(req.Customer, d.OverShare, f.now)
-			f.at(f.now.Add(f.hop), func() { f.refuse(req, d.RetryAfter) })
+			f.afterVerdict(func() {
+				f.routers[req.router].Leave(req.Customer, d.OverShare, f.now)
+				f.at(f.now.Add(f.hop), func() { f.refuse(req, d.RetryAfter) })
+			})
 		}
 	}
 }
 
+// afterVerdict runs what a verdict leads to once it has arrived.
+func (f *fleetSimulation) afterVerdict(do func()) {
+	if f.verdictDelay == 0 {
+		do()
+		return
+	}
+	f.at(f.now.Add(f.verdictDelay), do)
+}
+
 func (f *fleetSimulation) run(req *fleetRequest, g Grant) {
 	if f.down[g.Endpoint] {
 		f.pool.End(req.ID, Unreachable{}, f.now)
--- a/pkg/loss/shares.go
+++ b/pkg/loss/shares.go
@@ -54,7 +54,7 @@
 		s.earliest = line.Time
 	}
 	key := sharesKey{line.Time.Unix(), line.Fields["Customer"]}
-	if len(s.Customers) > 0 && !slices.Contains(s.Customers, key.customer) {
+	if key.customer == "" || (len(s.Customers) > 0 && !slices.Contains(s.Customers, key.customer)) {
 		return
 	}
 	switch line.Fields["Event"] {
--- a/pkg/loss/shares_test.go
+++ b/pkg/loss/shares_test.go
@@ -15,6 +15,7 @@
 
 const servicesOfOther = `Time=2026-03-05T12:08:12.900Z Level=info Event="customer's service" Service=llm/0 Customer=ward Asked=0 TurnedShare=4000000 TurnedBusy=70000 Granted=0
 no line of a log
+Time=2026-03-05T12:08:12.950Z Level=info Event="customer's service" Service=llm/0 Asked=9 Granted=9
 `
 
 func TestShares(t *testing.T) {
