pkg/gateway: callers of an overloaded box return once the balancer sends them elsewhere

The users' record is of this kind: each box of its customer uses all of its processor time, one after the other.

Cause: an overloaded box refused with 0.1 to 0.2 s to return, on the assumption that callers return to another box. The balancer needs 2.5 s to notice that a box is not ready; until then they return to the same one, which refuses them again. Class: a retry that comes back before anything can have changed; load that a box makes for itself.

Change: until the balancer has had the time to notice, a refused caller is asked to return after that, spread over as long again. After it, and at a box that is not overloaded, 0.1 to 0.2 s as before.

Test: TestRefusedCallersReturnOnceTheyAreSentElsewhere (before: 0.1 to 0.2 s in each of 100 draws).

--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -48,10 +48,18 @@
 }
 
 // otherBoxRetryDelay is the minimum Retry-After of a request that an overloaded or stopping box
-// refuses and that should be retried at another box. An overloaded box adds a random time of up
-// to the same length.
+// refuses and that should be retried at another box.
 const otherBoxRetryDelay = 100 * time.Millisecond
 
+// retryElsewhereAfter returns when to retry at another box a request that this box refuses. Until the
+// balancer has noticed that the box is overloaded, callers who return come to it again: retries after
+// 0.1 to 0.2 s doubled what it had to refuse, and refusals took the processor time of the requests that it
+// could have served.
+func (g *Gateway) retryElsewhereAfter(now time.Time) time.Duration {
+	wait := max(otherBoxRetryDelay, g.load.untilRebalanced(now))
+	return wait + rand.N(wait)
+}
+
 // refuseLocally refuses a request without asking the dispatcher.
 func (s *scheduler) refuseLocally(admission dispatch.Admission, req *dispatch.Request) verdict {
 	s.mu.Lock()
@@ -67,9 +75,9 @@
 		// The requests that wait here are decided within that time. No other one is admitted
 		// before.
 		wait := time.Duration(s.pool.Rules.MaxWaitFraction * float64(req.LatencyTarget))
-		v.retryAfter = wait + rand.N(wait+1)
+		v.retryAfter = max(wait+rand.N(wait+1), s.gateway.load.untilRebalanced(time.Now()))
 		return v
 	}
-	v.retryAfter = otherBoxRetryDelay + rand.N(otherBoxRetryDelay)
+	v.retryAfter = s.gateway.retryElsewhereAfter(time.Now())
 	return v
 }
--- a/pkg/gateway/load.go
+++ b/pkg/gateway/load.go
@@ -138,6 +138,17 @@
 	return now.Before(l.busyUntil)
 }
 
+// untilRebalanced returns the time until the balancer sends new connections to other boxes; 0 if it does,
+// or if the box is not overloaded.
+func (l *load) untilRebalanced(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !now.Before(l.busyUntil) {
+		return 0
+	}
+	return max(0, balancerDelay-now.Sub(l.busySince))
+}
+
 // isShedding reports whether callers with open connections should open new ones, which the
 // balancer by now sends to other boxes.
 func (l *load) isShedding(now time.Time) bool {
--- a/pkg/gateway/load_test.go
+++ b/pkg/gateway/load_test.go
@@ -56,3 +56,23 @@
 		So(l.meanDelay(), ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestRefusedCallersReturnOnceTheyAreSentElsewhere guards against retries that come to the same overloaded
+// box, which then refuses most of its time.
+func TestRefusedCallersReturnOnceTheyAreSentElsewhere(t *testing.T) {
+	const longWait = 300 * time.Millisecond
+	start := time.Unix(1000, 0)
+	g := &Gateway{}
+	Convey("A box that is not overloaded asks for a retry soon", t, func() {
+		So(g.retryElsewhereAfter(start), ShouldBeBetweenOrEqual, otherBoxRetryDelay, 2*otherBoxRetryDelay)
+	})
+	Convey("An overloaded box asks for it once the balancer has noticed", t, func() {
+		now, _ := addSamples(&g.load, start, time.Second, longWait)
+		rebalancedAt := g.load.busySince.Add(balancerDelay)
+		for range 100 {
+			So(now.Add(g.retryElsewhereAfter(now)), ShouldHappenOnOrAfter, rebalancedAt)
+		}
+		now, _ = addSamples(&g.load, now, balancerDelay, longWait)
+		So(g.retryElsewhereAfter(now), ShouldBeBetweenOrEqual, otherBoxRetryDelay, 2*otherBoxRetryDelay)
+	})
+}
