pkg/gateway: refused requests of customers over their share do not return all at once

They are now spread over as long again, as the others.

Test: TestRefusedCallersReturnOnceTheyAreSentElsewhere draws the spread. Names: a local that hid a constant of the package, and a comment without figures.

--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -51,13 +51,13 @@
 // refuses and that should be retried at another box.
 const otherBoxRetryDelay = 100 * time.Millisecond
 
-// retryElsewhereAfter returns when to retry at another box a request that this box refuses. Until the
-// balancer has noticed that the box is overloaded, callers who return come to it again: retries after
-// 0.1 to 0.2 s doubled what it had to refuse, and refusals took the processor time of the requests that it
-// could have served.
-func (g *Gateway) retryElsewhereAfter(now time.Time) time.Duration {
-	wait := max(otherBoxRetryDelay, g.load.untilRebalanced(now))
-	return wait + rand.N(wait)
+// retryDelay returns when to retry a request that this box refuses: after the given time at least, and
+// spread over as long again, so that requests refused together do not return together. Callers who return
+// to an overloaded box before the balancer has noticed come to it again, and refusing them takes the
+// processor time of requests that it could serve.
+func (g *Gateway) retryDelay(least time.Duration, now time.Time) time.Duration {
+	wait := max(least, g.load.untilRebalanced(now))
+	return wait + rand.N(wait+1)
 }
 
 // refuseLocally refuses a request without asking the dispatcher.
@@ -75,9 +75,9 @@
 		// The requests that wait here are decided within that time. No other one is admitted
 		// before.
 		wait := time.Duration(s.pool.Rules.MaxWaitFraction * float64(req.LatencyTarget))
-		v.retryAfter = max(wait+rand.N(wait+1), s.gateway.load.untilRebalanced(time.Now()))
+		v.retryAfter = s.gateway.retryDelay(wait, time.Now())
 		return v
 	}
-	v.retryAfter = s.gateway.retryElsewhereAfter(time.Now())
+	v.retryAfter = s.gateway.retryDelay(otherBoxRetryDelay, time.Now())
 	return v
 }
--- a/pkg/gateway/load_test.go
+++ b/pkg/gateway/load_test.go
@@ -58,21 +58,33 @@
 }
 
 // TestRefusedCallersReturnOnceTheyAreSentElsewhere guards against retries that come to the same overloaded
-// box, which then refuses most of its time.
+// box, which then refuses most of its time, or all at once to the next one.
 func TestRefusedCallersReturnOnceTheyAreSentElsewhere(t *testing.T) {
-	const longWait = 300 * time.Millisecond
+	const longWait, draws = 300 * time.Millisecond, 200
 	start := time.Unix(1000, 0)
 	g := &Gateway{}
+	// delays draws the earliest and the latest retry.
+	delays := func(now time.Time) (earliest, latest time.Duration) {
+		earliest = time.Hour
+		for range draws {
+			delay := g.retryDelay(otherBoxRetryDelay, now)
+			earliest, latest = min(earliest, delay), max(latest, delay)
+		}
+		return earliest, latest
+	}
 	Convey("A box that is not overloaded asks for a retry soon", t, func() {
-		So(g.retryElsewhereAfter(start), ShouldBeBetweenOrEqual, otherBoxRetryDelay, 2*otherBoxRetryDelay)
+		earliest, latest := delays(start)
+		So(earliest, ShouldBeGreaterThanOrEqualTo, otherBoxRetryDelay)
+		So(latest, ShouldBeLessThanOrEqualTo, 2*otherBoxRetryDelay)
 	})
-	Convey("An overloaded box asks for it once the balancer has noticed", t, func() {
+	Convey("An overloaded box asks for it once the balancer has noticed, and not for all at once", t, func() {
 		now, _ := addSamples(&g.load, start, time.Second, longWait)
-		rebalancedAt := g.load.busySince.Add(balancerDelay)
-		for range 100 {
-			So(now.Add(g.retryElsewhereAfter(now)), ShouldHappenOnOrAfter, rebalancedAt)
-		}
+		left := g.load.busySince.Add(balancerDelay).Sub(now)
+		earliest, latest := delays(now)
+		So(earliest, ShouldBeGreaterThanOrEqualTo, left)
+		So(latest, ShouldBeGreaterThan, left+left/2)
 		now, _ = addSamples(&g.load, now, balancerDelay, longWait)
-		So(g.retryElsewhereAfter(now), ShouldBeBetweenOrEqual, otherBoxRetryDelay, 2*otherBoxRetryDelay)
+		_, latest = delays(now)
+		So(latest, ShouldBeLessThanOrEqualTo, 2*otherBoxRetryDelay)
 	})
 }
--- a/pkg/partition/assignment.go
+++ b/pkg/partition/assignment.go
@@ -60,12 +60,12 @@
 }
 
 func largeBoxes(own membership.Candidate, others []membership.Candidate) (large []membership.Candidate) {
-	minCores := minLargeCores(own, others)
-	if own.Cores >= minCores {
+	minLarge := minLargeCores(own, others)
+	if own.Cores >= minLarge {
 		large = append(large, own)
 	}
 	for i := range others {
-		if others[i].Cores >= minCores {
+		if others[i].Cores >= minLarge {
 			large = append(large, others[i])
 		}
 	}
