pkg/gateway: events out of order and streams without framing are logged

Each event with an ID that does not follow the one before has a line, with both IDs, how many events came from earlier engines, and the endpoint, and is counted (Disordered). The line of a response without framing is one of the info level and tells whether its endpoint was leaving. Nothing that callers get changes.

--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"strconv"
 )
 
 // lineEnds are the bytes that end a line of an event stream: CR, LF, or both in this order.
@@ -100,3 +101,17 @@
 	}
 	return "", false
 }
+
+// FollowsID reports whether an event's ID may follow that of the event before. IDs of a stream rise;
+// those that are no numbers only have to differ. An empty one is none.
+func FollowsID(id, previous string) bool {
+	if id == "" {
+		return true
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	before, errBefore := strconv.ParseUint(previous, 10, 64)
+	if err != nil || errBefore != nil {
+		return id != previous
+	}
+	return number > before
+}
--- a/pkg/endpoint/event_test.go
+++ b/pkg/endpoint/event_test.go
@@ -95,3 +95,19 @@
 		So(found, ShouldBeFalse)
 	})
 }
+
+func TestFollowsID(t *testing.T) {
+	Convey("IDs that are numbers rise, and others differ", t, func() {
+		for _, one := range []struct {
+			id, previous string
+			follows      bool
+		}{
+			{"1", "", true}, {"2", "1", true}, {"10", "9", true}, {"7", "5", true},
+			{"5", "5", false}, {"3", "5", false}, {"9", "10", false}, {"05", "5", false},
+			{"b", "a", true}, {"a", "a", false}, {"", "", true}, {"", "5", true}, {"1", "a", true},
+			{"18446744073709551615", "18446744073709551614", true}, {"99999999999999999999", "1", true},
+		} {
+			So(endpoint.FollowsID(one.id, one.previous), ShouldEqual, one.follows)
+		}
+	})
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -62,6 +62,8 @@
 	// unframed counts the responses of endpoints with neither a length nor chunks, by how they
 	// ended.
 	unframed expvar.Map
+	// disordered counts events of streams with an ID that does not follow the one before.
+	disordered expvar.Int
 	// hedges counts the second attempts of requests whose endpoint was silent, by result.
 	hedges expvar.Map
 }
@@ -95,6 +97,7 @@
 	expvar.Publish("OriginsTold", &m.originsNotified)
 	expvar.Publish("OriginsAsked", &m.originsAsked)
 	expvar.Publish("Unframed", &m.unframed)
+	expvar.Publish("Disordered", &m.disordered)
 	expvar.Publish("Hedges", &m.hedges)
 }
 
@@ -205,6 +208,12 @@
 	return count("Ended"), count("Broken")
 }
 
+// EventDisordered counts an event with an ID that does not follow the one before.
+func (m *Metrics) EventDisordered() { m.disordered.Add(1) }
+
+// Disordered returns the number of events with IDs that did not follow the ones before.
+func (m *Metrics) Disordered() int64 { return m.disordered.Value() }
+
 // HandedBack counts a chosen endpoint to which nothing was sent.
 func (m *Metrics) HandedBack() { m.handedBack.Add(1) }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -256,10 +256,28 @@
 func (s *stream) recordEvent(event []byte) {
 	s.events++
 	if id, found := endpoint.EventID(event); found {
+		if !endpoint.FollowsID(id, s.lastEvent) {
+			s.logDisordered(id)
+		}
 		s.lastEvent = id
 	}
 }
 
+// logDisordered logs an event with an ID that does not follow the one before.
+func (s *stream) logDisordered(id string) {
+	c := s.call
+	c.gateway.Metrics.EventDisordered()
+	c.log().Info("event out of order",
+		zap.String("Request", c.ID),
+		zap.String("Endpoint", s.to.ID),
+		zap.String("Release", s.to.Release),
+		zap.String("ID", id),
+		zap.String("After", s.lastEvent),
+		zap.Int("Events", s.events),
+		zap.Int("EventsBefore", s.eventsBefore),
+		zap.Int("Attempts", c.lifecycle.Attempts()))
+}
+
 // recordRollout counts the ended stream for the roll-out of its service, with the mean time
 // between two events as its speed.
 func (s *stream) recordRollout(result outcome) {
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -17,10 +17,12 @@
 		return
 	}
 	c.gateway.Metrics.UnframedEnded(err != nil)
-	c.log().Debug("response ended with its connection",
+	// Whether it is whole only its caller may find out, so that each one is logged.
+	c.log().Info("response ended with its connection",
 		zap.String("Request", c.ID),
 		zap.String("Route", c.route.Name),
 		zap.String("Endpoint", to.ID),
+		zap.Bool("Leaving", to.Leaving),
 		zap.Int("Bytes", response.BytesRead()),
 		zap.Error(err))
 }
