pkg/gateway: events out of order reach no caller

Callers got events twice, or after later ones, in streams that were framed as complete: where an engine repeats an event or goes back, and where an engine that is to continue a broken stream begins it anew.

The cause: a box looked at the IDs of events only to remember the last one. That what an engine sends continues what the caller has was taken for granted, at the engine that began the stream and at one that was asked to go on after an event.

An event with an ID that is not higher than the one before is now a failure of its attempt, like bytes that are no event: the events before it are forwarded, and the stream goes on elsewhere or is cut. It is decided where events are counted, so that it holds for first attempts, second ones and continuations alike. IDs that are no numbers must differ. A number that is left out passes: the users' pages say that IDs rise, not that they are consecutive.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -120,7 +120,7 @@
 	n, err := s.response.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	before, lastBefore := s.events, s.lastEvent
-	garbage := s.scan()
+	unusable := s.scan()
 	if s.events > before && !s.call.hedger.heard(s.lastEvent, s.call.gapStallTimeout()) {
 		// Another engine goes on after the event that was last forwarded.
 		s.buffer, s.ready, s.scanned = s.buffer[:0], 0, 0
@@ -132,8 +132,8 @@
 		s.recordEventTime(time.Now())
 	}
 	switch {
-	case garbage != nil:
-		s.err = garbage
+	case unusable != nil:
+		s.err = unusable
 	case errors.Is(err, io.EOF):
 		s.err = s.checkEnd()
 	default:
@@ -230,10 +230,15 @@
 		zap.Bool("Stopping", c.gateway.stopping.Load()))
 }
 
-// errNoEvent reports bytes of a stream that are no event.
-var errNoEvent = &unusableError{reason: "the endpoint sent bytes that are no event"}
+var (
+	// errNoEvent reports bytes of a stream that are no event.
+	errNoEvent = &unusableError{reason: "the endpoint sent bytes that are no event"}
+	// errDisordered reports an event that the caller has got, or that belongs before one that it has got.
+	errDisordered = &unusableError{reason: "the endpoint sent an event out of order"}
+)
 
-// scan advances scanned past the complete blocks, and ready past the events.
+// scan advances scanned past the complete blocks, and ready past the events, up to one that can not be
+// forwarded.
 func (s *stream) scan() error {
 	for {
 		length := endpoint.EventLength(s.buffer[s.scanned:])
@@ -245,22 +250,28 @@
 		case endpoint.BlockGarbage:
 			return errNoEvent
 		case endpoint.BlockEvent:
-			s.recordEvent(block)
+			if !s.recordEvent(block) {
+				return errDisordered
+			}
 			s.ready = s.scanned + length
 		}
 		s.scanned += length
 	}
 }
 
-// recordEvent counts an event and records its ID.
-func (s *stream) recordEvent(event []byte) {
+// recordEvent counts an event and records its ID. It reports false if the event does not follow the one
+// before: an engine may also begin anew when it is to continue a stream.
+func (s *stream) recordEvent(event []byte) (follows bool) {
+	id, found := endpoint.EventID(event)
+	if found && !endpoint.FollowsID(id, s.lastEvent) {
+		s.logDisordered(id)
+		return false
+	}
 	s.events++
-	if id, found := endpoint.EventID(event); found {
-		if !endpoint.FollowsID(id, s.lastEvent) {
-			s.logDisordered(id)
-		}
+	if found {
 		s.lastEvent = id
 	}
+	return true
 }
 
 // logDisordered logs an event with an ID that does not follow the one before.
