pkg/gateway: a stream without framing is not framed as complete

The cause: a box sent every stream in chunks, and so added an end that it could not know.

The class is that of short answers framed as complete: an end that nothing proves is taken for the end of the whole. Plain answers already reach their callers without framing; now streams do as well. The head names neither length nor chunks, the connection ends in order where the response did, and with a reset where the stream is known to be cut. A stream that began in chunks and goes on at an engine without framing is cut at the end, as an end of chunks would vouch for it; that engine is not held to have failed.

--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -251,6 +251,11 @@
 	c.gateway.Metrics.FirstEvent(c.customer, c.route.Name, time.Since(c.arrived))
 	c.forwardHead(got.response)
 	c.streaming = true
+	got.stream.isFramed = got.response.IsFramed()
+	if !got.stream.isFramed {
+		c.forwardUnframedStream(got.stream)
+		return
+	}
 	c.http.Response.ImmediateHeaderFlush = true
 	c.http.Response.SetBodyStream(got.stream, -1)
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -13,11 +13,15 @@
 
 // stream forwards the events of an engine to the caller. Only complete events are forwarded. It
 // ends normally only if the engine ended it; otherwise the connection to the caller is closed in
-// the middle of the response. Its Close settles the request.
+// the middle of the response. A stream that the engine sends without framing has none for its
+// caller either: where it ends in order, nobody but the engine knows whether it is complete. Its
+// Close settles the request.
 type stream struct {
 	call     *call
 	to       destination
 	response *endpoint.Response
+	// isFramed is set if the caller gets the stream in chunks, so that their end says that it is complete.
+	isFramed bool
 
 	// buffer holds what was read: buffer[:ready] can be forwarded. buffer[ready:scanned] are comments and
 	// the like, which wait for the next event, since they may come without end from an endpoint that
@@ -58,6 +62,10 @@
 	}
 }
 
+// errUnproven ends a stream that its caller gets in chunks and that went on at an engine whose response has
+// no framing.
+var errUnproven = errors.New("the response that continued the stream had no framing, which would show its end")
+
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -84,8 +92,12 @@
 			continue
 		}
 		if errors.Is(s.err, io.EOF) {
-			s.complete = true
 			s.call.recordUnframedEnd(&s.to, s.response, nil)
+			if s.isFramed && !s.response.IsFramed() {
+				s.err = errUnproven
+				return 0, s.err
+			}
+			s.complete = true
 			return 0, io.EOF
 		}
 		broken := s.err
@@ -313,7 +325,7 @@
 	callerGone := errors.Is(contextCause(c), errCallerGone)
 	if !s.settled {
 		result := outcomeUnknown
-		if !s.complete && c.ctx.Err() == nil && s.err != nil {
+		if !s.complete && c.ctx.Err() == nil && s.err != nil && !errors.Is(s.err, errUnproven) {
 			result = c.recordBroken(s.to, s.err)
 		}
 		s.to.finish(result)
--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"time"
 
@@ -39,23 +40,54 @@
 
 // forwardUnframed sends a response that ended with the endpoint's connection, whose head is set
 // already. It ends with the caller's connection too: this box does not know whether it is complete,
-// and a length or a last chunk would say so. The HTTP server frames all responses, so this one is
-// written to the connection directly; earlier ones were flushed, as ReduceMemoryUsage is set.
+// and a length or a last chunk would say so.
 func (c *call) forwardUnframed(body []byte) {
+	if err := c.writeUnframedHead(body); err != nil {
+		c.log().Info("response without framing not written", zap.String("Request", c.ID), zap.Error(err))
+	}
+	c.endUnframed(nil)
+}
+
+// forwardUnframedStream does the same for a stream, event by event. One that is known to be cut ends with
+// a reset.
+func (c *call) forwardUnframedStream(events *stream) {
+	cut := c.writeUnframedHead(nil)
+	if cut == nil {
+		// The connection's own ReadFrom would pass over the account of what is written.
+		caller := struct{ io.Writer }{c.http.Conn()}
+		_, cut = io.CopyBuffer(caller, events, make([]byte, unframedBufferBytes))
+	}
+	_ = events.Close()
+	c.endUnframed(cut)
+}
+
+// unframedBufferBytes is the size of the buffer through which a stream without framing is forwarded.
+const unframedBufferBytes = 4 << 10
+
+// writeUnframedHead writes the head of a response and what follows it. The HTTP server frames all
+// responses, so this one is written to the connection directly; earlier ones were flushed, as
+// ReduceMemoryUsage is set.
+func (c *call) writeUnframedHead(body []byte) error {
 	const closeDelimited = -2
 	header := &c.http.Response.Header
 	header.SetContentLength(closeDelimited)
-	buffers := net.Buffers{header.Header(), body}
 	conn := c.http.Conn()
-	err := conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err == nil {
-		_, err = buffers.WriteTo(conn)
-	}
-	if err != nil {
-		c.log().Info("response without framing not written", zap.String("Request", c.ID), zap.Error(err))
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
 	}
+	buffers := net.Buffers{header.Header(), body}
+	_, err := buffers.WriteTo(conn)
+	return err
+}
+
+// endUnframed closes the caller's connection in order, or resets it if the response is cut.
+func (c *call) endUnframed(cut error) {
+	conn := c.http.Conn()
 	c.http.HijackSetNoResponse(true)
 	c.http.Hijack(func(net.Conn) {
+		if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok && cut != nil {
+			_ = lingering.SetLinger(0)
+		}
 		_ = conn.Close()
 		// The server does not report that a hijacked connection is closed.
 		if c.gateway.memory != nil {
