pkg/gateway: what is kept for callers is counted on every deployment

A crowd of callers that stop just short of the end of their bodies ended a box: it ran out of memory. What a box keeps for callers was counted only where the settings name the contract for slow readers; elsewhere it read as many bodies at once as it has connections, each up to 8 MB.

The account exists now wherever the memory of a box is bounded (Settings.MaxMemory); SharesMemory is gone, and with it the platform's name of that contract. It brings what that contract had: a share of the memory for each customer, bounded buffers of the kernel, answers that wait at their endpoint for room, and cuts of answers that nobody reads.

--- a/pkg/gateway/caller_memory.go
+++ b/pkg/gateway/caller_memory.go
@@ -15,7 +15,7 @@
 
 // callerMemory keeps account of what this box keeps for its callers, by customer: the bodies of
 // requests, answers, and what the kernel has not delivered yet. It exists only where
-// Settings.SharesMemory is set.
+// Settings.MaxMemory is set.
 type callerMemory struct {
 	gateway *Gateway
 	budget  memory.Budget
@@ -46,9 +46,9 @@
 	minUnreadTime = time.Second
 )
 
-// newCallerMemory returns the account of a box; nil if its memory is not shared.
+// newCallerMemory returns the account of a box; nil if its memory is not bounded.
 func newCallerMemory(g *Gateway) *callerMemory {
-	if !g.Settings.SharesMemory || g.Settings.MaxMemory <= 0 {
+	if g.Settings.MaxMemory <= 0 {
 		return nil
 	}
 	return &callerMemory{
--- a/pkg/gateway/caller_memory_test.go
+++ b/pkg/gateway/caller_memory_test.go
@@ -24,7 +24,7 @@
 }
 
 func newTestMemory(maxMemory int64) *callerMemory {
-	g := &Gateway{Settings: Settings{MaxMemory: maxMemory, SharesMemory: true}, Translator: keyTranslator{}, Metrics: &Metrics{}, registry: &registry.Registry{}}
+	g := &Gateway{Settings: Settings{MaxMemory: maxMemory}, Translator: keyTranslator{}, Metrics: &Metrics{}, registry: &registry.Registry{}}
 	g.memory = newCallerMemory(g)
 	return g.memory
 }
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -36,11 +36,9 @@
 	ShareWindow time.Duration
 	// Cores is the number of processor cores that the box may use.
 	Cores float64
-	// MaxMemory is the maximum memory of the process in bytes; 0 means no bound.
+	// MaxMemory is the maximum memory of the process in bytes; 0 means no bound. With a bound, customers
+	// share the memory that the box keeps for their callers, so that no crowd of callers can take it all.
 	MaxMemory int64
-	// SharesMemory is set if customers share the memory that the box keeps for their callers, so
-	// that callers that do not read cannot take it all. It takes effect only with MaxMemory.
-	SharesMemory bool
 	// MaxConnections bounds the connections of the process.
 	MaxConnections int
 }
