pkg/gateway: bodies are read as they come, up to the operator's limit

A crowd of callers with bodies in chunks, or over the limit, took far more of a box's memory than was counted for it. The HTTP server read each body whole before the handler ran: up to 8 MB whatever the operator's limit, which it counted, and with a buffer of the size that a length or a single chunk announces from its first byte on. And a body in chunks was counted at the limit before it came, so that seven callers of a customer that send a few bytes each would have used up its share.

The handler now reads the body itself, into a buffer that begins with 16 kB and doubles. An announced length is reserved, as before, so that a body that finds no room is refused before it is sent; a body in chunks reserves what has come. A body over the operator's limit is refused with 413, at its head if it is announced. The refusal is written at once, and what still comes is dropped for up to a second, so that the caller can read it.

TestIncomingBodies checks the same as before on the new reader, and more.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -99,7 +99,7 @@
 	g.inFlight.Add(1)
 	c := &call{requestFacts: requestFacts{gateway: g, http: http, arrived: time.Now()}}
 	g.lastArrival.Store(int64(c.arrived.Sub(g.startedAt)))
-	refusal := c.claimMemory()
+	refusal := c.receiveBody()
 	if refusal == nil {
 		refusal = c.run()
 	}
@@ -323,9 +323,6 @@
 
 // refuseMalformed responds to input that is not an HTTP request within the limits.
 func (g *Gateway) refuseMalformed(http *fasthttp.RequestCtx, err error) {
-	if g.refuseUnread(http) {
-		return
-	}
 	g.Logs.For(logflags.Caller).Info("malformed request", zap.Error(err))
 	refusal := notRun(request.InvalidRequest, "the request is malformed, too large or too slow", 0)
 	refusal.Write(&http.Response, "")
--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -171,16 +171,16 @@
 	_ = c.TCPConn.Close()
 }
 
-// begin starts a request of a customer, for which bytes are reserved already.
-func (c *callerConn) begin(customer string, reserved int64) {
+// begin starts a request of a customer, for which it reserves bytes. It reports whether the customer had room.
+func (c *callerConn) begin(customer string, bytes int64) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if customer != c.customer {
 		c.memory.budget.Release(c.customer, c.kept+c.queued)
 		c.memory.budget.Add(customer, c.kept+c.queued)
 	}
 	c.customer, c.request = customer, ""
-	c.kept += reserved
+	c.mu.Unlock()
+	return c.keep(bytes)
 }
 
 // keep reserves bytes for the current request and reports whether its customer had room.
--- a/pkg/gateway/caller_memory.go
+++ b/pkg/gateway/caller_memory.go
@@ -23,9 +23,6 @@
 	unanswered memory.Unanswered
 
 	mu sync.Mutex
-	// bodies are the requests whose bodies are being read, by the address of their headers: the
-	// HTTP server gives nothing else that its hooks have in common.
-	bodies map[*fasthttp.RequestHeader]*incomingBody
 	// conns are the open connections of callers.
 	conns map[*callerConn]struct{}
 }
@@ -54,7 +51,6 @@
 	return &callerMemory{
 		gateway: g,
 		budget:  memory.Budget{Size: int64(float64(g.Settings.MaxMemory) * budgetMemoryShare)},
-		bodies:  map[*fasthttp.RequestHeader]*incomingBody{},
 		conns:   map[*callerConn]struct{}{},
 	}
 }
@@ -89,7 +85,6 @@
 // check measures what the kernel keeps for each caller, and cuts answers while the budget is nearly
 // used.
 func (m *callerMemory) check(now time.Time) {
-	m.dropExpiredBodies(now)
 	byID := map[uint64]*callerConn{}
 	var unread []memory.Unread
 	for _, conn := range m.openConns() {
--- a/pkg/gateway/caller_memory_test.go
+++ b/pkg/gateway/caller_memory_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -29,42 +31,84 @@
 	return g.memory
 }
 
-func headerWithBody(length int) *fasthttp.RequestHeader {
-	header := &fasthttp.RequestHeader{}
-	header.SetMethod(fasthttp.MethodPost)
-	header.SetContentLength(length)
-	return header
+// newCallerConn returns a connection of an account, and its caller's side.
+func newCallerConn(t *testing.T, m *callerMemory) (conn *callerConn, caller net.Conn) {
+	t.Helper()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plain.Close()
+	if caller, err = net.Dial("tcp", plain.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := m.listener(plain).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		caller.Close()
+		accepted.Close()
+	})
+	return accepted.(*callerConn), caller
+}
+
+// beginBody begins a request with a body on a connection.
+func beginBody(conn *callerConn, customer string, announced int) *incomingBody {
+	So(conn.begin(customer, requestBytes), ShouldBeTrue)
+	return &incomingBody{conn: conn, stream: conn, limit: maxBodyBytes, announced: announced}
 }
 
+const inChunks = -1
+
 func TestIncomingBodies(t *testing.T) {
 	Convey("Without a bound of the memory there is no account", t, func() {
 		So(newTestMemory(0), ShouldBeNil)
 	})
-	Convey("A body is reserved when its header arrives, and refused beyond the limit", t, func() {
+	Convey("A body is reserved as it is announced, and refused beyond the limit", t, func() {
 		m := newTestMemory(10 << 20)
-		So(m.receiveHeader(headerWithBody(1<<19)), ShouldResemble, fasthttp.RequestConfig{})
-		So(m.budget.Used(), ShouldEqual, 1<<19+requestBytes)
-		refused := headerWithBody(1 << 20)
-		So(m.receiveHeader(refused).MaxRequestBodySize, ShouldEqual, refusedBodyBytes)
-		So(m.takeBody(refused).refused, ShouldBeTrue)
+		first, _ := newCallerConn(t, m)
+		So(beginBody(first, "", 1<<19).grow(firstBodyBytes), ShouldBeNil)
 		So(m.budget.Used(), ShouldEqual, 1<<19+requestBytes)
+		second, _ := newCallerConn(t, m)
+		So(beginBody(second, "", 1<<20).grow(firstBodyBytes), ShouldEqual, errNoRoom)
+		So(m.budget.Used(), ShouldEqual, 1<<19+2*requestBytes)
 	})
-	Convey("A body in chunks reserves the bound of a body", t, func() {
+	Convey("A body in chunks reserves what has come", t, func() {
 		m := newTestMemory(1 << 30)
-		m.receiveHeader(headerWithBody(-1))
-		So(m.budget.Used(), ShouldEqual, maxBodyBytes+requestBytes)
+		conn, caller := newCallerConn(t, m)
+		body := beginBody(conn, "", inChunks)
+		sending := errgroup.Group{}
+		sending.Go(func() error {
+			_, err := caller.Write(make([]byte, 100<<10))
+			return errors.Join(err, caller.Close())
+		})
+		So(body.read(), ShouldBeNil)
+		So(sending.Wait(), ShouldBeNil)
+		So(body.buffer, ShouldHaveLength, 100<<10)
+		So(m.budget.Used(), ShouldEqual, cap(body.buffer)+requestBytes)
+		So(cap(body.buffer), ShouldBeLessThanOrEqualTo, 256<<10)
 	})
-	Convey("Callers that disconnect before their bodies were read leave nothing reserved", t, func() {
+	Convey("A body beyond the limit, or shorter than it was announced, is refused", t, func() {
 		m := newTestMemory(1 << 30)
-		header := headerWithBody(1000)
-		m.receiveHeader(header)
-		m.receiveHeader(header)
-		So(m.budget.Used(), ShouldEqual, 1000+requestBytes)
-		m.dropExpiredBodies(time.Now().Add(readTimeout))
-		So(m.budget.Used(), ShouldEqual, 1000+requestBytes)
-		m.dropExpiredBodies(time.Now().Add(3 * readTimeout))
+		for announced, expected := range map[int]error{inChunks: errBodyTooLarge, 200 << 10: io.ErrUnexpectedEOF} {
+			conn, caller := newCallerConn(t, m)
+			body := beginBody(conn, "", announced)
+			body.limit = 50 << 10
+			if announced != inChunks {
+				body.limit = announced
+			}
+			sending := errgroup.Group{}
+			sending.Go(func() error {
+				_, err := caller.Write(make([]byte, 100<<10))
+				return errors.Join(err, caller.Close())
+			})
+			So(body.read(), ShouldEqual, expected)
+			m.trackConnection(conn, fasthttp.StateClosed)
+			conn.TCPConn.Close()
+			_ = sending.Wait()
+		}
 		So(m.budget.Used(), ShouldEqual, 0)
-		So(m.bodies, ShouldBeEmpty)
 	})
 }
 
@@ -82,8 +126,7 @@
 		accepted, err := listener.Accept()
 		So(err, ShouldBeNil)
 		conn := accepted.(*callerConn)
-		m.budget.Add("ward", 1000)
-		conn.begin("ward", 1000)
+		So(conn.begin("ward", 1000), ShouldBeTrue)
 		So(conn.keep(8<<20), ShouldBeTrue)
 		So(conn.keep(2<<20), ShouldBeFalse)
 		began := time.Now()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -293,7 +293,7 @@
 		ReadBufferSize:                maxHeadBytes,
 		ReduceMemoryUsage:             true,
 		Concurrency:                   g.Settings.maxCallers(),
-		MaxRequestBodySize:            maxBodyBytes,
+		StreamRequestBody:             true,
 		ReadTimeout:                   readTimeout,
 		WriteTimeout:                  writeTimeout,
 		IdleTimeout:                   idleTimeout,
@@ -304,13 +304,10 @@
 	return server
 }
 
-// receiveHeader prepares for the body of a request whose header was read.
-func (g *Gateway) receiveHeader(header *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
+// receiveHeader has the handler read the body of a request whose header was read.
+func (g *Gateway) receiveHeader(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	request.KeepOrder(header)
-	if g.memory != nil {
-		config = g.memory.receiveHeader(header)
-	}
-	return config
+	return fasthttp.RequestConfig{MaxRequestBodySize: prefetchedBodyBytes}
 }
 
 // debugLogger logs the messages of the HTTP library at the debug level.
--- a/pkg/gateway/incoming_body.go
+++ b/pkg/gateway/incoming_body.go
@@ -1,157 +1,176 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"github.com/quaylead/quaylead/pkg/request"
 )
 
-// incomingBody is a request whose headers were received and whose body may still be read. The HTTP
-// server reads a body completely before it calls the handler.
+const (
+	// prefetchedBodyBytes is how much of a body the HTTP server reads before it calls the handler.
+	prefetchedBodyBytes = 1
+	// firstBodyBytes is the first buffer for a body; most fit.
+	firstBodyBytes = 16 << 10
+	// memoryRetryDelay is the minimum Retry-After of a request whose customer keeps too much of this
+	// box's memory; a random time of up to the same length is added. Most answers are read within it.
+	memoryRetryDelay = 500 * time.Millisecond
+)
+
+var (
+	errBodyTooLarge = errors.New("the body is larger than the limit")
+	errNoRoom       = errors.New("the customer keeps its share of this box's memory")
+)
+
+// incomingBody is the body of a request while it is read. Its buffer grows with what has come; an announced
+// length is reserved, but not allocated.
 type incomingBody struct {
-	customer string
-	// reserved is the size of the body and requestBytes, as announced or at most.
-	reserved int64
-	// refused is set if the customer had no room; nothing is reserved then.
-	refused bool
-	// info is set only for refused requests, whose headers may be gone when they are refused.
-	info RequestInfo
-	// expiresAt is after the read timeout. A caller that disconnects before its body was read
-	// leaves an entry for which no hook is called.
-	expiresAt time.Time
+	conn   *callerConn
+	stream io.Reader
+	// limit bounds the body, in bytes.
+	limit int
+	// announced is the length that the header states; less than 0 for a body in chunks.
+	announced int
+	buffer    []byte
+	// reserved is what is reserved for the buffer: its size or, if that is more, the announced one.
+	reserved int
 }
 
-// memoryRetryDelay is the minimum Retry-After of a request whose customer keeps too much of this
-// box's memory; a random time of up to the same length is added. Most answers are read within it.
-const memoryRetryDelay = 500 * time.Millisecond
+// receiveBody reads the body of the request into memory that is reserved for its customer. It returns the
+// refusal of a request whose body is too large, does not come, or finds no room.
+func (c *call) receiveBody() *request.Refusal {
+	err := c.readBody()
+	if err == nil {
+		return nil
+	}
+	// The ID is parsed even if other headers are invalid.
+	c.RequestInfo, _ = c.gateway.Translator.ParseRequest(&c.http.Request.Header)
+	c.http.SetConnectionClose()
+	if conn := connOf(c.http); conn != nil {
+		conn.releaseAnswer()
+		conn.draining.Store(true)
+	}
+	return c.bodyRefusal(err)
+}
 
-// refusedBodyBytes makes the server refuse to read a body; 0 would mean the default.
-const refusedBodyBytes = 1
+// bodyRefusal returns the refusal of a request whose body was not read to its end.
+func (c *call) bodyRefusal(err error) *request.Refusal {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return notRun(request.TooLarge, "the body is larger than "+strconv.Itoa(c.gateway.maxBody())+" bytes", 0)
+	case errors.Is(err, errNoRoom):
+		c.customer = c.gateway.customerOf(&c.http.Request.Header)
+		c.gateway.Metrics.RefusedForMemory(c.customer)
+		return notRun(request.Overloaded, err.Error(), memoryRetryDelay+rand.N(memoryRetryDelay))
+	default:
+		c.log().Info("body not read", zap.String("Request", c.ID), zap.Error(err))
+		return notRun(request.InvalidRequest, "the body is malformed or too slow", 0)
+	}
+}
 
-// receiveHeader reserves memory for a request's body before it is read.
-func (m *callerMemory) receiveHeader(header *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
+func (c *call) readBody() (err error) {
+	header := &c.http.Request.Header
 	body := &incomingBody{
-		customer:  m.customerOf(header),
-		reserved:  requestBytes + m.maxBody(header),
-		expiresAt: time.Now().Add(2 * readTimeout),
+		conn:      connOf(c.http),
+		stream:    c.http.RequestBodyStream(),
+		limit:     c.gateway.maxBody(),
+		announced: header.ContentLength(),
 	}
-	if !m.budget.Reserve(body.customer, body.reserved) {
-		body.refused, body.reserved = true, 0
-		// The ID is parsed even if other headers are invalid.
-		body.info, _ = m.gateway.Translator.ParseRequest(header)
-		config.MaxRequestBodySize = refusedBodyBytes
+	if body.announced > body.limit {
+		return errBodyTooLarge
 	}
-	if stale := m.setBody(header, body); stale != nil {
-		m.budget.Release(stale.customer, stale.reserved)
+	if body.conn != nil && !body.conn.begin(c.gateway.customerOf(header), requestBytes) {
+		return errNoRoom
+	}
+	if body.stream == nil || body.announced == 0 {
+		return nil
 	}
-	return config
+	if err := body.read(); err != nil {
+		return err
+	}
+	c.http.Request.SetBodyRaw(body.buffer)
+	return nil
 }
 
 // customerOf returns the customer of a request; requests whose customer is not known share one
 // account.
-func (m *callerMemory) customerOf(header *fasthttp.RequestHeader) string {
-	catalog := m.gateway.registry.Catalog()
+func (g *Gateway) customerOf(header *fasthttp.RequestHeader) string {
+	catalog := g.registry.Catalog()
 	if catalog == nil {
 		return ""
 	}
-	if customer := catalog.CustomerOf(m.gateway.Translator.ParseKey(header)); customer != nil {
+	if customer := catalog.CustomerOf(g.Translator.ParseKey(header)); customer != nil {
 		return customer.Name
 	}
 	return ""
 }
 
-// maxBody returns the announced size of a request's body, or a bound if none is announced.
-func (m *callerMemory) maxBody(header *fasthttp.RequestHeader) int64 {
-	const chunked = -1
-	if length := header.ContentLength(); length != chunked {
-		return int64(min(max(0, length), maxBodyBytes))
-	}
-	if catalog := m.gateway.registry.Catalog(); catalog != nil && catalog.Limits.BodyBytes > 0 {
-		return int64(catalog.Limits.BodyBytes)
+// maxBody returns the bound of a request's body.
+func (g *Gateway) maxBody() int {
+	if catalog := g.registry.Catalog(); catalog != nil && catalog.Limits.BodyBytes > 0 {
+		return catalog.Limits.BodyBytes
 	}
 	return maxBodyBytes
 }
 
-// setBody records a request and returns an earlier one with the same headers object, whose caller
-// disconnected; nil if there is none.
-func (m *callerMemory) setBody(header *fasthttp.RequestHeader, body *incomingBody) (stale *incomingBody) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	stale = m.bodies[header]
-	m.bodies[header] = body
-	return stale
-}
-
-// takeBody removes and returns the entry of a request; nil if there is none.
-func (m *callerMemory) takeBody(header *fasthttp.RequestHeader) *incomingBody {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	body := m.bodies[header]
-	delete(m.bodies, header)
-	return body
-}
-
-// dropExpiredBodies releases what is reserved for bodies that were never read to their end.
-func (m *callerMemory) dropExpiredBodies(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for header, body := range m.bodies {
-		if now.After(body.expiresAt) {
-			delete(m.bodies, header)
-			m.budget.Release(body.customer, body.reserved)
+// read reads the body to its end.
+func (b *incomingBody) read() error {
+	if err := b.grow(min(max(b.announced, 0), firstBodyBytes)); err != nil {
+		return err
+	}
+	for {
+		if len(b.buffer) == cap(b.buffer) {
+			if err := b.grow(b.nextSize()); err != nil {
+				return err
+			}
+		}
+		n, err := b.stream.Read(b.buffer[len(b.buffer):cap(b.buffer)])
+		b.buffer = b.buffer[:len(b.buffer)+n]
+		switch {
+		case len(b.buffer) > b.limit:
+			return errBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return b.checkLength()
+		case err != nil:
+			return err
 		}
 	}
 }
 
-// claimMemory makes the memory that was reserved for the request's body that of its connection,
-// where it is released once the answer was written. It returns the refusal of a request whose
-// customer has no room.
-func (c *call) claimMemory() *request.Refusal {
-	m, conn := c.gateway.memory, connOf(c.http)
-	if m == nil || conn == nil {
-		return nil
+// checkLength reports a body that ended before the length that its header states.
+func (b *incomingBody) checkLength() error {
+	if len(b.buffer) < b.announced {
+		return io.ErrUnexpectedEOF
 	}
-	body := m.takeBody(&c.http.Request.Header)
-	if body == nil {
-		return nil
-	}
-	if body.refused {
-		return c.memoryRefusal(body)
-	}
-	// A body of unknown size had its bound reserved.
-	actual := requestBytes + int64(len(c.http.Request.Body()))
-	m.budget.Add(body.customer, actual-body.reserved)
-	conn.begin(body.customer, actual)
 	return nil
 }
 
-// memoryRefusal refuses a request whose customer keeps its share of this box's memory.
-func (c *call) memoryRefusal(body *incomingBody) *request.Refusal {
-	c.RequestInfo, c.customer = body.info, body.customer
-	c.gateway.Metrics.RefusedForMemory(body.customer)
-	return notRun(request.Overloaded, "the customer keeps its share of this box's memory", memoryRetryDelay+rand.N(memoryRetryDelay))
+// nextSize returns the size of the next buffer, by one byte larger than the body may be, so that its end is
+// found without another one.
+func (b *incomingBody) nextSize() int {
+	longest := b.limit
+	if b.announced >= 0 {
+		longest = b.announced
+	}
+	return min(max(firstBodyBytes, 2*cap(b.buffer)), longest+1)
 }
 
-// refuseUnread answers a request whose body was not read. It reports whether it was refused because
-// of its customer's memory; other requests are malformed, and what was reserved is released.
-func (g *Gateway) refuseUnread(http *fasthttp.RequestCtx) bool {
-	conn := connOf(http)
-	if g.memory == nil || conn == nil {
-		return false
-	}
-	body := g.memory.takeBody(&http.Request.Header)
-	if body == nil {
-		return false
-	}
-	if !body.refused {
-		g.memory.budget.Release(body.customer, body.reserved)
-		return false
-	}
-	c := &call{requestFacts: requestFacts{gateway: g, http: http, arrived: time.Now()}}
-	c.refuse(c.memoryRefusal(body))
-	conn.draining.Store(true)
-	return true
+// grow replaces the buffer by a larger one, for which memory is reserved.
+func (b *incomingBody) grow(size int) error {
+	if reserved := max(size, b.announced); b.conn != nil && reserved > b.reserved {
+		if !b.conn.keep(int64(reserved - b.reserved)) {
+			return errNoRoom
+		}
+		b.reserved = reserved
+	}
+	grown := make([]byte, len(b.buffer), size)
+	copy(grown, b.buffer)
+	b.buffer = grown
+	return nil
 }
