pkg/gateway: bodies that stand still make room for others of their customer

An ordinary caller was refused for up to 30 s while bodies of its own customer stood still just short of their ends: these kept the customer's share of the memory, and only the time to send a request ended them.

A body that finds no room may now take that of bodies of the same customer that have stood still for a second: those that have done so for longest, and no more than are needed. They are refused with 503 as not run, which they have not. The decision is memory.ChooseStalled, without a network. Bodies of other customers are never given up for it, and none is while there is room, so that a caller on a weak link notices nothing in calm.

--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -39,7 +39,11 @@
 	// when it was last seen to acknowledge any, or had nothing to acknowledge.
 	acknowledged uint64
 	progressAt   time.Time
-	closed       bool
+	// receivedAt is when bytes of the body that is being read last came; zero while none is read. givenUp is
+	// set once such a body was given up, after which the connection serves no request.
+	receivedAt time.Time
+	givenUp    bool
+	closed     bool
 }
 
 const (
@@ -178,16 +182,16 @@
 		c.memory.budget.Release(c.customer, c.kept+c.queued)
 		c.memory.budget.Add(customer, c.kept+c.queued)
 	}
-	c.customer, c.request = customer, ""
+	c.customer, c.request, c.receivedAt = customer, "", time.Now()
 	c.mu.Unlock()
-	return c.keep(bytes)
+	return c.keepBody(bytes)
 }
 
 // keep reserves bytes for the current request and reports whether its customer had room.
 func (c *callerConn) keep(bytes int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || !c.memory.budget.Reserve(c.customer, bytes) {
+	if c.closed || c.givenUp || !c.memory.budget.Reserve(c.customer, bytes) {
 		return false
 	}
 	c.kept += bytes
--- a/pkg/gateway/caller_memory_test.go
+++ b/pkg/gateway/caller_memory_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -112,6 +113,47 @@
 	})
 }
 
+// TestStalledBodiesMakeRoom guards against a customer that gets no answer because bodies of it stand still.
+func TestStalledBodiesMakeRoom(t *testing.T) {
+	start := func() (m *callerMemory, stalled, moving *callerConn) {
+		m = newTestMemory(10 << 20)
+		stalled, _ = newCallerConn(t, m)
+		So(beginBody(stalled, "ward", 800<<10).grow(firstBodyBytes), ShouldBeNil)
+		moving, _ = newCallerConn(t, m)
+		So(beginBody(moving, "ward", 100<<10).grow(firstBodyBytes), ShouldBeNil)
+		for _, conn := range []*callerConn{stalled, moving} {
+			conn.receivedAt = time.Now().Add(-2 * minStalledTime)
+		}
+		So(moving.received(1, false), ShouldBeTrue)
+		return m, stalled, moving
+	}
+	Convey("The body that stands still is given up for one that needs its room, and ends at once", t, func() {
+		m, stalled, moving := start()
+		next, _ := newCallerConn(t, m)
+		So(beginBody(next, "ward", 700<<10).grow(firstBodyBytes), ShouldBeNil)
+		So(stalled.received(0, true), ShouldBeFalse)
+		So(stalled.keep(1), ShouldBeFalse)
+		So(moving.received(0, true), ShouldBeTrue)
+		_, err := stalled.Read(make([]byte, 1))
+		So(errors.Is(err, os.ErrDeadlineExceeded), ShouldBeTrue)
+		So(m.budget.UsedBy("ward"), ShouldEqual, 800<<10+2*requestBytes)
+	})
+	Convey("Bodies of other customers, and those that would not be enough, are not given up", t, func() {
+		m, stalled, _ := start()
+		other, _ := newCallerConn(t, m)
+		So(beginBody(other, "camp", 1<<20).grow(firstBodyBytes), ShouldEqual, errNoRoom)
+		next, _ := newCallerConn(t, m)
+		So(beginBody(next, "ward", 2<<20).grow(firstBodyBytes), ShouldEqual, errNoRoom)
+		So(stalled.received(0, true), ShouldBeTrue)
+	})
+	Convey("A request whose body was read is not given up", t, func() {
+		m, stalled, _ := start()
+		So(stalled.received(1, true), ShouldBeTrue)
+		next, _ := newCallerConn(t, m)
+		So(beginBody(next, "ward", 700<<10).grow(firstBodyBytes), ShouldEqual, errNoRoom)
+	})
+}
+
 func TestCallerConnections(t *testing.T) {
 	Convey("What a caller does not read counts as its customer's until the connection is closed", t, func() {
 		m := newTestMemory(100 << 20)
--- a/pkg/gateway/incoming_body.go
+++ b/pkg/gateway/incoming_body.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/quaylead/quaylead/pkg/memory"
 	"github.com/quaylead/quaylead/pkg/request"
 )
 
@@ -18,6 +19,9 @@
 	prefetchedBodyBytes = 1
 	// firstBodyBytes is the first buffer for a body; most fit.
 	firstBodyBytes = 16 << 10
+	// minStalledTime is how long a body must have stood still before it may be given up for another one. It
+	// is far longer than a round trip, a lost packet included.
+	minStalledTime = time.Second
 	// memoryRetryDelay is the minimum Retry-After of a request whose customer keeps too much of this
 	// box's memory; a random time of up to the same length is added. Most answers are read within it.
 	memoryRetryDelay = 500 * time.Millisecond
@@ -26,6 +30,7 @@
 var (
 	errBodyTooLarge = errors.New("the body is larger than the limit")
 	errNoRoom       = errors.New("the customer keeps its share of this box's memory")
+	errBodyStalled  = errors.New("the body stood still while memory ran short")
 )
 
 // incomingBody is the body of a request while it is read. Its buffer grows with what has come; an announced
@@ -64,7 +69,7 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return notRun(request.TooLarge, "the body is larger than "+strconv.Itoa(c.gateway.maxBody())+" bytes", 0)
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errNoRoom), errors.Is(err, errBodyStalled):
 		c.customer = c.gateway.customerOf(&c.http.Request.Header)
 		c.gateway.Metrics.RefusedForMemory(c.customer)
 		return notRun(request.Overloaded, err.Error(), memoryRetryDelay+rand.N(memoryRetryDelay))
@@ -88,6 +93,7 @@
 	if body.conn != nil && !body.conn.begin(c.gateway.customerOf(header), requestBytes) {
 		return errNoRoom
 	}
+	defer body.conn.received(0, true)
 	if body.stream == nil || body.announced == 0 {
 		return nil
 	}
@@ -133,6 +139,8 @@
 		n, err := b.stream.Read(b.buffer[len(b.buffer):cap(b.buffer)])
 		b.buffer = b.buffer[:len(b.buffer)+n]
 		switch {
+		case !b.conn.received(n, err != nil):
+			return errBodyStalled
 		case len(b.buffer) > b.limit:
 			return errBodyTooLarge
 		case errors.Is(err, io.EOF):
@@ -164,7 +172,7 @@
 // grow replaces the buffer by a larger one, for which memory is reserved.
 func (b *incomingBody) grow(size int) error {
 	if reserved := max(size, b.announced); b.conn != nil && reserved > b.reserved {
-		if !b.conn.keep(int64(reserved - b.reserved)) {
+		if !b.conn.keepBody(int64(reserved - b.reserved)) {
 			return errNoRoom
 		}
 		b.reserved = reserved
@@ -174,3 +182,72 @@
 	b.buffer = grown
 	return nil
 }
+
+// keepBody reserves bytes for the body that is being read and reports whether its customer had room. Bodies of
+// the same customer that have stood still for long are given up for it.
+func (c *callerConn) keepBody(bytes int64) bool {
+	if c.keep(bytes) {
+		return true
+	}
+	return c.memory.giveUpStalled(c.customer, bytes) && c.keep(bytes)
+}
+
+// received records that bytes of a body have come, or that it has ended. It reports false if the body was given
+// up for another one. A nil connection is not accounted for.
+func (c *callerConn) received(bytes int, ended bool) bool {
+	if c == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case ended:
+		c.receivedAt = time.Time{}
+	case bytes > 0:
+		c.receivedAt = time.Now()
+	}
+	return !c.givenUp
+}
+
+// stalled returns the body that is being read, if it belongs to a customer and has stood still.
+func (c *callerConn) stalled(customer string, now time.Time) (body memory.Stalled, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.givenUp || c.receivedAt.IsZero() || c.customer != customer || now.Sub(c.receivedAt) < minStalledTime {
+		return body, false
+	}
+	return memory.Stalled{Bytes: c.kept, Since: c.receivedAt}, true
+}
+
+// giveUpBody ends the reading of a body, whose memory is released at once.
+func (c *callerConn) giveUpBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.receivedAt.IsZero() {
+		return
+	}
+	c.givenUp = true
+	c.memory.budget.Release(c.customer, c.kept)
+	c.kept = 0
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// giveUpStalled gives up bodies of a customer that have stood still, so that it can reserve bytes. It reports
+// whether it gave up any.
+func (m *callerMemory) giveUpStalled(customer string, bytes int64) bool {
+	now := time.Now()
+	byID := map[uint64]*callerConn{}
+	var stalled []memory.Stalled
+	for _, conn := range m.openConns() {
+		if body, found := conn.stalled(customer, now); found {
+			body.ID = uint64(len(stalled))
+			stalled = append(stalled, body)
+			byID[body.ID] = conn
+		}
+	}
+	chosen := memory.ChooseStalled(stalled, m.budget.Shortage(customer, bytes))
+	for _, body := range chosen {
+		byID[body.ID].giveUpBody()
+	}
+	return len(chosen) > 0
+}
