pkg/gateway: connections without a request are closed for new ones

Callers could not connect while others held all connections of a box and sent nothing, a part of a head, or a head whose body did not begin: for 30 s and more, and the box was not ready meanwhile, so that the balancer took it out of service.

From 90 in 100 of its connections on, a box closes those that have had no request for a second when new ones come, the ones that waited longest first, a twentieth at a time. That is before the box stops being ready. A request that crosses the close has not been passed on.

--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -43,7 +43,9 @@
 	// set once such a body was given up, after which the connection serves no request.
 	receivedAt time.Time
 	givenUp    bool
-	closed     bool
+	// idleSince is when the connection was accepted or its last request ended; zero during a request.
+	idleSince time.Time
+	closed    bool
 }
 
 const (
@@ -85,7 +87,9 @@
 	if !ok {
 		return accepted, nil
 	}
-	conn := &callerConn{TCPConn: tcp, memory: l.memory, progressAt: time.Now()}
+	now := time.Now()
+	l.memory.closeWaiting(now)
+	conn := &callerConn{TCPConn: tcp, memory: l.memory, progressAt: now, idleSince: now}
 	l.memory.mu.Lock()
 	defer l.memory.mu.Unlock()
 	l.memory.conns[conn] = struct{}{}
@@ -107,6 +111,7 @@
 	}
 	switch state {
 	case fasthttp.StateIdle:
+		conn.setIdle(time.Now())
 		conn.releaseAnswer()
 		conn.countWritten()
 	case fasthttp.StateClosed:
@@ -182,7 +187,8 @@
 		c.memory.budget.Release(c.customer, c.kept+c.queued)
 		c.memory.budget.Add(customer, c.kept+c.queued)
 	}
-	c.customer, c.request, c.receivedAt = customer, "", time.Now()
+	c.customer, c.request = customer, ""
+	c.idleSince, c.receivedAt = time.Time{}, time.Now()
 	c.mu.Unlock()
 	return c.keepBody(bytes)
 }
--- a/pkg/gateway/caller_memory.go
+++ b/pkg/gateway/caller_memory.go
@@ -25,6 +25,8 @@
 	mu sync.Mutex
 	// conns are the open connections of callers.
 	conns map[*callerConn]struct{}
+	// crowdCheckedAt is when connections without a request were last looked for.
+	crowdCheckedAt time.Time
 }
 
 const (
--- a/pkg/gateway/caller_memory_test.go
+++ b/pkg/gateway/caller_memory_test.go
@@ -203,3 +203,37 @@
 		So(err.Error(), ShouldContainSubstring, "reset")
 	})
 }
+
+// TestWaitingConnectionsMakeRoom guards against callers that can not connect because others hold connections
+// and send nothing.
+func TestWaitingConnectionsMakeRoom(t *testing.T) {
+	Convey("While nearly all connections are in use, those without a request for longest are closed", t, func() {
+		m := newTestMemory(1 << 30)
+		m.gateway.Settings.MaxConnections = 100
+		limit := m.gateway.Settings.maxCallers()
+		var conns []*callerConn
+		for i := range limit {
+			conn, _ := newCallerConn(t, m)
+			conn.idleSince = time.Now().Add(-time.Minute).Add(time.Duration(i) * time.Second)
+			conns = append(conns, conn)
+		}
+		So(conns[1].begin("ward", requestBytes), ShouldBeTrue)
+		now := time.Now().Add(crowdCheckInterval)
+		count := 1 + int(closedAtOnce*float64(limit))
+		So(m.chooseWaiting(now), ShouldResemble, append(conns[:1:1], conns[2:count+1]...))
+		So(m.chooseWaiting(now), ShouldBeEmpty)
+		for _, conn := range conns[:limit/2] {
+			m.trackConnection(conn, fasthttp.StateClosed)
+		}
+		So(m.chooseWaiting(now.Add(time.Minute)), ShouldBeEmpty)
+	})
+	Convey("Those that have become idle just now are not", t, func() {
+		m := newTestMemory(1 << 30)
+		m.gateway.Settings.MaxConnections = 100
+		for range m.gateway.Settings.maxCallers() {
+			conn, _ := newCallerConn(t, m)
+			m.trackConnection(conn, fasthttp.StateIdle)
+		}
+		So(m.chooseWaiting(time.Now().Add(crowdCheckInterval)), ShouldBeEmpty)
+	})
+}
--- a/pkg/gateway/connections.go
+++ b/pkg/gateway/connections.go
@@ -1,5 +1,10 @@
 package gateway
 
+import (
+	"slices"
+	"time"
+)
+
 const (
 	// scarceConnections is the fraction of the connections for callers in use from which on each
 	// response asks its caller to close the connection. Callers that retry on new connections and
@@ -8,9 +13,71 @@
 	// fullConnections is the fraction in use from which on this box is not ready, because it could
 	// hardly accept another caller.
 	fullConnections = 0.95
+	// crowdedConnections is the fraction in use from which on connections without a request are closed for
+	// new ones. It is less than fullConnections: connections that send nothing must not take a box out of
+	// service.
+	crowdedConnections = 0.9
+	// closedAtOnce is the fraction of the connections for callers of which that many are closed at a time.
+	closedAtOnce = 0.05
+	// minWaitingTime is how long a connection must have been without a request before it is closed for a
+	// new one. Heads of requests arrive far sooner.
+	minWaitingTime = time.Second
+	// crowdCheckInterval is the least time between two looks for connections to close.
+	crowdCheckInterval = 100 * time.Millisecond
 )
 
 // usedConnections returns the fraction of the connections for callers that are open.
 func (g *Gateway) usedConnections() float64 {
 	return float64(g.callers.GetOpenConnectionsCount()) / float64(max(1, g.Settings.maxCallers()))
 }
+
+// closeWaiting closes the connections that have been without a request for longest, if nearly all connections
+// for callers are in use.
+func (m *callerMemory) closeWaiting(now time.Time) {
+	for _, conn := range m.chooseWaiting(now) {
+		_ = conn.TCPConn.Close()
+	}
+}
+
+// chooseWaiting returns the connections to close for new ones.
+func (m *callerMemory) chooseWaiting(now time.Time) (chosen []*callerConn) {
+	maxCallers := float64(m.gateway.Settings.maxCallers())
+	m.mu.Lock()
+	isDue := float64(len(m.conns)) >= crowdedConnections*maxCallers && now.Sub(m.crowdCheckedAt) >= crowdCheckInterval
+	if isDue {
+		m.crowdCheckedAt = now
+	}
+	m.mu.Unlock()
+	if !isDue {
+		return nil
+	}
+	type waiting struct {
+		conn  *callerConn
+		since time.Time
+	}
+	var all []waiting
+	for _, conn := range m.openConns() {
+		if since, isWaiting := conn.waitingSince(); isWaiting && now.Sub(since) >= minWaitingTime {
+			all = append(all, waiting{conn, since})
+		}
+	}
+	slices.SortFunc(all, func(a, b waiting) int { return a.since.Compare(b.since) })
+	for _, one := range all[:min(len(all), 1+int(closedAtOnce*maxCallers))] {
+		chosen = append(chosen, one.conn)
+	}
+	return chosen
+}
+
+// waitingSince returns since when the connection has been without a request whose head was read.
+func (c *callerConn) waitingSince() (since time.Time, isWaiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, !c.closed && !c.idleSince.IsZero()
+}
+
+// setIdle records that the connection has no request from now on.
+func (c *callerConn) setIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = now
+}
