--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -324,6 +324,8 @@
 	path := g.Translator.ReadyPath()
 	return &fasthttp.Server{
 		NoDefaultServerHeader: true,
+		// Bodies are not read.
+		GetOnly: true,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch {
 			case string(ctx.Path()) == MetricsPath:
