pkg/gateway: the time in which a body comes is not counted to its request

Since the handler reads bodies itself, a request counted as arrived at its head: a body that came with a pause of three seconds was refused, as the time limit of its route (1.5 s) had passed.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -98,8 +98,10 @@
 func (g *Gateway) serve(http *fasthttp.RequestCtx) {
 	g.inFlight.Add(1)
 	c := &call{requestFacts: requestFacts{gateway: g, http: http, arrived: time.Now()}}
-	g.lastArrival.Store(int64(c.arrived.Sub(g.startedAt)))
 	refusal := c.receiveBody()
+	// The time that a caller takes to send its body is not the request's.
+	c.arrived = time.Now()
+	g.lastArrival.Store(int64(c.arrived.Sub(g.startedAt)))
 	if refusal == nil {
 		refusal = c.run()
 	}
