pkg/gateway: a stopping box takes only requests that can end in time

In a planned stop in calm, requests that came late were passed on to endpoints and cut at the end with 504 or in the middle of a stream, also ones that may not be repeated.

The cause: what is taken depended on the phase of the stop alone (streams until 2.5 s, all else until half of StopTimeout), not on whether the request can end within what is left.

Now a request is also refused at once, as not run and with Retry-After, unless it is expected to end before the cut. The decision needs no network (runTimes.expected, Gateway.endsBeforeCut). The phases and the grace are as before; nothing is taken that was refused.

A run that its limit ended counts with it, and errors do not count, as they come sooner. With fewer than ten runs the limit decides: of a kind that the box has hardly served nothing is known, and another box can serve it. Where all boxes stop in turn, callers refused by one reach others that have served the route; where all stop at once, they are told early what would have been cut.

Left: a run longer than the last 128 of its route is still cut, as where endpoints become slow during the stop.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -136,6 +136,7 @@
 	if c.cancel == nil {
 		return
 	}
+	c.recordOverrun()
 	c.hedger.close()
 	c.guard.stop()
 	c.gateway.continuations.end(c)
@@ -148,6 +149,18 @@
 	_ = conn.SetReadDeadline(time.Time{})
 }
 
+// recordRunTime records how long the request took until its response was complete. Errors of endpoints are
+// left out, because they often come sooner.
+func (c *call) recordRunTime() { c.gateway.runTimes.record(c.route.Name, time.Since(c.arrived)) }
+
+// recordOverrun records how long the request took if it ran until its limit ended it.
+func (c *call) recordOverrun() {
+	cause := contextCause(c)
+	if (errors.Is(cause, errDeadline) || errors.Is(cause, errRouteTimeout)) && c.lifecycle.RunStatus() != request.NotRun {
+		c.recordRunTime()
+	}
+}
+
 // run identifies the request's route, customer and service, and serves it.
 func (c *call) run() (refusal *request.Refusal) {
 	catalog := c.gateway.registry.Catalog()
@@ -166,8 +179,8 @@
 	if limit := catalog.Limits.BodyBytes; limit > 0 && len(c.http.Request.Body()) > limit {
 		return notRun(request.TooLarge, "the body is larger than "+strconv.Itoa(limit)+" bytes", 0)
 	}
-	if c.gateway.refusing.Load() || (c.route.Streaming && c.gateway.refusingStreams.Load()) {
-		return notRun(request.NotReady, "this box is stopping", otherBoxRetryDelay)
+	if refusal := c.refuseStopping(); refusal != nil {
+		return refusal
 	}
 	c.gateway.budget.earn(c.service.Name)
 	if refusal := c.refuseEarly(); refusal != nil {
@@ -189,6 +202,22 @@
 	return c.serveEndpoints()
 }
 
+// refuseStopping refuses a request that a stopping box does not take: in the later phases of the stop, or
+// because it is not expected to end before the stop does.
+func (c *call) refuseStopping() *request.Refusal {
+	g := c.gateway
+	if !g.stopping.Load() {
+		return nil
+	}
+	if g.refusing.Load() || (c.route.Streaming && g.refusingStreams.Load()) {
+		return notRun(request.NotReady, "this box is stopping", otherBoxRetryDelay)
+	}
+	if limit, _ := c.timeLimit(); !g.endsBeforeCut(c.route, limit) {
+		return notRun(request.NotReady, "this box is stopping, and the request may take longer than that", otherBoxRetryDelay)
+	}
+	return nil
+}
+
 func notRun(code request.Code, message string, retryAfter time.Duration) *request.Refusal {
 	return &request.Refusal{Code: code, Message: message, Run: request.NotRun, RetryAfter: retryAfter}
 }
@@ -240,16 +269,21 @@
 	return target
 }
 
-// watch sets the request's deadline and cancels the request when the caller disconnects.
-func (c *call) watch() {
-	cause := errDeadline
-	wait := c.Timeout
-	if wait == 0 || (c.route.Timeout > 0 && c.route.Timeout < wait) {
-		wait, cause = c.route.Timeout, errRouteTimeout
+// timeLimit returns the time after which the request is ended, and with which cause.
+func (c *call) timeLimit() (limit time.Duration, cause error) {
+	limit, cause = c.Timeout, errDeadline
+	if limit == 0 || (c.route.Timeout > 0 && c.route.Timeout < limit) {
+		limit, cause = c.route.Timeout, errRouteTimeout
 	}
-	if wait == 0 {
-		wait = maxRequestTimeout
+	if limit == 0 {
+		limit = maxRequestTimeout
 	}
+	return limit, cause
+}
+
+// watch sets the request's deadline and cancels the request when the caller disconnects.
+func (c *call) watch() {
+	wait, cause := c.timeLimit()
 	c.deadline, c.deadlineCause = c.arrived.Add(wait), cause
 	c.suspendedTotal = c.gateway.suspensions.Detected()
 	ctx, cancel := context.WithCancelCause(c.gateway.workContext)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -81,7 +81,11 @@
 	// workContext ends what is still in progress when the time for a planned stop is up.
 	workContext context.Context
 	cancelWork  context.CancelCauseFunc
-	stopping    atomic.Bool
+	// runTimes tell which requests can still end while the box stops.
+	runTimes runTimes
+	stopping atomic.Bool
+	// cutAt is when a planned stop ends what is still in progress. It is set before stopping is.
+	cutAt time.Time
 	// refusingStreams and refusing are set in the later phases of a planned stop: new
 	// streams, which may take longer than the time left, are refused first.
 	refusingStreams, refusing atomic.Bool
@@ -355,10 +359,11 @@
 
 // stop performs a planned stop. The box is no longer ready, but serves on until the balancer
 // has noticed, and for longer while the balancer still sends callers, as it does if too few
-// boxes of a zone are ready. Then it refuses new streams and later all new requests, finishes
-// what is in progress, and cuts the rest.
+// boxes of a zone are ready. It refuses requests that are not expected to end in time, then new
+// streams and later all new requests, finishes what is in progress, and cuts the rest.
 func (g *Gateway) stop(callers *fasthttp.Server) error {
 	began := time.Now()
+	g.cutAt = began.Add(g.Settings.StopTimeout - stopReserve)
 	g.stopping.Store(true)
 	g.announceState()
 	g.log.Info("planned stop began", zap.Int64("InFlight", g.inFlight.Load()))
@@ -370,7 +375,7 @@
 	g.logStopPhase("planned stop refuses all new requests", began)
 	g.awaitNoArrivals(began.Add(g.Settings.StopTimeout - 2*stopReserve))
 	g.logStopPhase("planned stop closes connections that have no request", began)
-	remaining := g.Settings.StopTimeout - stopReserve - time.Since(began)
+	remaining := time.Until(g.cutAt)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	stopCut := context.AfterFunc(ctx, func() { g.cancelWork(errStopTimeout) })
@@ -384,6 +389,12 @@
 	return nil
 }
 
+// endsBeforeCut reports whether a request of a route with a time limit, arriving now at a stopping box, is
+// expected to end before the box cuts what is in progress.
+func (g *Gateway) endsBeforeCut(of *route.Route, limit time.Duration) bool {
+	return g.runTimes.expected(of, limit) <= time.Until(g.cutAt)
+}
+
 // logStopPhase logs the beginning of a phase of the planned stop. Requests in flight that end later
 // were not ended by an earlier phase.
 func (g *Gateway) logStopPhase(phase string, began time.Time) {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -214,6 +214,9 @@
 
 // deliver sends an answer to the caller: a stream event by event, anything else at once.
 func (c *call) deliver(got *answer) {
+	if got.stream == nil && got.response.Head.StatusCode() < fasthttp.StatusMultipleChoices {
+		c.recordRunTime()
+	}
 	switch {
 	case got.stream != nil:
 		c.deliverStream(got)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -335,6 +335,7 @@
 		c.clearFingerprint(s.response)
 		_ = c.lifecycle.Advance(request.Settled)
 		c.gateway.Metrics.Completed(c.customer, c.route.Name, time.Since(c.arrived))
+		c.recordRunTime()
 		s.logCompleted()
 		return nil
 	}
