pkg/gateway: responses without framing end in order only if they were written

The kernel closes the connections of a killed process in order, so that a stream of a box that was killed, or that stopped before it had reset the connection, looked complete; so did a plain answer of which a write failed. The connection is now set to be reset before the head is written, and to end in order once everything was. What the caller still sends is read for a bounded time, as a connection that is closed with unread data is reset.

Measured: TestStreamWithoutFramingOfKilledBoxIsCut and TestStreamWithoutFramingReachesCallerThatSendsMore failed before and pass.

--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -42,10 +42,11 @@
 // already. It ends with the caller's connection too: this box does not know whether it is complete,
 // and a length or a last chunk would say so.
 func (c *call) forwardUnframed(body []byte) {
-	if err := c.writeUnframedHead(body); err != nil {
+	err := c.writeUnframedHead(body)
+	if err != nil {
 		c.log().Info("response without framing not written", zap.String("Request", c.ID), zap.Error(err))
 	}
-	c.endUnframed(nil)
+	c.endUnframed(err)
 }
 
 // forwardUnframedStream does the same for a stream, event by event. One that is known to be cut ends with
@@ -72,6 +73,8 @@
 	header := &c.http.Response.Header
 	header.SetContentLength(closeDelimited)
 	conn := c.http.Conn()
+	// The kernel closes the connections of a killed process, and must not do so in order.
+	setReset(conn, true)
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
@@ -83,10 +86,13 @@
 // endUnframed closes the caller's connection in order, or resets it if the response is cut.
 func (c *call) endUnframed(cut error) {
 	conn := c.http.Conn()
+	if cut == nil {
+		setReset(conn, false)
+	}
 	c.http.HijackSetNoResponse(true)
 	c.http.Hijack(func(net.Conn) {
-		if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok && cut != nil {
-			_ = lingering.SetLinger(0)
+		if cut == nil {
+			dropUnread(conn)
 		}
 		_ = conn.Close()
 		// The server does not report that a hijacked connection is closed.
@@ -95,3 +101,30 @@
 		}
 	})
 }
+
+// setReset determines whether a connection ends with a reset when it is closed, or in order.
+func setReset(conn net.Conn, reset bool) {
+	lingering, ok := conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	const (
+		dropUnsent    = 0
+		deliverUnsent = -1
+	)
+	if reset {
+		_ = lingering.SetLinger(dropUnsent)
+		return
+	}
+	_ = lingering.SetLinger(deliverUnsent)
+}
+
+// dropUnread ends what is written to a connection, and reads and drops what its caller still sends: a
+// connection that is closed with unread data is reset.
+func dropUnread(conn net.Conn) {
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, conn, maxBodyBytes)
+}
