pkg/gateway: streams do not go on after an event without an ID

An engine that goes on after the last ID sends again what came after it without one. Such a stream is now cut where it breaks, and no second attempt begins while it is silent there. Numbers are compared with the last ID that is a number, so that an empty ID or another text between two events does not let an earlier one pass.

--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -115,3 +115,9 @@
 	}
 	return number > before
 }
+
+// IsNumber reports whether an event's ID is a number.
+func IsNumber(id string) bool {
+	_, err := strconv.ParseUint(id, 10, 64)
+	return err == nil
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -29,9 +29,11 @@
 	buffer  []byte
 	ready   int
 	scanned int
-	// lastEvent is the ID of the last event up to buffer[:ready].
-	lastEvent string
-	events    int
+	// lastEvent is the ID of the last event up to buffer[:ready], after which the stream may go on; empty if
+	// that event has none. lastNumber is the last ID that is a number.
+	lastEvent  string
+	lastNumber string
+	events     int
 	// eventsBefore is the number of events before the current response.
 	eventsBefore int
 	// grantedAt is when the first engine was granted, firstAfter the age of the request at its
@@ -59,6 +61,8 @@
 		lastEvent: lastEvent,
 		grantedAt: to.grantedAt,
 		grant:     to.granted,
+
+		lastNumber: lastEvent,
 	}
 }
 
@@ -131,12 +135,12 @@
 	s.call.hedger.expect()
 	n, err := s.response.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	before, lastBefore := s.events, s.lastEvent
+	before, lastBefore, numberBefore := s.events, s.lastEvent, s.lastNumber
 	unusable := s.scan()
 	if s.events > before && !s.call.hedger.heard(s.lastEvent, s.call.gapStallTimeout()) {
 		// Another engine goes on after the event that was last forwarded.
 		s.buffer, s.ready, s.scanned = s.buffer[:0], 0, 0
-		s.events, s.lastEvent = before, lastBefore
+		s.events, s.lastEvent, s.lastNumber = before, lastBefore, numberBefore
 		s.err = errStalled
 		return
 	}
@@ -275,13 +279,15 @@
 // before: an engine may also begin anew when it is to continue a stream.
 func (s *stream) recordEvent(event []byte) (follows bool) {
 	id, found := endpoint.EventID(event)
-	if found && !endpoint.FollowsID(id, s.lastEvent) {
+	if found && (!endpoint.FollowsID(id, s.lastEvent) || !endpoint.FollowsID(id, s.lastNumber)) {
 		s.logDisordered(id)
 		return false
 	}
 	s.events++
-	if found {
-		s.lastEvent = id
+	// An engine that goes on after an earlier event would send one without an ID again.
+	s.lastEvent = id
+	if endpoint.IsNumber(id) {
+		s.lastNumber = id
 	}
 	return true
 }
@@ -296,6 +302,7 @@
 		zap.String("Release", s.to.Release),
 		zap.String("ID", id),
 		zap.String("After", s.lastEvent),
+		zap.String("AfterNumber", s.lastNumber),
 		zap.Int("Events", s.events),
 		zap.Int("EventsBefore", s.eventsBefore),
 		zap.Int("Attempts", c.lifecycle.Attempts()))
