pkg/gateway: a last event named on other routes is not held against engines

Where streams may not be resumed, an engine may begin anew whatever the caller names. Since events are compared with what the caller has, such a stream ended with a 502 after it had run, and a dozen of them ejected engines that others needed. The ID counts only where streams may be resumed.

Measured: TestLastEventOfOtherRouteIsNotHeldAgainstEngines failed before and passes.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -40,6 +40,10 @@
 	}
 	got := &answer{to: to, response: response, guard: c.guard, began: began}
 	if c.isModel() && isEventStream(response) {
+		if !c.route.Resumable {
+			// Its engines may begin such a stream anew, whatever the caller names.
+			lastEvent = ""
+		}
 		got.stream = c.newStream(to, response, lastEvent)
 		err = got.stream.awaitEvent()
 	} else {
