pkg/gateway: streams that are read whole are checked like others

A stream whose request names no prompt was taken for a plain answer, and reached its caller as complete although it ended inside an event or repeated one: callers outside the users' rules could get such streams. A response of a route with streams that is read whole is now checked before any of it is sent: it must not end inside an event, and its events must be in order. The order of events is a type of its own (eventOrder), which streams embed.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -40,10 +40,6 @@
 	}
 	got := &answer{to: to, response: response, guard: c.guard, began: began}
 	if c.isModel() && isEventStream(response) {
-		if !c.route.Resumable {
-			// Its engines may begin such a stream anew, whatever the caller names.
-			lastEvent = ""
-		}
 		got.stream = c.newStream(to, response, lastEvent)
 		err = got.stream.awaitEvent()
 	} else {
@@ -55,6 +51,15 @@
 	return got, nil
 }
 
+// firstOrder returns the order of a response to a request that names the last event. Where streams may not be
+// resumed, endpoints may begin anew, whatever the caller names.
+func (c *call) firstOrder(lastEvent string) eventOrder {
+	if !c.route.Resumable {
+		lastEvent = ""
+	}
+	return orderAfter(lastEvent)
+}
+
 func isEventStream(response *endpoint.Response) bool {
 	return response.Head.StatusCode() == fasthttp.StatusOK && bytes.HasPrefix(response.Head.ContentType(), eventStreamType)
 }
@@ -66,6 +71,10 @@
 	if err == nil && c.endedWithEndpoint(to, response) {
 		err = response.CutError()
 	}
+	if err == nil && c.route.Streaming && isEventStream(response) {
+		order := c.firstOrder(c.LastEvent)
+		err = order.checkEvents(body)
+	}
 	if err == nil && !c.hedger.finish() {
 		err = errStalled
 	}
--- a/pkg/gateway/hedge_test.go
+++ b/pkg/gateway/hedge_test.go
@@ -87,10 +87,10 @@
 		c := newTestCall(t, newTestBox(t, 0))
 		last := time.Now()
 		c.progressAt = last
-		s := &stream{call: c, events: 4, lastEvent: "4", lastEventAt: last}
+		s := &stream{call: c, events: 4, eventOrder: orderAfter("4"), lastEventAt: last}
 		s.goOnWith(&answer{
 			to:     destination{begin: func() {}},
-			stream: &stream{call: c, lastEvent: "4", err: io.EOF},
+			stream: &stream{call: c, eventOrder: orderAfter("4"), err: io.EOF},
 		})
 		So(s.lastEventAt, ShouldEqual, last)
 		So(c.progressAt, ShouldEqual, last)
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -339,7 +339,7 @@
 	s.buffer, s.ready, s.scanned, s.err = next.buffer, next.ready, next.scanned, next.err
 	s.eventsBefore = s.events
 	s.events += next.events
-	s.lastEvent, s.lastNumber = next.lastEvent, next.lastNumber
+	s.eventOrder = next.eventOrder
 	if next.events > 0 {
 		s.recordGap(next.lastEventAt)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -29,11 +29,9 @@
 	buffer  []byte
 	ready   int
 	scanned int
-	// lastEvent is the ID of the last event up to buffer[:ready], after which the stream may go on; empty if
-	// that event has none. lastNumber is the last ID that is a number.
-	lastEvent  string
-	lastNumber string
-	events     int
+	// eventOrder is that of the events up to buffer[:ready].
+	eventOrder
+	events int
 	// eventsBefore is the number of events before the current response.
 	eventsBefore int
 	// grantedAt is when the first engine was granted, firstAfter the age of the request at its
@@ -55,14 +53,12 @@
 // newStream returns the stream of an engine's response, which goes on after an event of an earlier one.
 func (c *call) newStream(to destination, response *endpoint.Response, lastEvent string) *stream {
 	return &stream{
-		call:      c,
-		to:        to,
-		response:  response,
-		lastEvent: lastEvent,
-		grantedAt: to.grantedAt,
-		grant:     to.granted,
-
-		lastNumber: lastEvent,
+		call:       c,
+		to:         to,
+		response:   response,
+		eventOrder: c.firstOrder(lastEvent),
+		grantedAt:  to.grantedAt,
+		grant:      to.granted,
 	}
 }
 
@@ -135,12 +131,12 @@
 	s.call.hedger.expect()
 	n, err := s.response.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	before, lastBefore, numberBefore := s.events, s.lastEvent, s.lastNumber
+	before, orderBefore := s.events, s.eventOrder
 	unusable := s.scan()
 	if s.events > before && !s.call.hedger.heard(s.lastEvent, s.call.gapStallTimeout()) {
 		// Another engine goes on after the event that was last forwarded.
 		s.buffer, s.ready, s.scanned = s.buffer[:0], 0, 0
-		s.events, s.lastEvent, s.lastNumber = before, lastBefore, numberBefore
+		s.events, s.eventOrder = before, orderBefore
 		s.err = errStalled
 		return
 	}
@@ -278,17 +274,12 @@
 // recordEvent counts an event and records its ID. It reports false if the event does not follow the one
 // before: an engine may also begin anew when it is to continue a stream.
 func (s *stream) recordEvent(event []byte) (follows bool) {
-	id, found := endpoint.EventID(event)
-	if found && (!endpoint.FollowsID(id, s.lastEvent) || !endpoint.FollowsID(id, s.lastNumber)) {
+	if !s.follows(event) {
+		id, _ := endpoint.EventID(event)
 		s.logDisordered(id)
 		return false
 	}
 	s.events++
-	// An engine that goes on after an earlier event would send one without an ID again.
-	s.lastEvent = id
-	if endpoint.IsNumber(id) {
-		s.lastNumber = id
-	}
 	return true
 }
 
