pkg/gateway: the type of a stream is compared without case

A stream whose type was spelt otherwise (Text/Event-Stream) was read whole and not checked, so that repeated events reached its caller. Media types are compared without case (RFC 9110, section 8.3.1).

Measured: TestStreamTypeIsComparedWithoutCase failed before and passes.

--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -61,7 +61,9 @@
 }
 
 func isEventStream(response *endpoint.Response) bool {
-	return response.Head.StatusCode() == fasthttp.StatusOK && bytes.HasPrefix(response.Head.ContentType(), eventStreamType)
+	name := response.Head.ContentType()
+	name = name[:min(len(name), len(eventStreamType))]
+	return response.Head.StatusCode() == fasthttp.StatusOK && bytes.EqualFold(name, eventStreamType)
 }
 
 // readWhole reads a response completely before any of it is sent, so that a truncated one can still be
