pkg/gateway: a success that names no request is not taken for the awaited one

Endpoints name the request in their answers; refusals may come without it, as of a full endpoint. A success without an ID is now dropped like one to another request.

Measured: TestSurplusAnswerWithoutIDIsNotUsed failed before and passes. What an endpoint that never names requests loses: all its successes; none of the users' does that.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -74,8 +74,9 @@
 			return nil
 		},
 		Matches: func(head *fasthttp.ResponseHeader) bool {
+			// Refusals may come without an ID.
 			id := c.gateway.Translator.ParseResponse(head).ID
-			return id == "" || id == c.ID
+			return id == c.ID || (id == "" && head.StatusCode() >= fasthttp.StatusMultipleChoices)
 		},
 		Written: func() { fasthttp.ReleaseRequest(out) },
 	})
