pkg/gateway: no release is taken for the only one by what is old

What callers saw: during a release, streams that had begun at servers of the new version broke, were taken up at a box that was out of step, and went on at a server of the old version.

Cause: a box that continues a stream takes "there was only one release" for a fact until it has noticed that it is cut off: its peers were silent for 2.5 s and a call of the store timed out. Nothing bounds the age of what it knows. A new release got streams as soon as the first box knew it.

Change: a release counts as the only one where what is known of releases is at most 2.5 s old: a read of the endpoints by any box, or an update of one while half of the others are alive. The same goes for a box that is asked by another one. A box begins resumable streams at a release that joined the only one 4 s after it learnt of it, as long as an endpoint of the first one may serve the request. So a box that decides by what it knows has learnt of each release at which a stream can have begun; 1.5 s are left for the way of the news. A process that stood still is out of touch for a second more. Boxes send nothing further while there is one release.

Gateway.DialPeer and Exchange.Dial replace how boxes connect to each other; the tests cut links by it.

--- a/pkg/continuation/releases.go
+++ b/pkg/continuation/releases.go
@@ -26,6 +26,8 @@
 type presence struct {
 	endpoints int
 	lastSeen  time.Time
+	// appearedAt is when the first of these endpoints became known.
+	appearedAt time.Time
 }
 
 const (
@@ -60,8 +62,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range changes {
-		r.count(changes[i].Before, -1, now)
-		r.count(changes[i].After, 1, now)
+		before, after := changes[i].Before, changes[i].After
+		if before != nil && after != nil && before.Service == after.Service && before.Release == after.Release {
+			continue
+		}
+		r.count(before, -1, now)
+		r.count(after, 1, now)
 	}
 }
 
@@ -70,6 +76,9 @@
 		return
 	}
 	p := r.presenceOf(endpoint.Service, endpoint.Release)
+	if p.endpoints == 0 {
+		p.appearedAt = now
+	}
 	p.endpoints += delta
 	p.lastSeen = now
 }
@@ -109,6 +118,25 @@
 	return release, count == 1, isComplete
 }
 
+// Settled returns the release of a service that appeared before all others that run, if all of these are
+// news: they appeared less than a delay ago, and a box that is not up to date may still take the one
+// returned for the only one. It reports false if nothing is news, or it is not known which one was first.
+func (r *Releases) Settled(service string, delay time.Duration, now time.Time) (release string, isFirst bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var first, second time.Time
+	for name, p := range r.services[service] {
+		switch {
+		case p.endpoints == 0:
+		case first.IsZero() || p.appearedAt.Before(first):
+			release, first, second = name, p.appearedAt, first
+		case second.IsZero() || p.appearedAt.Before(second):
+			second = p.appearedAt
+		}
+	}
+	return release, first.Before(second) && now.Sub(second) < delay
+}
+
 // Summary is what a box sends others of the releases.
 type Summary struct {
 	// Version is that of the Releases; it has no meaning for other boxes.
--- a/pkg/gateway/continuations.go
+++ b/pkg/gateway/continuations.go
@@ -39,6 +39,8 @@
 	summaryAt time.Time
 	// expiredAt is when expired origins were last removed.
 	expiredAt time.Time
+	// pauses detects that this process stood still.
+	pauses pauseTracker
 }
 
 // liveStream is a stream in progress, of which callers may have received events.
@@ -151,6 +153,7 @@
 func (k *continuations) refresh() {
 	now := time.Now()
 	replicas := map[*scheduler][]continuation.Box{}
+	k.pauses.isRecent(now)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if now.Sub(k.expiredAt) >= expiryInterval {
@@ -208,7 +211,7 @@
 	if answer.Release, answer.Known = g.continuations.origins.Find(key, now); answer.Known {
 		return answer
 	}
-	if release, isSole := g.continuations.soleRelease(service, now); isSole && g.fleet.IsInTouch() {
+	if release, isSole := g.continuations.soleRelease(service, now); isSole && g.knowsReleases(now) {
 		return peer.OriginAnswer{Only: true, Release: release}
 	}
 	return answer
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -38,6 +38,8 @@
 	// Suspended returns the total time that the machine has been suspended; nil reads it from
 	// the system.
 	Suspended func() (time.Duration, error)
+	// DialPeer opens the connections to other boxes; nil means TCP.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
 
 	log         *zap.Logger
 	incarnation uint64
@@ -234,6 +236,7 @@
 		Dispatch:    g,
 		Rollouts:    g,
 		Origins:     g,
+		Dial:        g.DialPeer,
 		Cores:       g.Settings.Cores,
 		Log:         g.Logs.For(logflags.Peer),
 
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -164,11 +164,15 @@
 }
 
 // admittedReleases returns the releases at which the next attempt may run: the one that began the
-// stream or, for a request of which the caller has received nothing, those that a roll-out selects.
+// stream or, for a request of which the caller has received nothing, the settled one or those that a
+// roll-out selects.
 func (c *call) admittedReleases() rollout.VersionFilter {
 	if c.begunAt.Exact {
 		return c.begunAt
 	}
+	if release, isHeld := c.settledRelease(); isHeld {
+		return rollout.VersionFilter{Version: release, Exact: true}
+	}
 	return c.gateway.rollouts.pickVersions(c.service.Name)
 }
 
--- a/pkg/gateway/take_up.go
+++ b/pkg/gateway/take_up.go
@@ -93,7 +93,7 @@
 			return release, own
 		}
 	}
-	if release, isSole := k.soleRelease(c.service.Name, now); isSole && c.gateway.fleet.IsInTouch() {
+	if release, isSole := k.soleRelease(c.service.Name, now); isSole && c.gateway.knowsReleases(now) {
 		return release, own
 	}
 	if c.Resumes == "" {
--- a/pkg/membership/followers.go
+++ b/pkg/membership/followers.go
@@ -138,6 +138,22 @@
 	return !v.own.StoreLost || 2*len(v.findLive()) >= len(v.all)
 }
 
+// HearsMost reports whether at least half of the other boxes are alive, and one of them has sent this
+// box an update since a time. A box without others hears all of them.
+func (v *View) HearsMost(since time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if 2*len(v.findLive()) < len(v.all) {
+		return false
+	}
+	for _, known := range v.senders {
+		if !known.heardAt.Before(since) {
+			return true
+		}
+	}
+	return len(v.all) == 0
+}
+
 // AnyStoreLost reports whether the store calls of any other live box fail.
 func (v *View) AnyStoreLost() bool {
 	v.mu.Lock()
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -87,6 +87,8 @@
 	peer.Sender
 	// chosen is set if that box chose to keep the session itself.
 	chosen bool
+	// heardAt is when its last update arrived.
+	heardAt time.Time
 }
 
 const (
@@ -189,7 +191,7 @@
 		v.senders[from.Incarnation] = known
 		v.scheduleOwnUpdate()
 	}
-	known.chosen = state.Chosen
+	known.chosen, known.heardAt = state.Chosen, time.Now()
 	if v.rows[from.Incarnation] == nil {
 		v.merge(&peer.Row{Sender: from, Leaving: state.Leaving, Configured: state.Revision > 0}, from.Box)
 	}
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -131,6 +131,8 @@
 	Cores float64
 	// TLS encrypts and authenticates the sessions; nil means plain TCP.
 	TLS *tls.Config
+	// Dial opens the connections to other boxes; nil means TCP, with TLS if that is set.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Traffic counts the bytes sent and received.
 	Traffic Traffic
 
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -332,6 +332,9 @@
 }
 
 func (e *Exchange) dial(ctx context.Context, address string) (net.Conn, error) {
+	if e.Dial != nil {
+		return e.Dial(ctx, address)
+	}
 	dialer := keepalive.Dialer(e.Box.Exchange.DialTimeout.Duration, e.Box.Exchange.Lapse.Duration)
 	if e.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", address)
--- a/pkg/registry/refresh.go
+++ b/pkg/registry/refresh.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return err
 	}
-	since := r.Position()
+	since, began := r.Position(), time.Now()
 	entries, version, err := r.Store.EndpointsSince(ctx, since)
 	full := isHistoryLost(err) || since == 0
 	if full {
@@ -26,5 +26,6 @@
 	}
 	r.applyDeclared(declared, &orderReader{log: r.Log}, true)
 	r.applyRead(entries, since, version, full, time.Now())
+	r.recordCurrent(began)
 	return nil
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -142,6 +142,9 @@
 	// lastPollAt and previousPollAt are the times of the last two known polls of the endpoints by
 	// any box.
 	lastPollAt, previousPollAt time.Time
+	// currentAt is the time as of which this box knows the endpoints that the store lists: when its own
+	// last successful read of them began, or when it received what a later one of another box returned.
+	currentAt time.Time
 }
 
 const (
@@ -237,6 +240,7 @@
 		if full {
 			r.reportFullRead(since, retry.failures)
 		}
+		began := time.Now()
 		entries, version, err := r.readEndpoints(ctx, since, full)
 		r.recordCall(err)
 		if err != nil {
@@ -254,6 +258,7 @@
 		retry.reset()
 		r.recordEndpointsRead(time.Now())
 		ignoredOutdated := r.applyRead(entries, since, version, full, time.Now())
+		r.recordCurrent(began)
 		if (full && since > 0) || version < since {
 			r.Log.Info("endpoints read from another version",
 				zap.Stringer("Since", since),
@@ -289,8 +294,28 @@
 
 // RecordPeerPoll records that another box polled the endpoints and sent the result.
 func (r *Registry) RecordPeerPoll() {
+	now := time.Now()
 	r.peerPolls.Add(1)
-	r.recordEndpointsRead(time.Now())
+	r.recordEndpointsRead(now)
+	r.recordCurrent(now)
+}
+
+// recordCurrent records that the endpoints are known as of a time.
+func (r *Registry) recordCurrent(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.currentAt) {
+		r.currentAt = at
+	}
+}
+
+// CurrentAt returns the time as of which this box knows the endpoints that the store lists; zero if it
+// does not know them. What another box read counts from its arrival, which is later by the time that
+// the read and the messages took.
+func (r *Registry) CurrentAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.currentAt
 }
 
 func (r *Registry) maxLeavingDelay() time.Duration {
