pkg/gateway: the connection of a body that was refused ends

A caller whose body was refused for its size was not told that its connection ends, and the server waited for the rest of the body, for up to 30 s: writing the refusal resets the response, and with it that the connection is to be closed. It is said after the refusal is written now.

Found by reading the change again. Measured: TestRefusedBodyClosesConnection failed before in one of its two cases and passes.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -99,6 +99,7 @@
 	g.inFlight.Add(1)
 	c := &call{requestFacts: requestFacts{gateway: g, http: http, arrived: time.Now()}}
 	refusal := c.receiveBody()
+	isUnread := refusal != nil
 	// The time that a caller takes to send its body is not the request's.
 	c.arrived = time.Now()
 	g.lastArrival.Store(int64(c.arrived.Sub(g.startedAt)))
@@ -108,7 +109,7 @@
 	if refusal != nil {
 		c.refuse(c.withEarlierAttempts(refusal))
 	}
-	if g.stopping.Load() || g.load.isShedding(time.Now()) || g.usedConnections() >= scarceConnections {
+	if isUnread || g.stopping.Load() || g.load.isShedding(time.Now()) || g.usedConnections() >= scarceConnections {
 		http.SetConnectionClose()
 	}
 	if !c.streaming {
--- a/pkg/gateway/incoming_body.go
+++ b/pkg/gateway/incoming_body.go
@@ -56,7 +56,6 @@
 	}
 	// The ID is parsed even if other headers are invalid.
 	c.RequestInfo, _ = c.gateway.Translator.ParseRequest(&c.http.Request.Header)
-	c.http.SetConnectionClose()
 	if conn := connOf(c.http); conn != nil {
 		conn.releaseAnswer()
 		conn.draining.Store(true)
