pkg/endpoint: the last ID of an event counts

An event that states several IDs was compared, and continued, by the first one, while readers of events take the last: id: 3 followed by id: 1 in one event passed after 2. Found by the review.

Measured: TestLastIDOfEventCounts fails on the code before for two of its four events.

--- a/pkg/endpoint/event.go
+++ b/pkg/endpoint/event.go
@@ -86,7 +86,7 @@
 
 var eventIDField = []byte("id:")
 
-// EventID returns the ID of an event.
+// EventID returns the ID of an event, the last one if it states several.
 func EventID(event []byte) (id string, found bool) {
 	for len(event) > 0 {
 		line := event
@@ -96,10 +96,10 @@
 			event = nil
 		}
 		if value, ok := bytes.CutPrefix(line, eventIDField); ok {
-			return string(bytes.TrimSpace(value)), true
+			id, found = string(bytes.TrimSpace(value)), true
 		}
 	}
-	return "", false
+	return id, found
 }
 
 // FollowsID reports whether an event's ID may follow that of the event before. IDs of a stream rise;
--- a/pkg/endpoint/event_test.go
+++ b/pkg/endpoint/event_test.go
@@ -111,3 +111,13 @@
 		}
 	})
 }
+
+func TestLastIDOfEventCounts(t *testing.T) {
+	Convey("The last ID that an event states counts, as readers of events take it", t, func() {
+		for event, expected := range map[string]string{"id: 1\n\n": "1", "id: 3\ndata: a\nid: 1\n\n": "1", "data: a\r\nid:2\r\n\r\n": "2", "id: 4\nid:\n\n": ""} {
+			id, found := endpoint.EventID([]byte(event))
+			So(found, ShouldBeTrue)
+			So(id, ShouldEqual, expected)
+		}
+	})
+}
