pkg/gateway: a caller that takes up a stream after any event takes no engine from others

Before events were compared, the caller got the stream from its start.

What the caller names says nothing about the engine, so that such an attempt ends with an unknown outcome. An engine that begins anew where this box continues a stream that it saw is held to have failed as before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -217,6 +217,8 @@
 		return outcomeUnknown
 	case errors.Is(err, errQuarantined), errors.Is(err, errNotAdmitted):
 		return outcomeUnused
+	case errors.Is(err, errBegunAnew):
+		return outcomeUnknown
 	case errors.As(err, &unreached):
 		return outcomeUnreachable
 	case errors.As(err, &declined):
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -75,6 +75,9 @@
 	for s.ready == 0 && s.err == nil {
 		s.fill()
 	}
+	if errors.Is(s.err, errDisordered) && s.events == 0 && s.call.resumesStream() && !s.call.isContinuation() {
+		s.err = errBegunAnew
+	}
 	if s.ready == 0 && !errors.Is(s.err, io.EOF) {
 		s.call.recordUnframedEnd(&s.to, s.response, s.err)
 		s.call.release(s.buffer)
@@ -245,6 +248,9 @@
 var (
 	// errNoEvent reports bytes of a stream that are no event.
 	errNoEvent = &unusableError{reason: "the endpoint sent bytes that are no event"}
+	// errBegunAnew reports an engine that begins a stream anew which the caller takes up. The caller may name any
+	// event, so that this says nothing about the engine.
+	errBegunAnew = &unusableError{reason: "the endpoint began the stream anew"}
 	// errDisordered reports an event that the caller has got, or that belongs before one that it has got.
 	errDisordered = &unusableError{reason: "the endpoint sent an event out of order"}
 )
