pkg/gateway: one way to drop what a caller still sends, and a name that tells the two sides apart

The same four lines stood in callerConn.drain and dropUnread. stream.isFramed was about the caller's side and Response.IsFramed about the endpoint's, which the review stumbled on; the first is isChunked now. Nothing else changes: the tests of pkg/gateway pass.

--- a/pkg/gateway/caller_conn.go
+++ b/pkg/gateway/caller_conn.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -137,7 +136,7 @@
 // Close closes the connection. What its caller has not read is delivered for a bounded time.
 func (c *callerConn) Close() error {
 	if c.draining.Load() {
-		c.drain()
+		dropUnread(c.TCPConn)
 	}
 	if !c.writeFailed.Load() {
 		c.deliver()
@@ -164,14 +163,6 @@
 	}
 }
 
-// drain reads and drops what the caller still sends.
-func (c *callerConn) drain() {
-	if c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
-		return
-	}
-	_, _ = io.CopyN(io.Discard, c.TCPConn, maxBodyBytes)
-}
-
 // reset closes the connection and drops what its caller has not read. The caller sees that its
 // answer was cut.
 func (c *callerConn) reset() {
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -258,8 +258,8 @@
 	c.gateway.Metrics.FirstEvent(c.customer, c.route.Name, time.Since(c.arrived))
 	c.forwardHead(got.response)
 	c.streaming = true
-	got.stream.isFramed = got.response.IsFramed()
-	if !got.stream.isFramed {
+	got.stream.isChunked = got.response.IsFramed()
+	if !got.stream.isChunked {
 		c.forwardUnframedStream(got.stream)
 		return
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -20,8 +20,8 @@
 	call     *call
 	to       destination
 	response *endpoint.Response
-	// isFramed is set if the caller gets the stream in chunks, so that their end says that it is complete.
-	isFramed bool
+	// isChunked is set if the caller gets the stream in chunks, the last of which says that it is complete.
+	isChunked bool
 
 	// buffer holds what was read: buffer[:ready] can be forwarded. buffer[ready:scanned] are comments and
 	// the like, which wait for the next event, since they may come without end from an endpoint that
@@ -96,7 +96,7 @@
 		}
 		if errors.Is(s.err, io.EOF) {
 			s.call.recordUnframedEnd(&s.to, s.response, nil)
-			if s.isFramed && !s.response.IsFramed() {
+			if s.isChunked && !s.response.IsFramed() {
 				s.err = errUnproven
 				return 0, s.err
 			}
