pkg/gateway: a grant of an endpoint that joined meanwhile is compared again

What callers saw: beside load, streams that began in the moment in which a release joined were still taken up at the release before it, at a box that was cut off.

Cause: which releases a new stream may begin at was decided when a box asks for an endpoint. A dispatcher may grant one that joined since then, and the directory holds an endpoint before its release is recorded.

--- a/pkg/continuation/releases.go
+++ b/pkg/continuation/releases.go
@@ -137,6 +137,14 @@
 	return release, first.Before(second) && now.Sub(second) < delay
 }
 
+// Runs reports whether endpoints of a service are known to run a release.
+func (r *Releases) Runs(service, release string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.services[service][release]
+	return p != nil && p.endpoints > 0
+}
+
 // Summary is what a box sends others of the releases.
 type Summary struct {
 	// Version is that of the Releases; it has no meaning for other boxes.
--- a/pkg/gateway/model.go
+++ b/pkg/gateway/model.go
@@ -75,7 +75,7 @@
 	switch {
 	case !known || !found.Admits():
 		s.returnAbsentGrant(id, v)
-	case c.gateway.rests.isResting(&found, time.Now()) || !c.begunAt.Admits(found.Release):
+	case c.gateway.rests.isResting(&found, time.Now()) || !c.mayRunAt(found.Release):
 		// The grant is no sign that the dispatcher's view is outdated: only this box was asked for
 		// rest, and boxes of earlier builds do not know exact releases.
 		s.end(id, dispatch.Unused{})
--- a/pkg/gateway/news.go
+++ b/pkg/gateway/news.go
@@ -52,6 +52,18 @@
 	return release, isServed
 }
 
+// mayRunAt reports whether an attempt may run at a release. A dispatcher may grant an endpoint that joined
+// after it was asked, and the directory holds it before its release is recorded.
+func (c *call) mayRunAt(release string) bool {
+	if c.begunAt.Exact || !c.route.Resumable {
+		return c.begunAt.Admits(release)
+	}
+	if settled, isHeld := c.settledRelease(); isHeld {
+		return release == settled
+	}
+	return c.gateway.continuations.releases.Runs(c.service.Name, release)
+}
+
 const (
 	// maxPause is the time without a check after which a process is taken to have stood still. What
 	// then waits on its connections may be that much older than it seems.
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -66,6 +66,9 @@
 	if versions := c.admittedReleases(); versions != (rollout.VersionFilter{}) {
 		endpoints = slices.DeleteFunc(endpoints, func(e route.Endpoint) bool { return !versions.Admits(e.Release) })
 	}
+	if c.route.Resumable {
+		endpoints = slices.DeleteFunc(endpoints, func(e route.Endpoint) bool { return !c.mayRunAt(e.Release) })
+	}
 	return c.allowedEndpoints(endpoints)
 }
 
