--- a/pkg/gateway/kept_answer_test.go
+++ b/pkg/gateway/kept_answer_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quaylead/quaylead/pkg/endpoint"
+	"github.com/quaylead/quaylead/pkg/route"
 )
 
 // TestCutAnswer guards against memory that stays reserved for an answer which its endpoint cut: the
@@ -77,7 +78,7 @@
 	defer response.Close()
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer cancel(nil)
-	c := &call{requestFacts: requestFacts{gateway: m.gateway, http: http}, ctx: ctx, cancel: cancel}
+	c := &call{requestFacts: requestFacts{gateway: m.gateway, http: http, route: &route.Route{}}, ctx: ctx, cancel: cancel}
 	err = read(c, response)
 	So(err, ShouldNotBeNil)
 	So(errors.Is(err, context.Canceled), ShouldBeFalse)
