--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -212,6 +212,9 @@
 		So(checkService([]outcome{served, starved}, boxes, start.Add(-time.Second)), ShouldHaveLength, 2)
 		So(checkService([]outcome{served}, boxes, start.Add(-time.Second)), ShouldBeEmpty)
 		So(checkService([]outcome{served}, boxes, start.Add(time.Second)), ShouldHaveLength, 1)
+		hungUp := starved
+		hungUp.err = errHungUp
+		So(checkService([]outcome{served, hungUp}, boxes, start.Add(-time.Second)), ShouldBeEmpty)
 	})
 }
 
