pkg/gateway: a refusal of a body reaches its caller where the memory of a box is not bounded

Since the handler reads bodies, a body that is announced as too large is not read, and a connection that is closed with unread data is reset. Only connections whose memory is counted drop what still comes; boxes without a bound of their memory have none of these.

--- a/pkg/gateway/incoming_body.go
+++ b/pkg/gateway/incoming_body.go
@@ -59,10 +59,22 @@
 	if conn := connOf(c.http); conn != nil {
 		conn.releaseAnswer()
 		conn.draining.Store(true)
+	} else {
+		c.dropBody()
 	}
 	return c.bodyRefusal(err)
 }
 
+// dropBody reads and drops what is left of a body, on a connection that does not do so when it is closed: closing
+// it with unread data resets it, and its caller may lose the refusal.
+func (c *call) dropBody() {
+	body := c.http.RequestBodyStream()
+	if body == nil || c.http.Conn().SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, body, maxBodyBytes)
+}
+
 // bodyRefusal returns the refusal of a request whose body was not read to its end.
 func (c *call) bodyRefusal(err error) *request.Refusal {
 	switch {
