pkg/answer: an answer whose status is none reaches no caller

What callers saw: a server in trouble sent an answer with status 000, and its caller got status 200 with the server's body. 001, 010, 099, 600 and 999 were passed on as they stand ("HTTP/1.1 10 OK"), 101 too, and a control byte in the phrase gave 200. A write to the store that was answered with 000 counted as done, on both routers' stores.

Cause: the status is taken from the HTTP library's StatusCode, which returns 200 where it holds 0, and the library checks no range. Every reader asked it: both routers' clients of endpoints, both clients of the store, and quayctl.

Change: pkg/answer reads a head line by line before the library does. A status line needs three digits from 100 to 599, no control byte, and no switch of protocols, which the router never requests. ReadHead serves the clients of endpoints; Conn checks for clients of the library, which parse answers themselves, so that the store's clients and quayctl keep them. The reason is in the log as a HeadError.

Why it holds: nothing is believed of a head before its status line was checked, and the length that was checked has to be the one that the library consumes. Interim answers before the answer go through the same check.

Handled before, and kept as tests: statuses of two or four digits, signs and letters among them, other protocols and heads that are cut.

--- a/cmd/quayctl/cmds/boxes.go
+++ b/cmd/quayctl/cmds/boxes.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
+	"github.com/quaylead/quaylead/pkg/answer"
 	"github.com/quaylead/quaylead/pkg/platform"
 	"github.com/quaylead/quaylead/pkg/revision"
 	"github.com/quaylead/quaylead/pkg/router"
@@ -18,10 +20,13 @@
 // boxTimeout bounds one call to a box.
 const boxTimeout = 3 * time.Second
 
+// boxClient calls boxes.
+var boxClient = fasthttp.Client{Dial: func(address string) (net.Conn, error) { return answer.Dial(address, boxTimeout) }}
+
 // fetchStatus reads the status of a box.
 func fetchStatus(address string) (status router.Status, err error) {
 	defer func() { err = trace.Wrap(err, "reading the status of the box at %s", address) }()
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/status", boxTimeout)
+	code, body, err := boxClient.GetTimeout(nil, "http://"+address+"/status", boxTimeout)
 	if err != nil {
 		return status, err
 	}
@@ -52,7 +57,7 @@
 // requestHeadCheck makes a box read the accepted settings now. Failures are ignored, as a box
 // also reads them by itself a little later.
 func (o *options) requestHeadCheck() {
-	_, _, _ = fasthttp.GetTimeout(nil, "http://"+o.box+"/look", boxTimeout)
+	_, _, _ = boxClient.GetTimeout(nil, "http://"+o.box+"/look", boxTimeout)
 }
 
 // boxRow is one row of the output of `quayctl status`.
@@ -158,7 +163,7 @@
 	request := &fasthttp.Request{}
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetRequestURI("http://" + address + "/drain")
-	return trace.Wrap(fasthttp.DoTimeout(request, &fasthttp.Response{}, boxTimeout), "requesting a planned stop")
+	return trace.Wrap(boxClient.DoTimeout(request, &fasthttp.Response{}, boxTimeout), "requesting a planned stop")
 }
 
 // drainEndpoint marks every endpoint of this name as leaving, by a new revision of the settings.
--- /dev/null
+++ b/pkg/answer/head.go
@@ -0,0 +1,143 @@
+// Package answer reads the heads of HTTP answers. Unlike the HTTP library it takes nothing for a head that
+// another recipient could read in another way: such an answer must reach no caller.
+package answer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HeadError reports bytes that are no head of an answer.
+type HeadError struct {
+	Reason string
+	// Line is what was read of the line at fault, up to maxQuotedBytes.
+	Line string
+}
+
+// maxQuotedBytes bounds how much of a line goes into an error.
+const maxQuotedBytes = 80
+
+// Error returns a message with the reason and the line.
+func (e *HeadError) Error() string {
+	return "the head of the answer has " + e.Reason + ": " + strconv.Quote(e.Line)
+}
+
+func newHeadError(reason string, line []byte) error {
+	return &HeadError{Reason: reason, Line: string(line[:min(len(line), maxQuotedBytes)])}
+}
+
+// IsInterim reports whether an answer with this status precedes the one to the request.
+func IsInterim(status int) bool { return status < fasthttp.StatusOK }
+
+// ReadHead reads the head of one answer, which has to fit into the reader's buffer. It returns a *HeadError
+// as soon as a line is malformed, and io.EOF only if nothing was received.
+func ReadHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	length, _, err := awaitHead(reader)
+	if err != nil {
+		return err
+	}
+	buffered := reader.Buffered()
+	if err := header.Read(reader); err != nil {
+		return err
+	}
+	if buffered-reader.Buffered() != length {
+		// The body would begin elsewhere than was checked.
+		return newHeadError("an uncertain end", nil)
+	}
+	return nil
+}
+
+// awaitHead waits until the reader has buffered a whole head, checks it, and returns its length and status.
+// It consumes nothing.
+func awaitHead(reader *bufio.Reader) (length, status int, err error) {
+	if err := checkStart(reader); err != nil {
+		return 0, 0, err
+	}
+	line, err := peekLine(reader, 0)
+	if err != nil {
+		return 0, 0, err
+	}
+	status, err = parseStatusLine(line)
+	for err == nil {
+		length += len(line)
+		if line, err = peekLine(reader, length); err == nil && isEmptyLine(line) {
+			return length + len(line), status, nil
+		}
+	}
+	return 0, 0, err
+}
+
+func isEmptyLine(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
+
+const versionPrefix = "HTTP/1."
+
+// checkStart checks that the data begins like an answer, so that bytes without line ends fail at once.
+func checkStart(reader *bufio.Reader) error {
+	got, err := reader.Peek(len(versionPrefix))
+	switch {
+	case string(got) == versionPrefix[:len(got)]:
+		return asUnexpectedEOF(err, len(got))
+	default:
+		return newHeadError("no HTTP version", got)
+	}
+}
+
+// peekLine returns the line at an offset of the unread data, with its end.
+func peekLine(reader *bufio.Reader, offset int) (line []byte, err error) {
+	for {
+		unread, _ := reader.Peek(reader.Buffered())
+		if end := bytes.IndexByte(unread[offset:], '\n'); end >= 0 {
+			return unread[offset : offset+end+1], nil
+		}
+		if _, err := reader.Peek(len(unread) + 1); err != nil {
+			return nil, asUnexpectedEOF(err, len(unread))
+		}
+	}
+}
+
+func asUnexpectedEOF(err error, received int) error {
+	if received > 0 && errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+const (
+	statusDigits = 3
+	// minStatus and maxStatus bound the status codes (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
+)
+
+// parseStatusLine returns the status of a status line (RFC 9112, section 4). The phrase may be missing.
+func parseStatusLine(line []byte) (status int, err error) {
+	_, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte{' '})
+	rest = bytes.TrimLeft(rest, " ")
+	code, phrase, _ := bytes.Cut(rest, []byte{' '})
+	if len(code) != statusDigits {
+		return 0, newHeadError("no status of three digits", line)
+	}
+	for _, digit := range code {
+		if digit < '0' || digit > '9' {
+			return 0, newHeadError("no status of three digits", line)
+		}
+		status = status*10 + int(digit-'0')
+	}
+	switch {
+	case status < minStatus || status > maxStatus:
+		return 0, newHeadError("a status outside 100 to 599", line)
+	case status == fasthttp.StatusSwitchingProtocols:
+		return 0, newHeadError("a switch of protocols that nobody requested", line)
+	case bytes.ContainsFunc(phrase, isControl):
+		return 0, newHeadError("a control byte in its status line", line)
+	}
+	return status, nil
+}
+
+// isControl reports whether a field or phrase must not contain a byte (RFC 9110, section 5.5).
+func isControl(b rune) bool { return (b < ' ' && b != '\t') || b == 0x7f }
--- /dev/null
+++ b/pkg/answer/head_test.go
@@ -0,0 +1,101 @@
+package answer_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/pkg/answer"
+)
+
+const (
+	okLine = "HTTP/1.1 200 OK\r\n"
+	length = "Content-Length: 5\r\n"
+	body   = "hello"
+)
+
+// readHead reads a head that is followed by a body, and returns what remains unread.
+func readHead(source io.Reader) (head *fasthttp.ResponseHeader, rest string, err error) {
+	reader := bufio.NewReader(source)
+	head = &fasthttp.ResponseHeader{}
+	head.DisableNormalizing()
+	if err = answer.ReadHead(reader, head); err != nil {
+		return head, "", err
+	}
+	remaining, err := io.ReadAll(reader)
+	return head, string(remaining), err
+}
+
+// shouldBeRead checks that a head is read, however it arrives, and nothing of the body.
+func shouldBeRead(sent string, status int) {
+	for _, source := range []io.Reader{strings.NewReader(sent + body), iotest.OneByteReader(strings.NewReader(sent + body))} {
+		head, rest, err := readHead(source)
+		So(err, ShouldBeNil)
+		So(head.StatusCode(), ShouldEqual, status)
+		So(rest, ShouldEqual, body)
+	}
+}
+
+// shouldBeMalformed checks that a head is refused, also before its end was received.
+func shouldBeMalformed(sent string) {
+	for _, source := range []io.Reader{strings.NewReader(sent + body), iotest.OneByteReader(strings.NewReader(sent + body))} {
+		_, _, err := readHead(source)
+		So(err, ShouldNotBeNil)
+		So(errors.Is(err, io.EOF), ShouldBeFalse)
+	}
+}
+
+var brokenStatusLines = []string{
+	"HTTP/1.1 000", "HTTP/1.1 000 ", "HTTP/1.1 000 OK", "HTTP/1.0 000 OK", "HTTP/1.1  000 OK",
+	"HTTP/1.1 001 OK", "HTTP/1.1 010 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+	"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2x0 OK",
+	"HTTP/1.1 200OK", "HTTP/1.1 200\tOK", "HTTP/1.1 OK", "HTTP/1.1 ", "HTTP/1.1", "HTTP/1.1200 OK",
+	"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK",
+	"HTTP/1.1 101 Switching Protocols",
+	"HTTP/2 200 OK", "HTTP/0.9 200 OK", "http/1.1 200 OK", "ICY 200 OK", "garbage garbage",
+}
+
+// TestStatusLines guards against answers that are taken for successes, or passed on, although their status is
+// none.
+func TestStatusLines(t *testing.T) {
+	for _, line := range brokenStatusLines {
+		Convey(fmt.Sprintf("A head that begins with %q is malformed", line), t, func() {
+			shouldBeMalformed(line + "\r\n" + length + "\r\n")
+		})
+	}
+	for line, status := range map[string]int{
+		"HTTP/1.1 200 OK": 200, "HTTP/1.0 200 OK": 200, "HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200,
+		"HTTP/1.1 200 All \tright \xc3\xa4": 200, "HTTP/1.1  200 OK": 200,
+		"HTTP/1.1 100 Continue": 100, "HTTP/1.1 103 Early Hints": 103, "HTTP/1.1 299 Own": 299, "HTTP/1.1 599 Own": 599,
+	} {
+		Convey(fmt.Sprintf("A head that begins with %q is read", line), t, func() {
+			shouldBeRead(line+"\r\n"+length+"\r\n", status)
+		})
+	}
+}
+
+// TestCutHeads guards against a head that is read although a part of it is missing.
+func TestCutHeads(t *testing.T) {
+	const head = okLine + "X-Own: a\r\n" + length + "\r\n"
+	Convey("A head that ends early is an unexpected end, and no bytes are the end", t, func() {
+		for sent := range len(head) {
+			_, _, err := readHead(strings.NewReader(head[:sent]))
+			if sent == 0 {
+				So(err, ShouldEqual, io.EOF)
+				continue
+			}
+			So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		}
+	})
+	Convey("One that is longer than the buffer fails", t, func() {
+		_, _, err := readHead(strings.NewReader(okLine + "X-Own: " + strings.Repeat("a", 1<<16) + "\r\n\r\n"))
+		So(err, ShouldEqual, bufio.ErrBufferFull)
+	})
+}
--- a/pkg/endpoint/checked_response.go
+++ b/pkg/endpoint/checked_response.go
@@ -7,6 +7,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
+
+	"github.com/quaylead/quaylead/pkg/answer"
 )
 
 // TooLargeError reports that a response body exceeds the limit for bodies held in memory.
@@ -38,6 +40,29 @@
 	closed   bool
 }
 
+// maxInterimResponses bounds the interim responses before the one to the request.
+const maxInterimResponses = 100
+
+// readHead reads the header and determines where the body ends.
+func (r *CheckedResponse) readHead() error {
+	header := &r.Response.Header
+	for range 1 + maxInterimResponses {
+		if err := answer.ReadHead(r.conn.reader, header); err != nil {
+			return asUnexpectedEOF(err)
+		}
+		status := header.StatusCode()
+		if answer.IsInterim(status) {
+			continue
+		}
+		header.CopyTo(&r.Head)
+		if r.Response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+			return nil
+		}
+		return r.Response.ReadBody(r.conn.reader, 0)
+	}
+	return trace.LimitExceeded("more than %d interim responses", maxInterimResponses)
+}
+
 // chunkedLength is the content length by which fasthttp marks a chunked body.
 const chunkedLength = -1
 
--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -260,10 +260,9 @@
 	if err := response.waitReadable(false); err != nil {
 		return nil, err
 	}
-	if err := response.Response.ReadLimitBody(open.reader, 0); err != nil {
+	if err := response.readHead(); err != nil {
 		return nil, err
 	}
-	response.Response.Header.CopyTo(&response.Head)
 	return response, nil
 }
 
--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -14,6 +14,8 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/quaylead/quaylead/pkg/answer"
 )
 
 // Call is one request to an endpoint.
@@ -216,13 +218,10 @@
 		response := &Response{client: c, conn: open}
 		response.Head.DisableNormalizing()
 		response.Head.SetNoDefaultContentType(true)
-		if err := checkStatusLine(open.reader); err != nil {
-			return nil, asUnexpectedEOF(err)
-		}
-		if err := response.Head.Read(open.reader); err != nil {
+		if err := answer.ReadHead(open.reader, &response.Head); err != nil {
 			return nil, asUnexpectedEOF(err)
 		}
-		if isInterim(response.Head.StatusCode()) {
+		if answer.IsInterim(response.Head.StatusCode()) {
 			continue
 		}
 		response.setFraming(isHead)
@@ -236,11 +235,6 @@
 	return nil, trace.BadParameter("the answers on this connection belong to other requests")
 }
 
-// isInterim reports whether a response with this status precedes the one to the request.
-func isInterim(status int) bool {
-	return status >= fasthttp.StatusContinue && status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
-}
-
 // drop reads a response to another request. It fails if no other response can follow, or only after a body
 // that is too long.
 func (r *Response) drop() error {
@@ -261,19 +255,6 @@
 	}
 }
 
-// checkStatusLine checks that the data begins like a response, so that garbage fails at once.
-func checkStatusLine(reader *bufio.Reader) error {
-	const prefix = "HTTP/1."
-	got, err := reader.Peek(len(prefix))
-	if err != nil {
-		return err
-	}
-	if string(got) != prefix {
-		return trace.BadParameter("the bytes are no answer")
-	}
-	return nil
-}
-
 // setFraming determines how the end of the body is found.
 func (r *Response) setFraming(isHead bool) {
 	status := r.Head.StatusCode()
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"github.com/quaylead/quaylead/pkg/answer"
 	"github.com/quaylead/quaylead/pkg/settings"
 )
 
@@ -268,7 +269,7 @@
 			return false, false
 		},
 		Dial: func(address string) (net.Conn, error) {
-			return fasthttp.DialTimeout(address, min(s.Settings.Timeout.Duration, time.Second))
+			return answer.Dial(address, min(s.Settings.Timeout.Duration, time.Second))
 		},
 		NoDefaultUserAgentHeader: true,
 	}
--- /dev/null
+++ b/pkg/router/broken_answer_test.go
@@ -0,0 +1,39 @@
+package router_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
+)
+
+// TestBrokenHeadsGiveNoAnswer guards against answers of endpoints whose head is malformed and that reach their
+// callers.
+func TestBrokenHeadsGiveNoAnswer(t *testing.T) {
+	heads := map[string]string{
+		"status 000":            "HTTP/1.1 000 OK\r\n",
+		"status 010":            "HTTP/1.1 010 OK\r\n",
+		"status 600":            "HTTP/1.1 600 OK\r\n",
+		"a switch of protocols": "HTTP/1.1 101 Switching Protocols\r\n",
+		"a control byte":        "HTTP/1.1 200 O\x01K\r\n",
+		"000 behind an interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
+	}
+	for name, head := range heads {
+		handler := func(ctx *fasthttp.RequestCtx) {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(conn net.Conn) { _, _ = io.WriteString(conn, head+"Content-Length: 6\r\n\r\nbroken") })
+		}
+		withRouter(t, handler, func(address string) {
+			Convey("A caller gets no answer whose endpoint sends "+name, t, func() {
+				const model = `{"model":"m","messages":[]}`
+				for _, call := range []string{"GET /a HTTP/1.1\r\n", fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: %d\r\n", len(model))} {
+					line := exchange(address, call+"Host: a\r\nAuthorization: Bearer "+testKey+"\r\n\r\n"+model)
+					So(line, ShouldStartWith, "HTTP/1.1 502")
+				}
+			})
+		})
+	}
+}
