pkg/answer: an answer with a malformed field reaches no caller

What callers saw: an answer in whose head the name of a field held a blank or a control byte came as status 200, with that line passed on, or with a body that was not the server's: chunks as they stand on the wire.

Cause: the HTTP library takes a blank within a name and one before the colon. It folds a line that begins with a blank or a tab into the one before, so that "\tTransfer-Encoding: chunked" is no framing. And an LF before a name is an empty line for it: the head ends there, and the fields behind it are the body. Only other control bytes within a name were refused.

Change: the name of each field has to be a token (RFC 9110, section 5.6.2), and each line, also the one that ends the head, has to end with CR LF. Folded lines are refused, which RFC 9112, section 5.2, gives a router the choice of. A blank before the colon could be removed (section 5.1); it is refused as well, because recipients differ in which field such a line is.

Why it holds: a line either has one reading or fails, before the library reads it, and the head ends where the check says or fails. It is the same check for all readers of answers.

Handled before, and kept as tests: other control bytes within a name, and in a value.

--- a/pkg/answer/head.go
+++ b/pkg/answer/head.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -62,17 +63,25 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	status, err = parseStatusLine(line)
-	for err == nil {
+	if status, err = parseStatusLine(line); err != nil {
+		return 0, 0, err
+	}
+	for {
 		length += len(line)
-		if line, err = peekLine(reader, length); err == nil && isEmptyLine(line) {
+		if line, err = peekLine(reader, length); err != nil {
+			return 0, 0, err
+		}
+		if string(line) == lineEnd {
 			return length + len(line), status, nil
 		}
+		if err := checkField(line); err != nil {
+			return 0, 0, err
+		}
 	}
-	return 0, 0, err
 }
 
-func isEmptyLine(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
+// lineEnd ends a line. Where a line ends otherwise, recipients differ in what they read.
+const lineEnd = "\r\n"
 
 const versionPrefix = "HTTP/1."
 
@@ -116,7 +125,8 @@
 
 // parseStatusLine returns the status of a status line (RFC 9112, section 4). The phrase may be missing.
 func parseStatusLine(line []byte) (status int, err error) {
-	_, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte{' '})
+	content, ended := bytes.CutSuffix(line, []byte(lineEnd))
+	_, rest, _ := bytes.Cut(content, []byte{' '})
 	rest = bytes.TrimLeft(rest, " ")
 	code, phrase, _ := bytes.Cut(rest, []byte{' '})
 	if len(code) != statusDigits {
@@ -129,6 +139,8 @@
 		status = status*10 + int(digit-'0')
 	}
 	switch {
+	case !ended:
+		return 0, newHeadError("a line without CR LF", line)
 	case status < minStatus || status > maxStatus:
 		return 0, newHeadError("a status outside 100 to 599", line)
 	case status == fasthttp.StatusSwitchingProtocols:
@@ -141,3 +153,36 @@
 
 // isControl reports whether a field or phrase must not contain a byte (RFC 9110, section 5.5).
 func isControl(b rune) bool { return (b < ' ' && b != '\t') || b == 0x7f }
+
+// checkField checks the name and the end of a field line (RFC 9112, section 5); the library checks the value.
+// Blanks around a name and folded lines, which begin with one, are for a router to mend or to refuse. They are
+// refused, because recipients differ in which field such a line is, and so in where the body ends.
+func checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte{':'})
+	switch {
+	case !bytes.HasSuffix(line, []byte(lineEnd)):
+		return newHeadError("a line without CR LF", line)
+	case !found || !isToken(name):
+		return newHeadError("a field without a valid name", line)
+	}
+	return nil
+}
+
+// isToken reports whether a name is a token (RFC 9110, section 5.6.2).
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if !isTokenByte(b) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+func isTokenByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
+}
--- a/pkg/answer/head_test.go
+++ b/pkg/answer/head_test.go
@@ -99,3 +99,37 @@
 		So(err, ShouldEqual, bufio.ErrBufferFull)
 	})
 }
+
+// brokenLines are lines of a head that are no field.
+var brokenLines = []string{
+	"X Own: 1\r\n", "X-Own : 1\r\n", "X-Own\t: 1\r\n", " X-Own: 1\r\n", "\tX-Own: 1\r\n", ": 1\r\n", " : 1\r\n", "X-Own\r\n", " \r\n",
+	"X\x00Own: 1\r\n", "X\x01Own: 1\r\n", "X\tOwn: 1\r\n", "X\nOwn: 1\r\n", "X\rOwn: 1\r\n", "X\x7fOwn: 1\r\n", "\nX-Own: 1\r\n", "\rX-Own: 1\r\n",
+	"X\"Own: 1\r\n", "X(Own): 1\r\n", "X/Own: 1\r\n", "X\xc3\xa4: 1\r\n", "X-Own: 1\n", "X-Own: 1\r\r\n",
+	"X-Own: a\x00\r\n", "X-Own: a\x01\r\n", "X-Own: a\rb\r\n", "X-Own: a\x7f\r\n",
+	"Content Length: 5\r\n", "Content-Length : 5\r\n", " Content-Length: 5\r\n", "\nContent-Length: 5\r\n",
+	"Transfer Encoding: chunked\r\n", "Transfer-Encoding : chunked\r\n", "\tTransfer-Encoding: chunked\r\n", "\nTransfer-Encoding: chunked\r\n",
+	"Connection : close\r\n", "Content-Type : text/event-stream\r\n", "Set-Cookie : a=b\r\n", "Server : a\r\n",
+}
+
+// TestFieldNames guards against answers of which a line of the head is passed on, folded into another one or
+// taken for the body, because the name of its field is none.
+func TestFieldNames(t *testing.T) {
+	for _, line := range brokenLines {
+		Convey(fmt.Sprintf("A head with the line %q is malformed, wherever it stands", line), t, func() {
+			shouldBeMalformed(okLine + line + "X-Other: 2\r\n\r\n")
+			shouldBeMalformed(okLine + "X-Other: 2\r\n" + line + "\r\n")
+			shouldBeMalformed(okLine + "X-Other: 2\r\n" + line + "X-More: 3\r\n\r\n")
+		})
+	}
+	Convey("A head whose end is no empty line by CR LF is malformed", t, func() {
+		shouldBeMalformed(okLine + "X-Own: 1\r\n\n")
+		shouldBeMalformed("HTTP/1.1 200 OK\n\r\n")
+		shouldBeMalformed("HTTP/1.1 200 OK\nX-Own: 1\n\n")
+	})
+	for _, line := range []string{"X-Own: 1\r\n", "X-Own:1\r\n", "X-Own:\r\n", "X-Own: \t1 \r\n", "x_own.~!#$%&'*+^`|0: \"a\"\tb:c\xc3\xa4\r\n", "X-Own: 1\r\nX-Own: 2\r\n"} {
+		Convey(fmt.Sprintf("A head with the line %q is read", line), t, func() {
+			shouldBeRead(okLine+line+length+"\r\n", fasthttp.StatusOK)
+		})
+	}
+	Convey("A head without fields is read", t, func() { shouldBeRead(okLine+"\r\n", fasthttp.StatusOK) })
+}
--- a/pkg/router/broken_answer_test.go
+++ b/pkg/router/broken_answer_test.go
@@ -14,12 +14,16 @@
 // callers.
 func TestBrokenHeadsGiveNoAnswer(t *testing.T) {
 	heads := map[string]string{
-		"status 000":            "HTTP/1.1 000 OK\r\n",
-		"status 010":            "HTTP/1.1 010 OK\r\n",
-		"status 600":            "HTTP/1.1 600 OK\r\n",
-		"a switch of protocols": "HTTP/1.1 101 Switching Protocols\r\n",
-		"a control byte":        "HTTP/1.1 200 O\x01K\r\n",
-		"000 behind an interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
+		"status 000":             "HTTP/1.1 000 OK\r\n",
+		"status 010":             "HTTP/1.1 010 OK\r\n",
+		"status 600":             "HTTP/1.1 600 OK\r\n",
+		"a switch of protocols":  "HTTP/1.1 101 Switching Protocols\r\n",
+		"a control byte":         "HTTP/1.1 200 O\x01K\r\n",
+		"a blank in a name":      "HTTP/1.1 200 OK\r\nX Own: 1\r\n",
+		"a blank before a colon": "HTTP/1.1 200 OK\r\nX-Own : 1\r\n",
+		"a folded line":          "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\tX-Other: 2\r\n",
+		"a line without CR":      "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\nX-Other: 2\r\n",
+		"000 behind an interim":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
 	}
 	for name, head := range heads {
 		handler := func(ctx *fasthttp.RequestCtx) {
