pkg/endpoint: a reset during an upload does not end an answer in order

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer, also as an event stream.

Cause: one connection, two goroutines. The kernel reports a reset once, to whoever asks first. When the request's writer got it, the answer's reader got an orderly end, and a body that ends with its connection looked complete. The writer's error only decided whether the connection is used again. An upload whose bytes are never acknowledged fails in the same way.

Change: at the end of a body without framing the reader waits for the writer, as briefly as it does for reuse, and takes its error for that of the body. A write that is still blocked then has met no error: it is ended, as the close of the response did before, and the answer is whole.

Why it holds: if the reader got an orderly end of a connection that was reset, the writer's call has already taken the error, so that its result tells the two apart without any time. Framed bodies don't need it. An endpoint that ends its answer in order and reads on, or that has read all, makes no write fail.

--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -193,6 +193,23 @@
 	}
 }
 
+// end ends the write after the connection's other direction ended, and returns the error with which the
+// connection failed. The kernel reports a reset once: if the writer got it, the reader got an orderly end.
+func (w *requestWrite) end(c *conn) error {
+	if w.waitDone() {
+		return nil
+	}
+	// A write that is still blocked has met no error, and nobody waits for the rest of the request.
+	if err := c.SetWriteDeadline(time.Now()); err != nil {
+		return err
+	}
+	w.wait()
+	if isTimeout(w.err) {
+		return nil
+	}
+	return w.err
+}
+
 // wait returns when nothing reads the request any more. The caller closes the connection
 // before, unless the whole request was written.
 func (w *requestWrite) wait() { <-w.finished }
@@ -280,7 +297,7 @@
 
 // Read returns body bytes as soon as some are available. It returns io.EOF only at the end that the
 // framing defines, or, if the body runs until the connection closes, once the endpoint has closed
-// it in order.
+// it in order and the request was not broken off.
 func (r *Response) Read(p []byte) (n int, err error) {
 	if r.complete {
 		return 0, io.EOF
@@ -301,6 +318,10 @@
 		}
 	case r.framing == FramingLength && r.remaining > 0:
 		return n, r.brokenOff(io.ErrUnexpectedEOF)
+	case r.framing == FramingClose:
+		if err := r.requestWrite.end(r.conn); err != nil {
+			return n, r.brokenOff(err)
+		}
 	}
 	r.complete = true
 	return n, io.EOF
--- a/pkg/router/broken_answer_test.go
+++ b/pkg/router/broken_answer_test.go
@@ -1,13 +1,16 @@
 package router_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 )
 
 // TestBrokenHeadsGiveNoAnswer guards against answers of endpoints whose head is malformed and that reach their
@@ -41,3 +44,42 @@
 		})
 	}
 }
+
+// TestResetDuringUploadIsNoEnd guards against a part of an answer that its caller gets as complete because its
+// endpoint reset the connection while the request was still being written.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoint := errgroup.Group{}
+	endpoint.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			header := &fasthttp.RequestHeader{}
+			if header.Read(bufio.NewReader(conn)) == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	})
+	withRouterTo(t, listener.Addr().String(), func(address string) {
+		Convey("The caller gets an error, or a body that is cut", t, func() {
+			for range 10 {
+				request, response := &fasthttp.Request{}, &fasthttp.Response{}
+				request.SetRequestURI("http://" + address + "/a")
+				request.Header.SetMethod(fasthttp.MethodPost)
+				request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+testKey)
+				request.SetBody(make([]byte, 7<<20))
+				err := fasthttp.DoTimeout(request, response, 20*time.Second)
+				So(err != nil || response.StatusCode() >= fasthttp.StatusInternalServerError, ShouldBeTrue)
+			}
+		})
+	})
+	listener.Close()
+	_ = endpoint.Wait()
+}
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -51,8 +51,12 @@
 // withRouter runs a router in front of one plain endpoint and one model endpoint.
 func withRouter(tb testing.TB, handler fasthttp.RequestHandler, test func(address string)) {
 	tb.Helper()
-	group := &errgroup.Group{}
-	endpointAddress := serveEndpoint(tb, group, handler)
+	withRouterTo(tb, serveEndpoint(tb, &errgroup.Group{}, handler), test)
+}
+
+// withRouterTo does the same with an endpoint that listens at an address.
+func withRouterTo(tb testing.TB, endpointAddress string, test func(address string)) {
+	tb.Helper()
 	box := settings.DefaultBox()
 	box.Name = "box-1"
 	box.Zone = "lhr-a"
