cmd/quaybench/soak: draws servers whose answers have malformed heads

The soak knew no broken heads, and its callers read answers with the library, which takes such heads itself. Servers now draw statuses that are none, blanks in and before the end of a name, and folded lines; callers read through pkg/answer, and a malformed response is a violation.

--- a/cmd/quaybench/soak/caller.go
+++ b/cmd/quaybench/soak/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/quaylead/quaylead/pkg/answer"
 	"github.com/quaylead/quaylead/platform/standin"
 )
 
@@ -124,7 +125,7 @@
 // are not ready.
 func (c *caller) connect() bool {
 	c.box = c.world.boxes[c.rng.IntN(len(c.world.boxes))]
-	conn, err := net.DialTimeout("tcp", c.box.callerAddress, time.Second)
+	conn, err := answer.Dial(c.box.callerAddress, time.Second)
 	if err != nil {
 		time.Sleep(maxCallerPause)
 		return false
--- a/cmd/quaybench/soak/check.go
+++ b/cmd/quaybench/soak/check.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
+	"github.com/quaylead/quaylead/pkg/answer"
 	"github.com/quaylead/quaylead/platform/standin"
 )
 
@@ -90,6 +91,9 @@
 	if o.err == nil && o.status == fasthttp.StatusOK && o.body != o.expectedBody() && !mayBePart {
 		violations = append(violations, fmt.Sprintf("its response is not the complete one: %d bytes of %d, %q at the end", len(o.body), len(o.expectedBody()), tail(o.body)))
 	}
+	if malformed := (*answer.HeadError)(nil); errors.As(o.err, &malformed) {
+		violations = append(violations, "its response is malformed")
+	}
 	if o.status == fasthttp.StatusOK && o.server == "" {
 		violations = append(violations, "its response names no server")
 	}
--- a/cmd/quaybench/soak/check_test.go
+++ b/cmd/quaybench/soak/check_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/quaylead/quaylead/pkg/answer"
 	"github.com/quaylead/quaylead/platform/standin"
 )
 
@@ -40,6 +41,7 @@
 		"an incomplete response":          func(o *outcome) { o.body = "answer" },
 		"the response of another request": func(o *outcome) { o.responseID = "2" },
 		"a response that names no server": func(o *outcome) { o.server = "" },
+		"a malformed head":                func(o *outcome) { o.status, o.body, o.server, o.err = 0, "", "", &answer.HeadError{} },
 		"a false report of not run":       func(o *outcome) { o.status = 503 },
 		"a stream without its last part":  func(o *outcome) { o.kind, o.body, o.isFramed = standin.Stream, standin.Event("1", 1), true },
 		"a stream that ends inside an event": func(o *outcome) {
--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -296,7 +296,9 @@
 
 func drawServerFault(rng *rand.Rand, s *server) injection {
 	probability := 0.05 + 0.9*rng.Float64()
-	switch rng.IntN(15) {
+	switch rng.IntN(17) {
+	case 15, 16:
+		return serverFault{server: s, description: "sends malformed heads", fault: standin.ServerFault{Malformed: probability}}
 	case 13, 14:
 		return serverFault{server: s, description: "repeats events", fault: standin.ServerFault{Disordered: probability}}
 	case 7, 8:
