--- a/pkg/answer/conn.go
+++ b/pkg/answer/conn.go
@@ -43,7 +43,7 @@
 		c.reader = bufio.NewReader(c.Conn)
 	}
 	if c.awaitsHead && c.readable == 0 && c.err == nil {
-		c.awaitHead()
+		c.checkNext()
 	}
 	switch {
 	case c.readable > 0:
@@ -57,9 +57,9 @@
 	}
 }
 
-// awaitHead waits for the next head. Of one that is malformed or cut a byte can be read: the library takes an
-// error before the first byte for an orderly end.
-func (c *Conn) awaitHead() {
+// checkNext waits for the next head and checks it. Of one that is malformed or cut a byte can be read: the library
+// takes an error before the first byte for an orderly end.
+func (c *Conn) checkNext() {
 	length, status, err := awaitHead(c.reader)
 	if err != nil {
 		c.err = err
--- a/pkg/answer/head.go
+++ b/pkg/answer/head.go
@@ -1,5 +1,5 @@
-// Package answer reads the heads of HTTP answers. Unlike the HTTP library it takes nothing for a head that
-// another recipient could read in another way: such an answer must reach no caller.
+// Package answer reads the heads of HTTP answers. Unlike the HTTP library it rejects heads that are malformed,
+// which recipients parse in different ways: such an answer must reach no caller.
 package answer
 
 import (
@@ -151,12 +151,12 @@
 	return status, nil
 }
 
-// isControl reports whether a field or phrase must not contain a byte (RFC 9110, section 5.5).
-func isControl(b rune) bool { return (b < ' ' && b != '\t') || b == 0x7f }
+// isControl reports whether a character is a control byte other than the tab (RFC 9112, section 4).
+func isControl(char rune) bool { return (char < ' ' && char != '\t') || char == 0x7f }
 
-// checkField checks the name and the end of a field line (RFC 9112, section 5); the library checks the value.
-// Blanks around a name and folded lines, which begin with one, are for a router to mend or to refuse. They are
-// refused, because recipients differ in which field such a line is, and so in where the body ends.
+// checkField checks the name and the end of a field line (RFC 9112, section 5); the library checks the value. A
+// router may remove a blank before the colon, and unfold lines that begin with one. Both are rejected, because
+// recipients differ in which field such a line is, and so in where the body ends.
 func checkField(line []byte) error {
 	name, _, found := bytes.Cut(line, []byte{':'})
 	switch {
