pkg/answer: chunks in an answer of HTTP/1.0 reach no caller

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" came as status 200 with the chunks as they stand for its body, on four of four routes.

Cause: the HTTP library ignores the transfer coding of each version but HTTP/1.1, and takes the body up to the end of the connection.

Change: such a head is rejected. RFC 9112, section 6.1, calls its framing faulty, whatever else it states.

Why it holds: the check knows the version before it reads the fields, and is the one of all readers of answers.

Answers of HTTP/1.0 with a length, or up to the end of their connection, are read as before. Tried beside it and handled before: a length beside chunks, in either order (the chunks are read), and chunks with 204.

--- a/pkg/answer/head.go
+++ b/pkg/answer/head.go
@@ -66,6 +66,7 @@
 	if status, err = parseStatusLine(line); err != nil {
 		return 0, 0, err
 	}
+	mayBeCoded := bytes.HasPrefix(line, []byte(codedVersion))
 	for {
 		length += len(line)
 		if line, err = peekLine(reader, length); err != nil {
@@ -77,9 +78,16 @@
 		if err := checkField(line); err != nil {
 			return 0, 0, err
 		}
+		if !mayBeCoded && hasName(line, fasthttp.HeaderTransferEncoding) {
+			return 0, 0, newHeadError("a transfer coding without HTTP/1.1", line)
+		}
 	}
 }
 
+// codedVersion begins the answers that may have a transfer coding (RFC 9112, section 6.1). In others the library
+// ignores it, and the body would be the chunks as they stand.
+const codedVersion = "HTTP/1.1 "
+
 // lineEnd ends a line. Where a line ends otherwise, recipients differ in what they read.
 const lineEnd = "\r\n"
 
@@ -186,3 +194,8 @@
 		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 	}
 }
+
+// hasName reports whether a field line has a name, in any case.
+func hasName(line []byte, name string) bool {
+	return len(line) > len(name) && line[len(name)] == ':' && strings.EqualFold(string(line[:len(name)]), name)
+}
--- a/pkg/answer/head_test.go
+++ b/pkg/answer/head_test.go
@@ -133,3 +133,19 @@
 	}
 	Convey("A head without fields is read", t, func() { shouldBeRead(okLine+"\r\n", fasthttp.StatusOK) })
 }
+
+// TestTransferCodings guards against chunks that are taken for the body, because the answer's version has none.
+func TestTransferCodings(t *testing.T) {
+	for _, line := range []string{"Transfer-Encoding: chunked\r\n", "transfer-encoding:chunked\r\n", "TRANSFER-ENCODING: gzip\r\n"} {
+		Convey("It is malformed unless its version is HTTP/1.1: "+line, t, func() {
+			shouldBeMalformed("HTTP/1.0 200 OK\r\n" + line + "\r\n")
+			shouldBeMalformed("HTTP/1.0 200 OK\r\n" + length + line + "\r\n")
+			shouldBeMalformed("HTTP/1.2 200 OK\r\n" + line + "\r\n")
+		})
+	}
+	Convey("One of HTTP/1.0 is read that has a length or a name that only begins so", t, func() {
+		shouldBeRead("HTTP/1.0 200 OK\r\n"+length+"\r\n", fasthttp.StatusOK)
+		shouldBeRead("HTTP/1.0 200 OK\r\nTransfer-Encodings: a\r\n\r\n", fasthttp.StatusOK)
+		shouldBeRead(okLine+"Transfer-Encoding: chunked\r\n\r\n", fasthttp.StatusOK)
+	})
+}
--- a/pkg/router/broken_answer_test.go
+++ b/pkg/router/broken_answer_test.go
@@ -26,6 +26,7 @@
 		"a blank before a colon": "HTTP/1.1 200 OK\r\nX-Own : 1\r\n",
 		"a folded line":          "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\tX-Other: 2\r\n",
 		"a line without CR":      "HTTP/1.1 200 OK\r\nX-Own: 1\r\n\nX-Other: 2\r\n",
+		"chunks of HTTP/1.0":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
 		"000 behind an interim":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
 	}
 	for name, head := range heads {
