--- a/pkg/endpoint/early_end_test.go
+++ b/pkg/endpoint/early_end_test.go
@@ -54,6 +54,13 @@
 		_, err := io.CopyN(io.Discard, reader, int64(header.ContentLength()))
 		return err
 	default:
+		// Without unread bytes the connection would end in order.
+		for range 1000 {
+			if QueuesOf(tcp).Unread > 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
 		return nil
 	}
 }
