Review: a service that is added again is never served

The pool of a service that the configuration takes out misses the changes of its servers and is used again as it was when a later version adds it.

The case: all three model servers are replaced while no route leads to them.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -18,6 +18,7 @@
 	"refused": caseRefused,
 	"crash":   caseCrash,
 	"drain":   caseDrain,
+	"readd":   caseReadd,
 }
 
 func main() {
