pkg/endpoint, pkg/gateway: an answer that names no request is the last on its connection

Cause: servers name the request in their answers, but for refusals and errors. Any of those was taken for the answer to the request sent last, and its connection kept, so that a late copy of it refused the next request there.

Change: such an answer is the last on its connection. A connection that has carried a request carries none with the same ID again. The list of cached parts is read from an answer without an ID only. Stand-ins refuse and repeat that refusal late; the soak draws it.

The answers of TestConnections name their request now, as one that names none is no longer a case of reuse; that it is not is a case of its own. TestEarlyAnswer does so too, as its connection would not be reused anyway.

--- a/cmd/quaybench/soak/faults.go
+++ b/cmd/quaybench/soak/faults.go
@@ -298,7 +298,9 @@
 
 func drawServerFault(rng *rand.Rand, s *server) injection {
 	probability := 0.05 + 0.9*rng.Float64()
-	switch rng.IntN(17) {
+	switch rng.IntN(19) {
+	case 17, 18:
+		return serverFault{server: s, description: "repeats refusals late", fault: standin.ServerFault{Shed: probability, LateCopies: 0.5}}
 	case 15, 16:
 		return serverFault{server: s, description: "sends malformed heads", fault: standin.ServerFault{Malformed: probability}}
 	case 13, 14:
--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -72,6 +72,8 @@
 	idleSince time.Time
 	// keepAlive is how long the endpoint keeps it open while idle; 0 means unknown.
 	keepAlive time.Duration
+	// carried has the latest requests that were sent on it.
+	carried recentIDs
 }
 
 // Client manages the connections to one address.
--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -26,14 +26,30 @@
 	NonRepeatable bool
 	// Sending is called just before the first byte may be sent.
 	Sending func() error
-	// Matches reports whether a response belongs to this request. Other responses are read to their
+	// ID is the request's, which endpoints may name in their responses. Connections that have carried a
+	// request with the same ID are not reused: a late copy of its response would be taken for this one's.
+	ID string
+	// Match tells whether a response belongs to this request. Responses to others are read to their
 	// end and dropped: a surplus one may precede the expected one.
-	Matches func(head *fasthttp.ResponseHeader) bool
+	Match func(head *fasthttp.ResponseHeader) Match
 	// Written is called once nothing reads the request any more. This may be after Do returned
 	// a response, but is always before Close of that response returns.
 	Written func()
 }
 
+// Match is what the head of a response tells about the request that it belongs to.
+type Match int
+
+const (
+	// MatchOther is that of a response to another request.
+	MatchOther Match = iota
+	// MatchNamed is that of a response that names the request.
+	MatchNamed
+	// MatchUnnamed is that of a response that names no request. Its connection is not reused: a late copy
+	// of it would be taken for the response to the next request.
+	MatchUnnamed
+)
+
 // NoResponseError reports that at least part of the request was sent and no response was received:
 // the request may have run.
 type NoResponseError struct {
@@ -86,7 +102,7 @@
 // Do sends a request and waits for the header of its response. When the context ends, the
 // connection is closed, which also cancels the request at the endpoint.
 func (c *Client) Do(ctx context.Context, call *Call) (response *Response, err error) {
-	open, reused, err := c.acquireContext(ctx, call.NonRepeatable)
+	open, reused, err := c.acquireContext(ctx, call)
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +124,7 @@
 	if err := call.Sending(); err != nil {
 		return nil, err
 	}
+	open.carried.add(call.ID)
 	// From here on, the writing goroutine owns the request.
 	isHead := call.Request.Header.IsHead()
 	write = open.startWrite(call)
@@ -127,14 +144,14 @@
 
 // acquireContext returns an idle connection that may be used, or a new one, and whether it is
 // reused.
-func (c *Client) acquireContext(ctx context.Context, nonRepeatable bool) (open *conn, reused bool, err error) {
+func (c *Client) acquireContext(ctx context.Context, call *Call) (open *conn, reused bool, err error) {
 	for {
 		idle := c.popIdle()
 		if idle == nil {
 			open, err = c.dialContext(ctx)
 			return open, false, err
 		}
-		if idle.isFresh(nonRepeatable) && idle.reader.Buffered() == 0 && IsReusable(idle.Conn) {
+		if idle.isFresh(call.NonRepeatable) && !idle.carried.has(call.ID) && idle.reader.Buffered() == 0 && IsReusable(idle.Conn) {
 			return idle, true, nil
 		}
 		idle.Close()
@@ -242,7 +259,11 @@
 			continue
 		}
 		response.setFraming(isHead)
-		if call.Matches == nil || call.Matches(&response.Head) {
+		switch call.Match(&response.Head) {
+		case MatchNamed:
+			return response, nil
+		case MatchUnnamed:
+			response.noReuse = true
 			return response, nil
 		}
 		if err := response.drop(); err != nil {
@@ -376,6 +397,9 @@
 // Discard reads the rest of a short body within a time, so that Close can keep the connection. Whatever does
 // not end by then closes it.
 func (r *Response) Discard(limit int, within time.Duration) error {
+	if r.noReuse {
+		return nil
+	}
 	if err := r.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
--- a/pkg/endpoint/response_test.go
+++ b/pkg/endpoint/response_test.go
@@ -69,9 +69,15 @@
 	return &Call{
 		Request: request,
 		Sending: func() error { return nil },
-		Matches: func(head *fasthttp.ResponseHeader) bool {
-			id := string(head.Peek("X-Id"))
-			return id == "" || id == "mine"
+		Match: func(head *fasthttp.ResponseHeader) Match {
+			switch string(head.Peek("X-Id")) {
+			case "":
+				return MatchUnnamed
+			case "mine":
+				return MatchNamed
+			default:
+				return MatchOther
+			}
 		},
 	}
 }
@@ -157,7 +163,7 @@
 				if _, err := conn.Write([]byte(sent)); err != nil {
 					return
 				}
-				sent = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+				sent = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 0\r\n\r\n"
 			}
 		})
 		client := s.client()
@@ -177,16 +183,19 @@
 	}
 	nothing := func(*Client) {}
 	Convey("A connection whose response was read completely is reused", t, func() {
-		So(exchanges("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nothing), ShouldEqual, 1)
+		So(exchanges("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok", nothing), ShouldEqual, 1)
+	})
+	Convey("One whose response names no request is not", t, func() {
+		So(exchanges("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", nothing), ShouldEqual, 2)
 	})
 	Convey("One with bytes after the response is not", t, func() {
-		So(exchanges("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", nothing), ShouldEqual, 2)
+		So(exchanges("HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 0\r\n\r\n", nothing), ShouldEqual, 2)
 	})
 	Convey("One that the endpoint is about to close is not", t, func() {
-		So(exchanges("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", nothing), ShouldEqual, 2)
+		So(exchanges("HTTP/1.1 200 OK\r\nX-Id: mine\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", nothing), ShouldEqual, 2)
 	})
 	Convey("One that was idle for longer than the endpoint keeps it is not", t, func() {
-		So(exchanges("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok", func(c *Client) {
+		So(exchanges("HTTP/1.1 200 OK\r\nX-Id: mine\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok", func(c *Client) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			So(c.idle[0].keepAlive, ShouldEqual, 5*time.Second)
@@ -204,7 +213,7 @@
 			if _, err := reader.ReadString('\n'); err != nil {
 				return
 			}
-			_, _ = conn.Write([]byte("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"))
+			_, _ = conn.Write([]byte("HTTP/1.1 413 Too Large\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nno"))
 			<-release
 			_, _ = io.Copy(io.Discard, conn)
 		})
--- a/pkg/endpoint/silence_test.go
+++ b/pkg/endpoint/silence_test.go
@@ -53,7 +53,7 @@
 			request.SetRequestURI("http://e/p")
 			request.Header.SetMethod(fasthttp.MethodPost)
 			request.SetBodyString("x")
-			response, err := client.Do(ctx, &Call{Request: request, Sending: func() error { return nil }})
+			response, err := client.Do(ctx, &Call{Request: request, Sending: func() error { return nil }, Match: func(*fasthttp.ResponseHeader) Match { return MatchNamed }})
 			if err != nil {
 				return err
 			}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -53,6 +53,7 @@
 	defer body.answered()
 	response, err := c.gateway.client(to.Address).Do(ctx, &endpoint.Call{
 		Request:       out,
+		ID:            c.ID,
 		NonRepeatable: !c.route.Repeatable,
 		Sending: func() error {
 			c.gateway.checkSuspension()
@@ -73,11 +74,7 @@
 			c.hedge.startOverlap()
 			return nil
 		},
-		Matches: func(head *fasthttp.ResponseHeader) bool {
-			// Refusals may come without an ID.
-			id := c.gateway.Translator.ParseResponse(head).ID
-			return id == c.ID || (id == "" && head.StatusCode() >= fasthttp.StatusMultipleChoices)
-		},
+		Match:   c.matchResponse,
 		Written: func() { fasthttp.ReleaseRequest(out) },
 	})
 	if err != nil {
@@ -98,6 +95,18 @@
 	return response, nil
 }
 
+// matchResponse tells whether a response belongs to the request. Refusals and errors may name none.
+func (c *call) matchResponse(head *fasthttp.ResponseHeader) endpoint.Match {
+	switch id := c.gateway.Translator.ParseResponse(head).ID; {
+	case id == "" && (c.ID == "" || head.StatusCode() >= fasthttp.StatusMultipleChoices):
+		return endpoint.MatchUnnamed
+	case id == c.ID:
+		return endpoint.MatchNamed
+	default:
+		return endpoint.MatchOther
+	}
+}
+
 // discardTimeout bounds the time for the rest of a short response, which usually comes with its head. The
 // next attempt waits for it.
 const discardTimeout = 20 * time.Millisecond
--- a/pkg/gateway/hedge_test.go
+++ b/pkg/gateway/hedge_test.go
@@ -43,7 +43,11 @@
 	client := &endpoint.Client{Address: listener.Addr().String(), ConnectTimeout: time.Second, HeaderBytes: 4 << 10}
 	out := &fasthttp.Request{}
 	out.SetRequestURI("http://endpoint/")
-	response, err := client.Do(ctx, &endpoint.Call{Request: out, Sending: func() error { return nil }})
+	response, err := client.Do(ctx, &endpoint.Call{
+		Request: out,
+		Sending: func() error { return nil },
+		Match:   func(*fasthttp.ResponseHeader) endpoint.Match { return endpoint.MatchNamed },
+	})
 	So(err, ShouldBeNil)
 	So(serving.Wait(), ShouldBeNil)
 	return response
--- a/pkg/gateway/kept_answer_test.go
+++ b/pkg/gateway/kept_answer_test.go
@@ -71,7 +71,7 @@
 	response, err := client.Do(t.Context(), &endpoint.Call{
 		Request: out,
 		Sending: func() error { return nil },
-		Matches: func(*fasthttp.ResponseHeader) bool { return true },
+		Match:   func(*fasthttp.ResponseHeader) endpoint.Match { return endpoint.MatchNamed },
 		Written: func() {},
 	})
 	So(err, ShouldBeNil)
--- a/pkg/gateway/prefixcache.go
+++ b/pkg/gateway/prefixcache.go
@@ -118,6 +118,7 @@
 			}
 			return nil
 		},
+		Match:   g.matchCacheList,
 		Written: func() { fasthttp.ReleaseRequest(request) },
 	})
 	if err != nil {
@@ -136,3 +137,11 @@
 	cached.Born, cached.Parts, err = g.Translator.ParseCachedParts(body)
 	return cached, err
 }
+
+// matchCacheList tells whether a response may be that to a request for a list, which has no ID.
+func (g *Gateway) matchCacheList(head *fasthttp.ResponseHeader) endpoint.Match {
+	if g.Translator.ParseResponse(head).ID != "" {
+		return endpoint.MatchOther
+	}
+	return endpoint.MatchUnnamed
+}
