pkg/router: a connection ends with an error that names no request

Change: a response from status 300 on without an ID closes its connection. An idle connection with unread bytes is not used either; those belong to no request that is still to come.

The second part was read, and has no test of its own.

--- a/pkg/endpoint/checked_response.go
+++ b/pkg/endpoint/checked_response.go
@@ -29,6 +29,8 @@
 	Response fasthttp.Response
 	// Head is the header as it was before the body.
 	Head fasthttp.ResponseHeader
+	// NoReuse makes Close close the connection.
+	NoReuse bool
 
 	client *Client
 	conn   *conn
@@ -184,7 +186,7 @@
 	if !r.complete && r.Response.BodyStream() != nil {
 		return r.conn.Close()
 	}
-	if r.Response.ConnectionClose() || r.conn.reader.Buffered() > 0 {
+	if r.NoReuse || r.Response.ConnectionClose() || r.conn.reader.Buffered() > 0 {
 		return r.conn.Close()
 	}
 	if err := r.conn.SetDeadline(time.Time{}); err != nil {
--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -136,7 +136,7 @@
 		if idle == nil {
 			break
 		}
-		if idle.reader.Buffered() == 0 && IsOpen(idle.Conn) {
+		if idle.reader.Buffered() == 0 && IsReusable(idle.Conn) {
 			return idle, nil
 		}
 		idle.Close()
--- a/pkg/router/job.go
+++ b/pkg/router/job.go
@@ -244,6 +244,8 @@
 	if len(echoed) > 0 && string(echoed) != j.id {
 		return &mismatchedResponseError{requestID: string(echoed)}
 	}
+	// A late copy of an error that names no request would be taken for the response to the next one.
+	response.NoReuse = len(echoed) == 0 && response.Response.StatusCode() >= fasthttp.StatusMultipleChoices
 	if j.rules.NotRunHeader != "" && len(header.Peek(j.rules.NotRunHeader)) > 0 {
 		leaving := j.rules.LeavingHeader != "" && len(header.Peek(j.rules.LeavingHeader)) > 0
 		return &declinedError{leaving: leaving}
