pkg/gateway: the end of a leaving endpoint is observed like any other

Cause: an end was not looked at if its endpoint was leaving or not listed any more. A notice says that an endpoint will end after its last answer, not that this end is the one announced.

Change: the same observation decides. An endpoint that is gone with notice is cut if it ended in the middle of other answers; else its last answer is unproven: asked for again where the route allows it, else whole, as planned ends are.

TestWholeAnswersOfLeavingEndpoints is unchanged.

--- a/pkg/gateway/unframed.go
+++ b/pkg/gateway/unframed.go
@@ -37,7 +37,7 @@
 // checkUnframedEnd returns the error of a response without framing that ended because its endpoint did. If nothing
 // proves the end, the request goes to another endpoint where it may; else the response counts as whole.
 func (c *call) checkUnframedEnd(to *destination, response *endpoint.Response, mayAskAgain bool) error {
-	if response.IsFramed() || c.ctx.Err() != nil || c.isLeaving(to) {
+	if response.IsFramed() || c.ctx.Err() != nil {
 		return nil
 	}
 	observed, verdict := response.AwaitEnding(c.ctx, func() bool { return c.isLeaving(to) })
