pkg/endpoint: ended responses keep no connection

Cause: the records of responses that ended with their connections held these, with some 8 KB of buffers each, for up to 1.6 s after the last one; a server that resets thousands of connections a second would fill a small box.

Change: a record has the connection's number, and 64 are kept.

Measured: the tests of pkg/endpoint pass with the race detector; memory was not measured.

--- a/pkg/endpoint/conn.go
+++ b/pkg/endpoint/conn.go
@@ -75,6 +75,8 @@
 	carried recentIDs
 
 	client *Client
+	// number tells it from the client's other connections.
+	number int
 	// received is the number of bytes read from it, and receivedAt when the last ones were, in nanoseconds since
 	// processStart.
 	received, receivedAt atomic.Int64
--- a/pkg/endpoint/connections.go
+++ b/pkg/endpoint/connections.go
@@ -1,29 +1,33 @@
 package endpoint
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// connections are the open connections of a client, and the responses that ended with theirs.
+// connections are the open connections of a client, and the latest responses that ended with theirs.
 type connections struct {
-	mu    sync.Mutex
-	open  map[*conn]struct{}
-	ended []endedResponse
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	// opened counts all connections.
+	opened int
+	ended  []endedResponse
 }
 
 // endedResponse is a response that ended with its connection.
 type endedResponse struct {
-	conn *conn
-	at   time.Time
+	// number is that of the connection.
+	number int
+	at     time.Time
 	// silence is the time since the last bytes on the connection.
 	silence time.Duration
 	// isUnfinished is set if its framing shows that it broke off.
 	isUnfinished bool
 }
 
-// endedTTL is how long ended responses are kept.
-const endedTTL = 2 * maxEndingWait
+// maxEnded bounds the ended responses that are kept.
+const maxEnded = 64
 
 func (s *connections) add(c *conn) {
 	s.mu.Lock()
@@ -32,6 +36,8 @@
 		s.open = map[*conn]struct{}{}
 	}
 	s.open[c] = struct{}{}
+	s.opened++
+	c.number = s.opened
 }
 
 func (s *connections) remove(c *conn) {
@@ -56,8 +62,8 @@
 func (s *connections) recordEnd(ended endedResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.ended) > 0 && ended.at.Sub(s.ended[0].at) > endedTTL {
-		s.ended = s.ended[1:]
+	if len(s.ended) == maxEnded {
+		s.ended = slices.Delete(s.ended, 0, 1)
 	}
 	s.ended = append(s.ended, ended)
 }
--- a/pkg/endpoint/ending.go
+++ b/pkg/endpoint/ending.go
@@ -149,7 +149,7 @@
 	isUnfinished, isSilent, hasOthers := false, false, false
 	for _, e := range w.client.connections.endedSince(since) {
 		isSilent = isSilent || e.silence >= minEndingSilence
-		if e.conn != w.own {
+		if e.number != w.own.number {
 			hasOthers = true
 			isUnfinished = isUnfinished || e.isUnfinished
 		}
--- a/pkg/endpoint/response.go
+++ b/pkg/endpoint/response.go
@@ -356,7 +356,7 @@
 	}
 	now := time.Now()
 	r.client.connections.recordEnd(endedResponse{
-		conn:         r.conn,
+		number:       r.conn.number,
 		at:           now,
 		silence:      now.Sub(r.conn.lastReceived()),
 		isUnfinished: !r.complete,
